--- /dev/null
+++ b/src/bin/crowbay-benchlink.rs
@@ -0,0 +1,20 @@
+//! Runs the schedulers behind the simulator's wire, on standard input and output.
+
+#![forbid(unsafe_code)]
+
+use std::io::{self, BufReader, BufWriter};
+use std::process::ExitCode;
+
+use crowbay::wire::Adapter;
+
+fn main() -> ExitCode {
+    let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
+    let output = BufWriter::with_capacity(1 << 16, io::stdout().lock());
+    match Adapter::default().run(input, output) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("crowbay-benchlink: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,774 @@
+//! The decision module: one host's scheduler. Its settings, events, actions and ids are in `interface.rs`.
+//!
+//! Each node has a bound on this host's attempts out, moved on every answer by the law of the thesis
+//! (eq. 6.1); the excess waits here, per shard, by worth and then by due time. Every send passes the
+//! guards in [`Scheduler::verdict`]; every final answer leaves through [`Scheduler::finish`].
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+use crate::state::*;
+
+/// Gain of the law.
+const GAIN: f64 = 0.8;
+/// Bound of a node that has not answered yet.
+const START: f64 = 4.0;
+/// Least bound; one attempt alone would starve the measurement.
+const FLOOR: f64 = 2.0;
+/// Greatest bound.
+const CEILING: f64 = 32.0;
+/// Smoothing time of the latency ratio, of use and of service, in microseconds.
+const SMOOTHING: f64 = 1e6;
+/// Latency ratio that a node's "full" counts as: the queue was longer than anybody wanted.
+const FULL_RATIO: f64 = 2.0;
+/// An attempt out for more than this many aims is hung and does not count as load in the law.
+const HUNG: f64 = 3.0;
+/// No word from a node for this long, with attempts out, makes it silent.
+const SILENT: Micros = 1_000_000;
+/// Pause between two trials of a silent node.
+const TRIAL: Micros = 400_000;
+/// First pause after a node could not be reached or broke off; doubled each time.
+const BACKOFF: Micros = 50_000;
+/// Doublings of that pause at most.
+const BACKOFF_STEPS: u32 = 4;
+/// Pause after "full".
+const FULL_PAUSE: Micros = 20_000;
+/// Share and spare units are held back while the node's latency ratio is above this.
+const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.9, 0.5, 0.4];
+/// The part of the bound that each step may fill.
+const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
+/// How many waiting requests are looked at for one send.
+const SCAN: usize = 24;
+/// Time over which the memory of a node's best service fades, in microseconds.
+const PEAK_FADE: f64 = 15e6;
+/// The part of a node's service that is dealt out in shares.
+const DEALT: f64 = 0.9;
+/// Interval of forgetting.
+const SWEEP: Micros = 5_000_000;
+/// Pause before asking for the node list again after a failure.
+const ASK_AGAIN: Micros = 1_000_000;
+
+/// What a unit earns: within the reserve, within the share, beyond both, late.
+const RESERVE: usize = 0;
+const SHARE: usize = 1;
+const SPARE: usize = 2;
+const LATE: usize = 3;
+
+impl Node {
+    /// The law's L: smoothed mean of latency over aim; 1 until the node answers.
+    fn load(&self) -> f64 {
+        if self.weight.sum > 0.0 { self.ratio.sum / self.weight.sum } else { 1.0 }
+    }
+
+    /// One update of the law. Danger: hung attempts sit in the count out and inflate the bound, so those
+    /// far over their aim are left out of it. Also answers resets that nobody told of. Harm: on a node
+    /// that is only very slow the bound falls faster than the law's; it still rises with the first answers.
+    fn learn(&mut self, now: Micros, ratio: f64) {
+        let hung = |&&(sent, aim): &&(Micros, Micros)| (now - sent) as f64 > HUNG * aim as f64;
+        let count = self.out.len() - self.out.values().filter(hung).count().min(self.out.len() - 1);
+        self.ratio.add(now, ratio);
+        self.weight.add(now, 1.0);
+        self.bound = (count as f64 / (1.0 + GAIN * (self.load() - 1.0))).clamp(FLOOR, CEILING);
+    }
+
+    fn silent(&self, now: Micros) -> bool {
+        self.unheard.is_some_and(|t| now - t > SILENT)
+    }
+
+    /// When the node may take the next attempt, as far as its own state tells: `None` on an answer only.
+    /// Danger: a node that is silent, unreachable or breaks off takes everything sent to it down with it.
+    /// It gets single trials until it answers. Covers dead processes and machines, full connection
+    /// tables and long stalls. Harm: after a stall the first requests wait for a trial's answer.
+    fn ready(&self, now: Micros) -> Result<(), Option<Micros>> {
+        if self.state != NodeState::On {
+            return Err(None);
+        }
+        if now < self.hold {
+            return Err(Some(self.hold));
+        }
+        if self.silent(now) {
+            let next = self.last_send + TRIAL;
+            return if now < next { Err(Some(next)) } else { Ok(()) };
+        }
+        let bound = if self.failures > 0 { 1.0 } else { self.bound };
+        if (self.out.len() as f64) < bound.floor() {
+            Ok(())
+        } else {
+            Err(self.unheard.map(|t| t + SILENT + 1))
+        }
+    }
+}
+
+impl Shard {
+    /// Danger: a few surging volumes fill the node and starve the rest. The level, in units a second and
+    /// weight, up to which what the node can do beyond the reserves goes round among those who ask.
+    fn level(&self, now: Micros) -> f64 {
+        let mut left = (DEALT * self.peak - self.reserved.read(now)).max(0.0);
+        let mut asks: Vec<(f64, f64)> = self.asked.values().map(|(f, w)| (f.read(now), *w)).collect();
+        asks.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
+        let mut weights: f64 = asks.iter().map(|a| a.1).sum();
+        for (asked, weight) in asks {
+            if asked / weight >= left / weights {
+                return left / weights;
+            }
+            left -= asked;
+            weights -= weight;
+        }
+        f64::INFINITY
+    }
+}
+
+enum Verdict {
+    Go,
+    /// Not now; at the given time, or with the next event at the shard.
+    Wait(Option<Micros>),
+    /// Never again: it is to be answered.
+    Never,
+}
+
+/// One host's scheduler: see the [crate documentation](crate) for its use.
+pub struct Scheduler {
+    set: Settings,
+    born: Option<Micros>,
+    now: Micros,
+    noise: u64,
+    requests: BTreeMap<RequestId, Open>,
+    nodes: BTreeMap<NodeId, Node>,
+    shards: BTreeMap<ShardId, Shard>,
+    volumes: BTreeMap<VolumeId, Volume>,
+    turns: BTreeMap<KeyId, Turn>,
+    taken: VecDeque<Micros>,
+    further: VecDeque<Micros>,
+    wakes: BTreeSet<(Micros, Wake)>,
+    armed: Option<Micros>,
+    token: u64,
+    dirty: BTreeSet<ShardId>,
+    actions: Vec<Action>,
+}
+
+impl Scheduler {
+    /// A scheduler that knows nothing yet but its settings.
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        settings.hosts = settings.hosts.max(1);
+        Scheduler {
+            set: settings,
+            born: None,
+            now: 0,
+            noise: seed,
+            requests: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            shards: BTreeMap::new(),
+            volumes: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            wakes: BTreeSet::new(),
+            armed: None,
+            token: 0,
+            dirty: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes one event at the time `now` and appends what is to be done to `actions`.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        self.now = now.max(self.now);
+        if self.born.is_none() {
+            self.born = Some(self.now);
+            self.wakes.insert((self.now + SWEEP, Wake::Sweep));
+            if self.set.must_ask {
+                self.actions.push(Action::Subscribe);
+            }
+        }
+        match event {
+            Event::Nodes { whole, entries, .. } => self.on_nodes(whole, entries),
+            Event::NodesFailed => {
+                let spread = self.random() % ASK_AGAIN as u64;
+                self.wakes.insert((self.now + ASK_AGAIN / 2 + spread as Micros, Wake::List));
+            }
+            Event::Request(ask) => self.on_request(ask),
+            Event::Started { request, attempt, node, latency } => {
+                self.observe(node, (request, attempt), Outcome::Served, latency, false);
+                if let Some(open) = self.requests.get_mut(&request) {
+                    open.streaming = true;
+                }
+            }
+            Event::Answer(answer) => self.on_answer(answer),
+            Event::Withdrawn(id) => self.close(id),
+            Event::Timer(token) => {
+                if token == self.token {
+                    self.armed = None;
+                }
+            }
+        }
+        while let Some(&(at, wake)) = self.wakes.first()
+            && at <= self.now
+        {
+            self.wakes.pop_first();
+            self.on_wake(wake);
+        }
+        while let Some(shard) = self.dirty.pop_first() {
+            self.pump(shard);
+        }
+        if let Some(&(at, _)) = self.wakes.first()
+            && self.armed.is_none_or(|armed| at < armed)
+        {
+            self.armed = Some(at);
+            self.token += 1;
+            let after = (at - self.now).max(1);
+            self.actions.push(Action::SetTimer { after, token: self.token });
+        }
+        actions.append(&mut self.actions);
+    }
+
+    fn random(&mut self) -> u64 {
+        self.noise = self.noise.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.noise;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    fn on_nodes(&mut self, whole: bool, entries: Vec<NodeEntry>) {
+        if whole {
+            self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
+        }
+        for e in entries {
+            let node = self.nodes.entry(e.node).or_insert_with(|| Node {
+                zone: e.zone,
+                shard: e.shard,
+                state: e.state,
+                started: e.started,
+                out: BTreeMap::new(),
+                ratio: Fading::over(SMOOTHING),
+                weight: Fading::over(SMOOTHING),
+                bound: START,
+                sends: VecDeque::new(),
+                unheard: None,
+                last_send: 0,
+                failures: 0,
+                hold: 0,
+            });
+            if e.started.is_some() && node.started.is_none_or(|t| Some(t) < e.started) {
+                // A new process: nothing held against the old one stands, nor does its measured load.
+                node.started = e.started;
+                (node.failures, node.hold, node.unheard) = (0, 0, None);
+                (node.ratio, node.weight) = (Fading::over(SMOOTHING), Fading::over(SMOOTHING));
+                node.bound = START;
+            }
+            (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
+        }
+        self.shards.values_mut().for_each(|s| s.nodes.clear());
+        for (&id, node) in &self.nodes {
+            if node.state == NodeState::On {
+                self.shards.entry(node.shard).or_insert_with(|| Shard::new(SMOOTHING)).nodes.push(id);
+            }
+        }
+        self.dirty.extend(self.shards.keys());
+    }
+
+    fn on_request(&mut self, ask: Request) {
+        let now = self.now;
+        if let Some(budget) = self.set.budget {
+            self.taken.push_back(now);
+            while self.taken.front().is_some_and(|&t| t <= now - budget.window) {
+                self.taken.pop_front();
+            }
+        }
+        let id = ask.id;
+        let (Some(class), Some(plan)) = (self.set.classes.get(ask.class), self.set.plans.get(ask.plan))
+        else {
+            self.actions.push(Action::Refuse { request: id, come_back: 0 });
+            return;
+        };
+        let hosts = f64::from(ask.hosts.max(1));
+        let born = self.born.unwrap_or(now);
+        let volume = self.volumes.entry(ask.volume).or_insert_with(|| Volume {
+            // Danger: this host may have been killed and restarted; its former self may have spent all of
+            // its part. The store begins empty at the start and has filled since.
+            limit: (plan.limit > 0.0).then(|| Store {
+                level: -plan.limit_slack / hosts,
+                at: born,
+                rate: plan.limit / hosts,
+                cap: plan.limit_burst / hosts,
+            }),
+            reserve: Store {
+                level: plan.reserve + self.set.most_units,
+                at: now,
+                rate: plan.reserve / hosts.sqrt(),
+                cap: plan.reserve / hosts.sqrt() + self.set.most_units,
+            },
+            seen: now,
+        });
+        volume.seen = now;
+        let in_order = class.in_order && ask.key.is_some();
+        let (due, deadline) = (now + class.aim.min(ask.patience), now + ask.patience);
+        let mut open = Open {
+            due,
+            deadline,
+            step: RESERVE,
+            attempts: Vec::new(),
+            place: None,
+            finished: false,
+            streaming: false,
+            ask,
+        };
+        if plan.reserve > 0.0 && volume.reserve.read(now) >= open.ask.units {
+            volume.reserve.add(now, -open.ask.units);
+        } else {
+            open.step = SHARE;
+        }
+        let (key, patience) = (open.ask.key, open.ask.patience);
+        self.requests.insert(id, open);
+        if patience <= 0 {
+            self.finish(id, 0);
+            return;
+        }
+        self.wakes.insert((due, Wake::Request(id)));
+        self.wakes.insert((deadline, Wake::Request(id)));
+        if let (true, Some(key)) = (in_order, key) {
+            let turn = self.turns.entry(key).or_default();
+            turn.line.push_back(id);
+            if turn.line.len() > 1 || now < turn.rest {
+                return;
+            }
+        }
+        self.enqueue(id);
+    }
+
+    /// The shard that a request is to wait at: its own, that of the nodes which know its key, or, for a
+    /// new object, the one whose node is least loaded under its bound.
+    fn shard_of(&self, open: &Open) -> Option<ShardId> {
+        if let Some(shard) = open.ask.shard.or(open.doubt().next().map(|a| a.shard)) {
+            return Some(shard);
+        }
+        let fill = |n: &Node| {
+            let waiting = self.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
+            (n.out.len() + waiting + 1) as f64 / n.bound * n.load().max(0.1)
+        };
+        let usable = |n: &&Node| {
+            n.state == NodeState::On
+                && !n.silent(self.now)
+                && n.failures == 0
+                && self.cold(n, open.ask.units).is_none()
+        };
+        let best = self.nodes.values().filter(usable).min_by(|a, b| fill(a).total_cmp(&fill(b)));
+        best.or(self.nodes.values().find(|n| n.state == NodeState::On)).map(|n| n.shard)
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let now = self.now;
+        let Some(open) = self.requests.get(&id) else { return };
+        let Some(shard_id) = self.shard_of(open) else {
+            return; // No node is listed at all: it waits for the list or its end.
+        };
+        let shard = self.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let plan = &self.set.plans[open.ask.plan];
+        if open.attempts.is_empty() && open.step != LATE {
+            if open.step == RESERVE {
+                shard.reserved.add(now, open.ask.units);
+            } else {
+                let weight = if plan.weight > 0.0 { plan.weight } else { 1.0 };
+                let asked = shard.asked.entry(open.ask.volume).or_insert((Fading::over(SMOOTHING), weight));
+                asked.0.add(now, open.ask.units);
+                let rate = asked.0.read(now) / asked.1;
+                open.step = if rate <= shard.level(now) { SHARE } else { SPARE };
+            }
+        }
+        let class = &self.set.classes[open.ask.class];
+        let step = match open.step {
+            RESERVE => 1.0,
+            SHARE => self.set.share_worth,
+            SPARE => self.set.spare_worth,
+            _ => self.set.spare_worth.min(class.late_worth),
+        };
+        let worth = (class.worth * plan.price * step).max(1e-6);
+        let place = ((-2.0 * worth.log2()).round() as i32, open.due, id);
+        open.place = Some((shard_id, place));
+        shard.waiting.insert(place);
+        if let Some(key) = open.ask.key {
+            shard.by_key.entry(key).or_default().insert(place);
+        }
+        self.dirty.insert(shard_id);
+    }
+
+    fn dequeue(&mut self, id: RequestId) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some((shard, place)) = open.place.take() else { return };
+        let Some(shard) = self.shards.get_mut(&shard) else { return };
+        shard.waiting.remove(&place);
+        if let Some(key) = open.ask.key
+            && let Some(line) = shard.by_key.get_mut(&key)
+        {
+            line.remove(&place);
+            if line.is_empty() {
+                shard.by_key.remove(&key);
+            }
+        }
+    }
+
+    /// When a cold node may take `units`, if not now. Danger: a node that has just started falls over for
+    /// good when all hosts together push it. Each keeps to its even part of what such a node bears, grown
+    /// with the slowest warming that is promised, counted as at the window's start. A host that has just
+    /// started itself does not know what it sent, and waits one window. Harm: an unused part is lost.
+    fn cold(&self, node: &Node, units: f64) -> Option<Micros> {
+        let (now, window) = (self.now, self.set.cold_window);
+        let started = node.started?;
+        if window <= 0 || now - started >= self.set.warm_after + window {
+            return None;
+        }
+        let born = self.born.unwrap_or(now);
+        if now < born + window && born > started {
+            return Some(born + window);
+        }
+        let age = (now - started - window).max(0) as f64 / self.set.warm_after.max(1) as f64;
+        let growth = 1.0 + (1.0 / self.set.cold_from.clamp(0.01, 1.0) - 1.0) * age.min(1.0);
+        let base = if self.set.cold_units > 0.0 { self.set.cold_units } else { self.set.most_units };
+        let part = base / f64::from(self.set.hosts) * growth;
+        let recent = node.sends.iter().filter(|s| s.0 > now - window);
+        let sent: f64 = recent.clone().map(|s| s.1).sum();
+        if sent + units <= part {
+            return None;
+        }
+        Some(recent.map(|s| s.0 + window).next().unwrap_or(now + window / 8))
+    }
+
+    /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
+    /// else, for first attempts, retries and second copies alike.
+    fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
+        let now = self.now;
+        let Some(open) = self.requests.get(&id) else { return Verdict::Never };
+        let class = &self.set.classes[open.ask.class];
+        let tries = open.attempts.len();
+        if open.finished || open.streaming || now >= open.deadline || tries >= self.set.most_attempts as usize
+        {
+            return Verdict::Never;
+        }
+        if node.state != NodeState::On {
+            return Verdict::Wait(None);
+        }
+        if open.out() && !self.set.second_copies {
+            return Verdict::Never;
+        }
+        let repeatable = |a: &Attempt| match class.repeats {
+            Repeats::Safe => true,
+            Repeats::Unsafe => false,
+            Repeats::Keyed { group, window } => {
+                let known = match group {
+                    Group::All => true,
+                    Group::Zone => a.zone == node.zone,
+                    Group::Shard => a.shard == node.shard,
+                };
+                known && now - a.sent < window - window / 50
+            }
+        };
+        if !open.doubt().all(repeatable) {
+            return Verdict::Never;
+        }
+        if let (true, Some(key)) = (class.in_order, open.ask.key) {
+            let mine = self
+                .turns
+                .get(&key)
+                .is_some_and(|t| t.line.front() == Some(&id) && (now >= t.rest || !open.attempts.is_empty()));
+            if !mine {
+                return Verdict::Wait(None);
+            }
+        }
+        if let (Some(budget), true) = (self.set.budget, tries > 0) {
+            let taken = self.taken.iter().filter(|&&t| t > now - budget.window).count();
+            let further = self.further.iter().filter(|&&t| t >= now - budget.window).count();
+            if (further + 1) as f64 > budget.free + budget.share * taken as f64 {
+                return Verdict::Never;
+            }
+        }
+        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
+        let volume = self.volumes.get(&open.ask.volume);
+        if let (true, Some(store)) = (first, volume.and_then(|v| v.limit)) {
+            // An even part of the shared store: sums of even parts never pass the whole.
+            let slack = self.set.plans[open.ask.plan].limit_slack / f64::from(open.ask.hosts.max(1));
+            let short = open.ask.units - slack - store.read(now);
+            if open.ask.units > slack + store.cap {
+                return Verdict::Never;
+            }
+            if short > 0.0 {
+                let at = now + (short / store.rate * 1e6).ceil() as Micros;
+                return if at >= open.deadline { Verdict::Never } else { Verdict::Wait(Some(at)) };
+            }
+        }
+        if let Some(at) = self.cold(node, open.ask.units) {
+            return Verdict::Wait(Some(at));
+        }
+        let out = node.out.len() as f64;
+        if out >= 1.0 && (node.load() > STEP_RATIO[open.step] || out >= node.bound * STEP_PART[open.step]) {
+            return Verdict::Wait(None);
+        }
+        Verdict::Go
+    }
+
+    fn pump(&mut self, shard_id: ShardId) {
+        let now = self.now;
+        loop {
+            let Some(shard) = self.shards.get(&shard_id) else { return };
+            if shard.waiting.is_empty() {
+                return;
+            }
+            let mut wake: Option<Micros> = None;
+            let mut later =
+                |at: Option<Micros>| wake = at.map_or(wake, |t| Some(wake.map_or(t, |w| w.min(t))));
+            let mut best: Option<(f64, NodeId)> = None;
+            for &id in &shard.nodes {
+                let node = &self.nodes[&id];
+                match node.ready(now) {
+                    Err(at) => later(at),
+                    Ok(()) => {
+                        let fill = node.out.len() as f64 / node.bound;
+                        if best.is_none_or(|(f, _)| fill < f) {
+                            best = Some((fill, id));
+                        }
+                    }
+                }
+            }
+            let mut chosen = None;
+            let mut doomed = Vec::new();
+            if let Some((_, node_id)) = best {
+                let node = &self.nodes[&node_id];
+                // A request on the data just sent to the node costs it far less: runs stay together.
+                let run = shard.last_key.and_then(|k| shard.by_key.get(&k)).and_then(|line| line.first());
+                for &(_, _, id) in run.into_iter().chain(shard.waiting.iter()).take(SCAN) {
+                    match self.verdict(id, node) {
+                        Verdict::Go => {
+                            chosen = Some((id, node_id));
+                            break;
+                        }
+                        Verdict::Wait(at) => later(at),
+                        Verdict::Never => doomed.push(id),
+                    }
+                }
+            }
+            if let Some((id, node)) = chosen {
+                self.send(id, node);
+            } else if doomed.is_empty() {
+                if let Some(at) = wake
+                    && let Some(shard) = self.shards.get_mut(&shard_id)
+                    && shard.wake.is_none_or(|w| at < w || w <= now)
+                {
+                    shard.wake = Some(at);
+                    self.wakes.insert((at, Wake::Shard(shard_id)));
+                }
+                return;
+            }
+            for id in doomed {
+                self.finish(id, 0);
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, node_id: NodeId) {
+        let now = self.now;
+        self.dequeue(id);
+        let (Some(open), Some(node)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node_id)) else {
+            return;
+        };
+        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
+        if first
+            && let Some(volume) = self.volumes.get_mut(&open.ask.volume)
+            && let Some(store) = &mut volume.limit
+        {
+            store.add(now, -open.ask.units);
+        }
+        if let (Some(budget), false) = (self.set.budget, open.attempts.is_empty()) {
+            self.further.push_back(now);
+            while self.further.front().is_some_and(|&t| t < now - budget.window) {
+                self.further.pop_front();
+            }
+        }
+        let aim = self.set.classes[open.ask.class].aim.max(1);
+        node.out.insert((id, open.attempts.len() as u32), (now, aim));
+        node.sends.push_back((now, open.ask.units));
+        while node.sends.front().is_some_and(|s| s.0 <= now - self.set.cold_window) {
+            node.sends.pop_front();
+        }
+        node.unheard.get_or_insert(now);
+        node.last_send = now;
+        let attempt = Attempt { zone: node.zone, shard: node.shard, sent: now, fate: Fate::Out };
+        open.attempts.push(attempt);
+        if let Some(shard) = self.shards.get_mut(&node.shard) {
+            shard.last_key = open.ask.key;
+        }
+        self.actions.push(Action::Send { request: id, node: node_id, patience: 0 });
+    }
+
+    /// Takes what an attempt tells about its node into the law and into the node's health.
+    fn observe(&mut self, id: NodeId, at: (RequestId, u32), outcome: Outcome, latency: Micros, ended: bool) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let Some(&(sent, aim)) = node.out.get(&at) else { return };
+        let ratio = latency as f64 / aim as f64;
+        match outcome {
+            Outcome::Served => node.learn(now, ratio),
+            // Danger: quick errors pull L down and the bound balloons. An error counts as at target at
+            // least. Harm: a few stray errors on a fast node keep its bound a little lower.
+            Outcome::Error => node.learn(now, ratio.max(1.0)),
+            Outcome::Full => node.learn(now, ratio.max(FULL_RATIO)),
+            Outcome::TimedOut | Outcome::Reset => node.learn(now, ratio.max(1.0)),
+            Outcome::Unreachable | Outcome::Cancelled | Outcome::NotSent => {}
+        }
+        match outcome {
+            Outcome::Served | Outcome::Error => {
+                node.failures = 0;
+                node.unheard = None;
+            }
+            Outcome::Full => {
+                node.unheard = None;
+                node.hold = node.hold.max(now + FULL_PAUSE);
+            }
+            Outcome::Unreachable | Outcome::Reset if sent >= node.hold || node.failures == 0 => {
+                node.hold = now + (BACKOFF << node.failures.min(BACKOFF_STEPS));
+                node.failures += 1;
+            }
+            Outcome::TimedOut if node.silent(now) => node.failures += 1,
+            _ => {}
+        }
+        if ended {
+            node.out.remove(&at);
+        }
+        if node.out.is_empty() {
+            node.unheard = None;
+        } else if node.unheard.is_none() {
+            node.unheard = Some(now);
+        }
+        self.dirty.insert(node.shard);
+    }
+
+    fn on_answer(&mut self, a: Answer) {
+        let now = self.now;
+        self.observe(a.node, (a.request, a.attempt), a.outcome, a.latency, true);
+        let Some(open) = self.requests.get_mut(&a.request) else { return };
+        let Some(attempt) = open.attempts.get_mut(a.attempt as usize) else { return };
+        attempt.fate = match a.outcome {
+            Outcome::Full | Outcome::Unreachable => Fate::NeverRan,
+            Outcome::NotSent => Fate::NotSent,
+            _ => Fate::MayHaveRun,
+        };
+        if a.outcome == Outcome::Served
+            && let Some(shard) = self.shards.get_mut(&attempt.shard)
+        {
+            shard.served.add(now, open.ask.units);
+            shard.peak *= (-((now - shard.peak_at) as f64) / PEAK_FADE).exp();
+            shard.peak = shard.peak.max(shard.served.read(now));
+            shard.peak_at = now;
+        }
+        let class = &self.set.classes[open.ask.class];
+        if class.in_order
+            && matches!(a.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+            && let Some(turn) = open.ask.key.and_then(|k| self.turns.get_mut(&k))
+        {
+            turn.rest = turn.rest.max(now + self.set.order_rest);
+        }
+        if a.settled || open.finished {
+            self.close(a.request);
+        } else if a.outcome == Outcome::NotSent || now >= open.deadline {
+            self.finish(a.request, 0);
+        } else if !open.out() && open.place.is_none() {
+            self.enqueue(a.request);
+        }
+    }
+
+    /// Gives the one final answer: a refusal where nothing can have run or a repeat is harmless.
+    fn finish(&mut self, id: RequestId, come_back: Micros) {
+        let Some(open) = self.requests.get(&id).filter(|o| !o.finished) else { return };
+        let class = &self.set.classes[open.ask.class];
+        let harmless = matches!(class.repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
+            || open.doubt().next().is_none();
+        if harmless {
+            let advised = come_back.max(class.aim / 4).min(self.set.most_advice);
+            let come_back = if self.set.advice { advised } else { 0 };
+            self.actions.push(Action::Refuse { request: id, come_back });
+        } else {
+            self.actions.push(Action::Fail { request: id });
+        }
+        self.close(id);
+    }
+
+    /// Ends a request here; it is forgotten once nothing of it is out.
+    fn close(&mut self, id: RequestId) {
+        self.dequeue(id);
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        if !open.finished {
+            open.finished = true;
+            self.wakes.remove(&(open.due, Wake::Request(id)));
+            self.wakes.remove(&(open.deadline, Wake::Request(id)));
+        }
+        if open.out() {
+            return;
+        }
+        let Some(open) = self.requests.remove(&id) else { return };
+        let Some(key) = open.ask.key.filter(|_| self.set.classes[open.ask.class].in_order) else { return };
+        let Some(turn) = self.turns.get_mut(&key) else { return };
+        let was_first = turn.line.front() == Some(&id);
+        turn.line.retain(|&r| r != id);
+        if was_first {
+            self.next_turn(key);
+        }
+    }
+
+    fn next_turn(&mut self, key: KeyId) {
+        let Some(turn) = self.turns.get(&key) else { return };
+        if self.now < turn.rest {
+            self.wakes.insert((turn.rest, Wake::Key(key)));
+        } else if let Some(&id) = turn.line.front() {
+            if self.requests.get(&id).is_some_and(|o| !o.finished && o.place.is_none() && !o.out()) {
+                self.enqueue(id);
+            }
+        } else {
+            self.turns.remove(&key);
+        }
+    }
+
+    fn on_wake(&mut self, wake: Wake) {
+        let now = self.now;
+        match wake {
+            Wake::Request(id) => {
+                let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+                if now >= open.deadline {
+                    self.finish(id, 0);
+                } else if now >= open.due {
+                    open.step = LATE;
+                    if open.place.is_some() {
+                        self.dequeue(id);
+                        self.enqueue(id);
+                    }
+                }
+            }
+            Wake::Key(key) => self.next_turn(key),
+            Wake::Shard(shard) => {
+                if let Some(s) = self.shards.get_mut(&shard) {
+                    s.wake = None;
+                }
+                self.dirty.insert(shard);
+            }
+            Wake::List => self.actions.push(Action::Subscribe),
+            Wake::Sweep => self.sweep(),
+        }
+    }
+
+    /// Forgets what no rule needs any more.
+    fn sweep(&mut self) {
+        let now = self.now;
+        self.wakes.insert((now + SWEEP, Wake::Sweep));
+        self.volumes.retain(|_, v| {
+            now - v.seen < SWEEP
+                || v.limit.is_some_and(|s| s.read(now) < s.cap)
+                || v.reserve.read(now) < v.reserve.cap
+        });
+        self.turns.retain(|_, t| !t.line.is_empty() || now < t.rest);
+        let window = self.set.cold_window;
+        self.nodes.retain(|_, n| {
+            n.state != NodeState::Gone || !n.out.is_empty() || now - n.last_send <= window.max(SWEEP)
+        });
+        for shard in self.shards.values_mut() {
+            shard.asked.retain(|_, (f, _)| f.read(now) > 0.01);
+        }
+    }
+}
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,156 @@
+//! What the decision module remembers: plain records and two kinds of counter. Nothing is decided here.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use crate::interface::*;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Wake {
+    Request(RequestId),
+    Key(KeyId),
+    Shard(ShardId),
+    List,
+    Sweep,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum Fate {
+    Out,
+    MayHaveRun,
+    NeverRan,
+    NotSent,
+}
+
+pub(crate) struct Attempt {
+    pub(crate) zone: u32,
+    pub(crate) shard: ShardId,
+    pub(crate) sent: Micros,
+    pub(crate) fate: Fate,
+}
+
+/// Place in a shard's queue: worth first, then due time.
+pub(crate) type Place = (i32, Micros, RequestId);
+
+pub(crate) struct Open {
+    pub(crate) ask: Request,
+    pub(crate) due: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) step: usize,
+    pub(crate) attempts: Vec<Attempt>,
+    pub(crate) place: Option<(ShardId, Place)>,
+    pub(crate) finished: bool,
+    pub(crate) streaming: bool,
+}
+
+impl Open {
+    pub(crate) fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.fate == Fate::Out)
+    }
+    pub(crate) fn doubt(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().filter(|a| matches!(a.fate, Fate::Out | Fate::MayHaveRun))
+    }
+}
+
+/// A sum that fades over a span, in microseconds.
+#[derive(Clone, Copy)]
+pub(crate) struct Fading {
+    pub(crate) span: f64,
+    pub(crate) sum: f64,
+    pub(crate) at: Micros,
+}
+
+impl Fading {
+    pub(crate) fn over(span: f64) -> Self {
+        Fading { span, sum: 0.0, at: 0 }
+    }
+    pub(crate) fn read(&self, now: Micros) -> f64 {
+        self.sum * (-((now - self.at) as f64) / self.span).exp()
+    }
+    pub(crate) fn add(&mut self, now: Micros, x: f64) {
+        self.sum = self.read(now) + x;
+        self.at = now;
+    }
+}
+
+/// A store of units that fills at a rate up to a cap.
+#[derive(Clone, Copy)]
+pub(crate) struct Store {
+    pub(crate) level: f64,
+    pub(crate) at: Micros,
+    pub(crate) rate: f64,
+    pub(crate) cap: f64,
+}
+
+impl Store {
+    pub(crate) fn read(&self, now: Micros) -> f64 {
+        (self.level + self.rate * (now - self.at) as f64 / 1e6).min(self.cap)
+    }
+    pub(crate) fn add(&mut self, now: Micros, x: f64) {
+        self.level = (self.read(now) + x).min(self.cap);
+        self.at = now;
+    }
+}
+
+pub(crate) struct Volume {
+    pub(crate) limit: Option<Store>,
+    pub(crate) reserve: Store,
+    pub(crate) seen: Micros,
+}
+
+pub(crate) struct Node {
+    pub(crate) zone: u32,
+    pub(crate) shard: ShardId,
+    pub(crate) state: NodeState,
+    pub(crate) started: Option<Micros>,
+    /// Attempts out: when sent and the class's aim.
+    pub(crate) out: BTreeMap<(RequestId, u32), (Micros, Micros)>,
+    pub(crate) ratio: Fading,
+    pub(crate) weight: Fading,
+    pub(crate) bound: f64,
+    /// Units sent within the last window of the rule on cold nodes.
+    pub(crate) sends: VecDeque<(Micros, f64)>,
+    /// First send since the node was last heard of.
+    pub(crate) unheard: Option<Micros>,
+    pub(crate) last_send: Micros,
+    /// Resets, failed connections and time-outs since it last answered.
+    pub(crate) failures: u32,
+    pub(crate) hold: Micros,
+}
+
+pub(crate) struct Shard {
+    pub(crate) nodes: Vec<NodeId>,
+    pub(crate) waiting: BTreeSet<Place>,
+    pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
+    pub(crate) last_key: Option<KeyId>,
+    /// Units beyond the reserve that each volume asked for lately, and the weight of its plan.
+    pub(crate) asked: BTreeMap<VolumeId, (Fading, f64)>,
+    pub(crate) reserved: Fading,
+    pub(crate) served: Fading,
+    /// Best service seen, fading slowly: what the node can do for this host.
+    pub(crate) peak: f64,
+    pub(crate) peak_at: Micros,
+    pub(crate) wake: Option<Micros>,
+}
+
+impl Shard {
+    pub(crate) fn new(span: f64) -> Self {
+        Shard {
+            nodes: Vec::new(),
+            waiting: BTreeSet::new(),
+            by_key: BTreeMap::new(),
+            last_key: None,
+            asked: BTreeMap::new(),
+            reserved: Fading::over(span),
+            served: Fading::over(span),
+            peak: 0.0,
+            peak_at: 0,
+            wake: None,
+        }
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Turn {
+    pub(crate) line: VecDeque<RequestId>,
+    pub(crate) rest: Micros,
+}
