--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 /// Least bound; one attempt alone would starve the measurement.
 const FLOOR: f64 = 2.0;
 /// Greatest bound.
-const CEILING: f64 = 32.0;
+const CEILING: f64 = 28.0;
 /// Smoothing time of the latency ratio, of use and of service, in microseconds.
 const SMOOTHING: f64 = 1e6;
 /// Latency ratio that a node's "full" counts as: the queue was longer than anybody wanted.
@@ -35,6 +35,8 @@
 const FULL_PAUSE: Micros = 20_000;
 /// Share and spare units are held back while the node's latency ratio is above this.
 const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.9, 0.5, 0.4];
+/// A request whose due time is nearer than this part of the node's mean latency counts as late already.
+const FORESIGHT: f64 = 0.8;
 /// The part of the bound that each step may fill.
 const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
 /// How many waiting requests are looked at for one send.
@@ -60,13 +62,19 @@
         if self.weight.sum > 0.0 { self.ratio.sum / self.weight.sum } else { 1.0 }
     }
 
+    /// Smoothed mean latency, in microseconds.
+    fn delay(&self) -> f64 {
+        if self.weight.sum > 0.0 { self.delay.sum / self.weight.sum } else { 0.0 }
+    }
+
     /// One update of the law. Danger: hung attempts sit in the count out and inflate the bound, so those
     /// far over their aim are left out of it. Also answers resets that nobody told of. Harm: on a node
     /// that is only very slow the bound falls faster than the law's; it still rises with the first answers.
-    fn learn(&mut self, now: Micros, ratio: f64) {
+    fn learn(&mut self, now: Micros, ratio: f64, latency: Micros) {
         let hung = |&&(sent, aim): &&(Micros, Micros)| (now - sent) as f64 > HUNG * aim as f64;
         let count = self.out.len() - self.out.values().filter(hung).count().min(self.out.len() - 1);
         self.ratio.add(now, ratio);
+        self.delay.add(now, latency as f64);
         self.weight.add(now, 1.0);
         self.bound = (count as f64 / (1.0 + GAIN * (self.load() - 1.0))).clamp(FLOOR, CEILING);
     }
@@ -241,6 +249,7 @@
                 started: e.started,
                 out: BTreeMap::new(),
                 ratio: Fading::over(SMOOTHING),
+                delay: Fading::over(SMOOTHING),
                 weight: Fading::over(SMOOTHING),
                 bound: START,
                 sends: VecDeque::new(),
@@ -253,7 +262,8 @@
                 // A new process: nothing held against the old one stands, nor does its measured load.
                 node.started = e.started;
                 (node.failures, node.hold, node.unheard) = (0, 0, None);
-                (node.ratio, node.weight) = (Fading::over(SMOOTHING), Fading::over(SMOOTHING));
+                node.ratio = Fading::over(SMOOTHING);
+                (node.delay, node.weight) = (node.ratio, node.ratio);
                 node.bound = START;
             }
             (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
@@ -606,12 +616,12 @@
         let Some(&(sent, aim)) = node.out.get(&at) else { return };
         let ratio = latency as f64 / aim as f64;
         match outcome {
-            Outcome::Served => node.learn(now, ratio),
+            Outcome::Served => node.learn(now, ratio, latency),
             // Danger: quick errors pull L down and the bound balloons. An error counts as at target at
             // least. Harm: a few stray errors on a fast node keep its bound a little lower.
-            Outcome::Error => node.learn(now, ratio.max(1.0)),
-            Outcome::Full => node.learn(now, ratio.max(FULL_RATIO)),
-            Outcome::TimedOut | Outcome::Reset => node.learn(now, ratio.max(1.0)),
+            Outcome::Error => node.learn(now, ratio.max(1.0), latency),
+            Outcome::Full => node.learn(now, ratio.max(FULL_RATIO), latency),
+            Outcome::TimedOut | Outcome::Reset => node.learn(now, ratio.max(1.0), latency),
             Outcome::Unreachable | Outcome::Cancelled | Outcome::NotSent => {}
         }
         match outcome {
--- a/src/state.rs
+++ b/src/state.rs
@@ -105,6 +105,7 @@
     /// Attempts out: when sent and the class's aim.
     pub(crate) out: BTreeMap<(RequestId, u32), (Micros, Micros)>,
     pub(crate) ratio: Fading,
+    pub(crate) delay: Fading,
     pub(crate) weight: Fading,
     pub(crate) bound: f64,
     /// Units sent within the last window of the rule on cold nodes.
