--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// Share and spare units are held back while the node's latency ratio is above this.
 const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.9, 0.5, 0.4];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
-const FORESIGHT: f64 = 0.8;
+const FORESIGHT: f64 = 1.3;
 /// The part of the bound that each step may fill.
 const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
 /// How many waiting requests are looked at for one send.
@@ -745,7 +745,14 @@
                     self.finish(id, 0);
                 } else if now >= open.due {
                     open.step = LATE;
-                    if open.place.is_some() {
+                    // Danger: work for late answers crowds out what could still be in time. A late request
+                    // that finds others waiting is answered now. Also clears the queue of a dead node.
+                    let crowded = open
+                        .place
+                        .is_none_or(|(s, _)| self.shards.get(&s).is_some_and(|s| s.waiting.len() > 1));
+                    if crowded && !open.out() {
+                        self.finish(id, 0);
+                    } else if open.place.is_some() {
                         self.dequeue(id);
                         self.enqueue(id);
                     }
