--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,11 @@
 const FORESIGHT: f64 = 1.0;
 /// The part of the bound that each step may fill.
 const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
+/// First guess of a unit's time on a node, as a part of its class's aim.
+const WORK_GUESS: f64 = 0.05;
+/// Weight of an answer in that estimate, and how much more a lower figure counts: queueing only adds.
+const WORK_STEP: f64 = 0.01;
+const WORK_BIAS: f64 = 5.0;
 /// How many waiting requests are looked at for one send.
 const SCAN: usize = 24;
 /// Time over which the memory of a node's best service fades, in microseconds.
@@ -145,6 +150,8 @@
     shards: BTreeMap<ShardId, Shard>,
     volumes: BTreeMap<VolumeId, Volume>,
     turns: BTreeMap<KeyId, Turn>,
+    /// Low estimate of a unit's latency, by class.
+    work: Vec<f64>,
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
     wakes: BTreeSet<(Micros, Wake)>,
@@ -158,8 +165,10 @@
     /// A scheduler that knows nothing yet but its settings.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         settings.hosts = settings.hosts.max(1);
+        let work = settings.classes.iter().map(|c| WORK_GUESS * c.aim as f64).collect();
         Scheduler {
             set: settings,
+            work,
             born: None,
             now: 0,
             noise: seed,
@@ -393,7 +402,9 @@
             SPARE => self.set.spare_worth,
             _ => self.set.spare_worth.min(class.late_worth),
         };
-        let worth = (class.worth * plan.price * step).max(1e-6);
+        // Worth for the node's time: what a unit of the class earns for what it has been seen to take.
+        let work = self.work[open.ask.class].max(1.0) / 1e4;
+        let worth = (class.worth * plan.price * step / work).max(1e-6);
         let place = ((-2.0 * worth.log2()).round() as i32, open.due, id);
         open.place = Some((shard_id, place));
         shard.waiting.insert(place);
@@ -661,6 +672,10 @@
             Outcome::NotSent => Fate::NotSent,
             _ => Fate::MayHaveRun,
         };
+        if a.outcome == Outcome::Served {
+            let (work, seen) = (&mut self.work[open.ask.class], a.latency as f64 / open.ask.units.max(0.1));
+            *work += (seen - *work) * if seen < *work { WORK_STEP * WORK_BIAS } else { WORK_STEP };
+        }
         if a.outcome == Outcome::Served
             && let Some(shard) = self.shards.get_mut(&attempt.shard)
         {
