--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,9 +34,10 @@
 /// Pause after "full".
 const FULL_PAUSE: Micros = 20_000;
 /// Share and spare units are held back while the node's latency ratio is above this.
+const GRADES: [f64; 2] = [0.45, 0.1];
 const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.7, 0.4, 0.3];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
-const FORESIGHT: f64 = 1.0;
+const FORESIGHT: f64 = 0.8;
 /// The part of the bound that each step may fill.
 const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
 /// First guess of a unit's time on a node, as a part of its class's aim.
@@ -135,6 +136,8 @@
     Go,
     /// Not now; at the given time, or with the next event at the shard.
     Wait(Option<Micros>),
+    /// Not at the node's present load, nor anything of less worth.
+    Hold,
     /// Never again: it is to be answered.
     Never,
 }
@@ -152,6 +155,7 @@
     turns: BTreeMap<KeyId, Turn>,
     /// Low estimate of a unit's latency, by class.
     work: Vec<f64>,
+    best_worth: f64,
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
     wakes: BTreeSet<(Micros, Wake)>,
@@ -169,6 +173,7 @@
         Scheduler {
             set: settings,
             work,
+            best_worth: 0.0,
             born: None,
             now: 0,
             noise: seed,
@@ -326,6 +331,7 @@
             due,
             deadline,
             step: RESERVE,
+            grade: 0,
             attempts: Vec::new(),
             place: None,
             finished: false,
@@ -405,6 +411,8 @@
         // Worth for the node's time: what a unit of the class earns for what it has been seen to take.
         let work = self.work[open.ask.class].max(1.0) / 1e4;
         let worth = (class.worth * plan.price * step / work).max(1e-6);
+        self.best_worth = self.best_worth.max(worth);
+        open.grade = GRADES.iter().filter(|&&g| worth < g * self.best_worth).count();
         let place = ((-2.0 * worth.log2()).round() as i32, open.due, id);
         open.place = Some((shard_id, place));
         shard.waiting.insert(place);
@@ -521,8 +529,10 @@
             return Verdict::Wait(Some(at));
         }
         let out = node.out.len() as f64;
-        if out >= 1.0 && (node.load() > STEP_RATIO[open.step] || out >= node.bound * STEP_PART[open.step]) {
-            return Verdict::Wait(None);
+        let late = now + (FORESIGHT * node.delay()) as Micros > open.due;
+        let step = if late || open.step == LATE { LATE } else { open.grade };
+        if out >= 1.0 && (node.load() > STEP_RATIO[step] || out >= node.bound * STEP_PART[step]) {
+            return if step == LATE { Verdict::Wait(None) } else { Verdict::Hold };
         }
         Verdict::Go
     }
@@ -563,6 +573,7 @@
                             break;
                         }
                         Verdict::Wait(at) => later(at),
+                        Verdict::Hold => break,
                         Verdict::Never => doomed.push(id),
                     }
                 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,6 +36,7 @@
     pub(crate) due: Micros,
     pub(crate) deadline: Micros,
     pub(crate) step: usize,
+    pub(crate) grade: usize,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) place: Option<(ShardId, Place)>,
     pub(crate) finished: bool,
