--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,17 +34,11 @@
 /// Pause after "full".
 const FULL_PAUSE: Micros = 20_000;
 /// Share and spare units are held back while the node's latency ratio is above this.
-const GRADES: [f64; 2] = [0.45, 0.1];
 const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.7, 0.4, 0.3];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
-const FORESIGHT: f64 = 0.8;
+const FORESIGHT: f64 = 1.0;
 /// The part of the bound that each step may fill.
 const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
-/// First guess of a unit's time on a node, as a part of its class's aim.
-const WORK_GUESS: f64 = 0.05;
-/// Weight of an answer in that estimate, and how much more a lower figure counts: queueing only adds.
-const WORK_STEP: f64 = 0.01;
-const WORK_BIAS: f64 = 5.0;
 /// How many waiting requests are looked at for one send.
 const SCAN: usize = 24;
 /// Time over which the memory of a node's best service fades, in microseconds.
@@ -136,8 +130,6 @@
     Go,
     /// Not now; at the given time, or with the next event at the shard.
     Wait(Option<Micros>),
-    /// Not at the node's present load, nor anything of less worth.
-    Hold,
     /// Never again: it is to be answered.
     Never,
 }
@@ -153,9 +145,6 @@
     shards: BTreeMap<ShardId, Shard>,
     volumes: BTreeMap<VolumeId, Volume>,
     turns: BTreeMap<KeyId, Turn>,
-    /// Low estimate of a unit's latency, by class.
-    work: Vec<f64>,
-    best_worth: f64,
     taken: VecDeque<Micros>,
     further: VecDeque<Micros>,
     wakes: BTreeSet<(Micros, Wake)>,
@@ -169,11 +158,8 @@
     /// A scheduler that knows nothing yet but its settings.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         settings.hosts = settings.hosts.max(1);
-        let work = settings.classes.iter().map(|c| WORK_GUESS * c.aim as f64).collect();
         Scheduler {
             set: settings,
-            work,
-            best_worth: 0.0,
             born: None,
             now: 0,
             noise: seed,
@@ -331,7 +317,6 @@
             due,
             deadline,
             step: RESERVE,
-            grade: 0,
             attempts: Vec::new(),
             place: None,
             finished: false,
@@ -408,11 +393,7 @@
             SPARE => self.set.spare_worth,
             _ => self.set.spare_worth.min(class.late_worth),
         };
-        // Worth for the node's time: what a unit of the class earns for what it has been seen to take.
-        let work = self.work[open.ask.class].max(1.0) / 1e4;
-        let worth = (class.worth * plan.price * step / work).max(1e-6);
-        self.best_worth = self.best_worth.max(worth);
-        open.grade = GRADES.iter().filter(|&&g| worth < g * self.best_worth).count();
+        let worth = (class.worth * plan.price * step).max(1e-6);
         let place = ((-2.0 * worth.log2()).round() as i32, open.due, id);
         open.place = Some((shard_id, place));
         shard.waiting.insert(place);
@@ -530,9 +511,9 @@
         }
         let out = node.out.len() as f64;
         let late = now + (FORESIGHT * node.delay()) as Micros > open.due;
-        let step = if late || open.step == LATE { LATE } else { open.grade };
+        let step = if late { LATE } else { open.step };
         if out >= 1.0 && (node.load() > STEP_RATIO[step] || out >= node.bound * STEP_PART[step]) {
-            return if step == LATE { Verdict::Wait(None) } else { Verdict::Hold };
+            return Verdict::Wait(None);
         }
         Verdict::Go
     }
@@ -573,7 +554,6 @@
                             break;
                         }
                         Verdict::Wait(at) => later(at),
-                        Verdict::Hold => break,
                         Verdict::Never => doomed.push(id),
                     }
                 }
@@ -683,10 +663,6 @@
             Outcome::NotSent => Fate::NotSent,
             _ => Fate::MayHaveRun,
         };
-        if a.outcome == Outcome::Served {
-            let (work, seen) = (&mut self.work[open.ask.class], a.latency as f64 / open.ask.units.max(0.1));
-            *work += (seen - *work) * if seen < *work { WORK_STEP * WORK_BIAS } else { WORK_STEP };
-        }
         if a.outcome == Outcome::Served
             && let Some(shard) = self.shards.get_mut(&attempt.shard)
         {
--- a/src/state.rs
+++ b/src/state.rs
@@ -36,7 +36,6 @@
     pub(crate) due: Micros,
     pub(crate) deadline: Micros,
     pub(crate) step: usize,
-    pub(crate) grade: usize,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) place: Option<(ShardId, Place)>,
     pub(crate) finished: bool,
