--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,12 +67,16 @@
         if self.weight.sum > 0.0 { self.delay.sum / self.weight.sum } else { 0.0 }
     }
 
+    /// Attempts out that are not hung.
+    fn working(&self, now: Micros) -> usize {
+        self.out.values().filter(|(sent, aim)| (now - sent) as f64 <= HUNG * *aim as f64).count()
+    }
+
     /// One update of the law. Danger: hung attempts sit in the count out and inflate the bound, so those
     /// far over their aim are left out of it. Also answers resets that nobody told of. Harm: on a node
     /// that is only very slow the bound falls faster than the law's; it still rises with the first answers.
     fn learn(&mut self, now: Micros, ratio: f64, latency: Micros) {
-        let hung = |&&(sent, aim): &&(Micros, Micros)| (now - sent) as f64 > HUNG * aim as f64;
-        let count = self.out.len() - self.out.values().filter(hung).count().min(self.out.len() - 1);
+        let count = self.working(now).max(1);
         self.ratio.add(now, ratio);
         self.delay.add(now, latency as f64);
         self.weight.add(now, 1.0);
@@ -512,7 +516,8 @@
         let out = node.out.len() as f64;
         let late = now + (FORESIGHT * node.delay()) as Micros > open.due;
         let step = if late { LATE } else { open.step };
-        if out >= 1.0 && (node.load() > STEP_RATIO[step] || out >= node.bound * STEP_PART[step]) {
+        let loaded = node.load() > STEP_RATIO[step] || out >= node.bound * STEP_PART[step];
+        if loaded && node.working(now) > 0 {
             return Verdict::Wait(None);
         }
         Verdict::Go
--- /dev/null
+++ b/tests/law.rs
@@ -0,0 +1,79 @@
+//! The bound of a node: start, growth, fall, and the two breaks that the design names.
+
+mod common;
+use common::*;
+use crowbay::*;
+
+fn host() -> Host {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    Host::with_nodes(set, &[entry(0, 0)])
+}
+
+fn fill(host: &mut Host, ids: std::ops::Range<u64>) {
+    for id in ids {
+        let mut r = request(id);
+        r.patience = 20 * SECOND;
+        host.ask(r);
+    }
+}
+
+#[test]
+fn the_bound_starts_at_four_and_the_excess_waits() {
+    let mut h = host();
+    fill(&mut h, 0..10);
+    assert_eq!(h.sent(), [0, 1, 2, 3]);
+}
+
+#[test]
+fn quick_answers_open_the_bound_by_the_formula() {
+    let mut h = host();
+    fill(&mut h, 0..40);
+    h.wait(20_000);
+    h.answer(0, 0, Outcome::Served);
+    // N = 4, L = 0.1: 4 / (1 - 0.72) = 14.3, one of them answered.
+    assert_eq!(h.checker.out.len(), 14);
+}
+
+#[test]
+fn slow_answers_close_it_to_the_floor() {
+    let mut h = host();
+    fill(&mut h, 0..4);
+    h.wait(500_000);
+    h.answer(0, 0, Outcome::Served);
+    h.answer(1, 0, Outcome::Served);
+    h.answer(2, 0, Outcome::Served);
+    h.answer(3, 0, Outcome::Served);
+    h.wait(5_000);
+    fill(&mut h, 4..10);
+    h.wait(100_000);
+    assert!(h.checker.out.len() <= 2, "{} out", h.checker.out.len());
+}
+
+#[test]
+fn quick_errors_do_not_open_the_bound() {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    set.most_attempts = 1;
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    fill(&mut h, 0..40);
+    h.wait(1_000);
+    h.answer(0, 0, Outcome::Error);
+    h.answer(1, 0, Outcome::Error);
+    assert!(h.checker.out.len() <= 4, "{} out", h.checker.out.len());
+}
+
+#[test]
+fn hung_attempts_do_not_inflate_the_bound() {
+    let mut h = host();
+    fill(&mut h, 0..4);
+    h.wait(700_000);
+    // Three hang for more than three aims; the fourth answers, a fresh one answers quickly.
+    h.answer(3, 0, Outcome::Served);
+    h.wait(2_000_000);
+    fill(&mut h, 4..60);
+    let fresh = *h.sent().last().expect("a trial");
+    h.wait(20_000);
+    h.answer(fresh, 0, Outcome::Served);
+    assert!(h.checker.out.len() <= 5, "{} out", h.checker.out.len());
+}
--- /dev/null
+++ b/tests/waiting.rs
@@ -0,0 +1,114 @@
+//! What waits, in which order, and what is turned away early.
+
+mod common;
+use common::*;
+use crowbay::*;
+
+#[test]
+fn units_inside_the_reserve_go_before_the_rest() {
+    let mut set = settings();
+    set.plans.push(Plan { reserve: 0.0, ..plan() });
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    let ask = |h: &mut Host, id: u64, plan: usize| {
+        let mut r = request(id);
+        (r.plan, r.volume) = (plan, VolumeId(plan as u64));
+        h.ask(r);
+    };
+    for id in 0..4 {
+        ask(&mut h, id, 0);
+    }
+    ask(&mut h, 10, 1);
+    ask(&mut h, 11, 0);
+    h.wait(50_000);
+    h.answer(0, 0, Outcome::Served);
+    assert_eq!(h.sent()[4], 11);
+}
+
+#[test]
+fn a_surging_volume_does_not_displace_one_within_its_share() {
+    let mut set = settings();
+    set.plans[0].reserve = 0.0;
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    let mut id = 0;
+    // The node serves about twenty units a second, so that its power is known.
+    for _ in 0..40 {
+        h.ask(request(id));
+        h.wait(50_000);
+        h.answer(id, 0, Outcome::Served);
+        id += 1;
+    }
+    for _ in 0..60 {
+        h.ask(request(id));
+        id += 1;
+    }
+    let mut small = request(1000);
+    small.volume = VolumeId(2);
+    h.ask(small);
+    let first = *h.checker.out.keys().next().expect("something is out");
+    h.wait(20_000);
+    h.answer(first.0.0, first.1, Outcome::Served);
+    assert!(h.sent().contains(&1000));
+}
+
+#[test]
+fn runs_on_one_key_are_sent_together() {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    for (id, key) in [(0, 1), (1, 2), (2, 3), (3, 50), (4, 60), (5, 50)] {
+        let mut r = request(id);
+        r.key = Some(KeyId(key));
+        h.ask(r);
+    }
+    h.wait(50_000);
+    h.answer(0, 0, Outcome::Served);
+    assert_eq!(h.sent()[4], 5, "the key just sent comes first");
+}
+
+#[test]
+fn what_is_late_with_others_waiting_is_refused_at_once_with_advice() {
+    let mut h = Host::with_nodes(settings(), &[entry(0, 0)]);
+    for id in 0..12 {
+        h.ask(request(id));
+    }
+    h.wait(210_000);
+    assert!(h.refused(9).is_some_and(|t| t > 0), "its aim of 200 ms is over, its deadline is not");
+    h.checker.assert_clean();
+}
+
+#[test]
+fn a_new_object_goes_where_the_node_answers() {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    let mut h = Host::with_nodes(set, &[entry(0, 0), entry(1, 1)]);
+    for id in 0..2 {
+        let mut r = request(id);
+        r.shard = Some(ShardId(id as u32));
+        h.ask(r);
+    }
+    h.wait(30_000);
+    h.answer(0, 0, Outcome::Served);
+    h.answer(1, 0, Outcome::Unreachable);
+    for id in 10..13 {
+        let mut r = request(id);
+        r.shard = None;
+        h.ask(r);
+        assert_eq!(h.checker.out[&(RequestId(id), 0)].0, NodeId(0));
+    }
+}
+
+#[test]
+fn a_silent_node_gets_single_trials() {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    for id in 0..400 {
+        let mut r = request(id);
+        r.patience = 30 * SECOND;
+        h.ask(r);
+        h.wait(10_000);
+    }
+    let sent = h.sent().len();
+    assert!((6..=12).contains(&sent), "{sent} sent to a node that never answered");
+    h.checker.assert_clean();
+}
