--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,7 +69,12 @@
         if self.weight.sum > 0.0 { self.delay.sum / self.weight.sum } else { 0.0 }
     }
 
-    /// Attempts out that are not hung.
+    /// Places taken: attempts out that are not lost.
+    fn held(&self) -> f64 {
+        self.out.values().filter(|f| f.overtaken < OVERTAKEN).count() as f64
+    }
+
+    /// Attempts out that are neither lost nor hung.
     fn working(&self, now: Micros) -> usize {
         let works = |f: &&Flight| f.overtaken < OVERTAKEN && (now - f.sent) as f64 <= HUNG * f.aim as f64;
         self.out.values().filter(works).count()
@@ -106,8 +111,7 @@
             return if now < next { Err(Some(next)) } else { Ok(()) };
         }
         let bound = if self.failures > 0 { 1.0 } else { self.bound };
-        let lost = self.out.values().filter(|f| f.overtaken >= OVERTAKEN).count();
-        if ((self.out.len() - lost) as f64) < bound.floor() && (self.out.len() as f64) < CEILING {
+        if self.held() < bound.floor() && (self.out.len() as f64) < CEILING {
             Ok(())
         } else {
             Err(self.unheard.map(|t| t + SILENT + 1))
@@ -513,10 +517,9 @@
         if let Some(at) = self.cold(node, open.ask.units) {
             return Verdict::Wait(Some(at));
         }
-        let out = node.out.len() as f64;
         let late = now + (FORESIGHT * node.delay()) as Micros > open.due;
         let step = if late { LATE } else { open.step };
-        let loaded = node.load() > STEP_RATIO[step] || out >= node.bound * STEP_PART[step];
+        let loaded = node.load() > STEP_RATIO[step] || node.held() >= node.bound * STEP_PART[step];
         if loaded && node.working(now) > 0 {
             return Verdict::Wait(None);
         }
