--- a/src/brain.rs
+++ b/src/brain.rs
@@ -406,7 +406,7 @@
             _ => self.set.spare_worth.min(class.late_worth),
         };
         let worth = (class.worth * plan.price * step).max(1e-6);
-        let place = ((-2.0 * worth.log2()).round() as i32, open.due, id);
+        let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
         open.place = Some((shard_id, place));
         shard.waiting.insert(place);
         if let Some(key) = open.ask.key {
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,7 +28,7 @@
     pub(crate) fate: Fate,
 }
 
-/// Place in a shard's queue: worth first, then due time.
+/// Place in a shard's queue: worth first, then due time, the latest first.
 pub(crate) type Place = (i32, Micros, RequestId);
 
 pub(crate) struct Open {
