--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// Pause after "full".
 const FULL_PAUSE: Micros = 20_000;
 /// Share and spare units are held back while the node's latency ratio is above this.
-const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.7, 0.4, 0.3];
+const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.6, 0.3, 0.2];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
 const FORESIGHT: f64 = 1.0;
 /// The part of the bound that each step may fill.
