--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,12 +35,10 @@
 const BACKOFF_STEPS: u32 = 4;
 /// Pause after "full".
 const FULL_PAUSE: Micros = 20_000;
-/// Share and spare units are held back while the node's latency ratio is above this.
-const STEP_RATIO: [f64; 4] = [f64::INFINITY, 0.6, 0.3, 0.2];
+/// The law's target by step: what earns less stops at a lower latency and leaves the node to the rest.
+const TARGET: [f64; 4] = [1.0, 0.6, 0.3, 0.2];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
 const FORESIGHT: f64 = 1.0;
-/// The part of the bound that each step may fill.
-const STEP_PART: [f64; 4] = [1.0, 1.0, 0.5, 0.5];
 /// How many waiting requests are looked at for one send.
 const SCAN: usize = 24;
 /// Time over which the memory of a node's best service fades, in microseconds.
@@ -88,7 +86,15 @@
         self.ratio.add(now, ratio);
         self.delay.add(now, latency as f64);
         self.weight.add(now, 1.0);
-        self.bound = (count as f64 / (1.0 + GAIN * (self.load() - 1.0))).clamp(FLOOR, CEILING);
+        self.count = Some(count as f64);
+    }
+
+    /// The law (eq. 6.1): count out over 1 + gain x (L / target - 1), as of the last answer; units beyond the
+    /// reserve see a lower target and no floor but one trial at a time.
+    fn bound(&self, step: usize) -> f64 {
+        let Some(count) = self.count else { return START };
+        let floor = if step == RESERVE { FLOOR } else { 1.0 };
+        (count / (1.0 + GAIN * (self.load() / TARGET[step] - 1.0))).clamp(floor, CEILING)
     }
 
     fn silent(&self, now: Micros) -> bool {
@@ -110,7 +116,7 @@
             let next = self.last_send + TRIAL;
             return if now < next { Err(Some(next)) } else { Ok(()) };
         }
-        let bound = if self.failures > 0 { 1.0 } else { self.bound };
+        let bound = if self.failures > 0 { 1.0 } else { self.bound(RESERVE) };
         if self.held() < bound.floor() && (self.out.len() as f64) < CEILING {
             Ok(())
         } else {
@@ -263,7 +269,7 @@
                 ratio: Fading::over(SMOOTHING),
                 delay: Fading::over(SMOOTHING),
                 weight: Fading::over(SMOOTHING),
-                bound: START,
+                count: None,
                 sends: VecDeque::new(),
                 unheard: None,
                 last_send: 0,
@@ -276,7 +282,7 @@
                 (node.failures, node.hold, node.unheard) = (0, 0, None);
                 node.ratio = Fading::over(SMOOTHING);
                 (node.delay, node.weight) = (node.ratio, node.ratio);
-                node.bound = START;
+                node.count = None;
             }
             (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
         }
@@ -366,7 +372,7 @@
         }
         let fill = |n: &Node| {
             let waiting = self.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
-            (n.out.len() + waiting + 1) as f64 / n.bound * n.load().max(0.1)
+            (n.out.len() + waiting + 1) as f64 / n.bound(RESERVE) * n.load().max(0.1)
         };
         let usable = |n: &&Node| {
             n.state == NodeState::On
@@ -519,8 +525,7 @@
         }
         let late = now + (FORESIGHT * node.delay()) as Micros > open.due;
         let step = if late { LATE } else { open.step };
-        let loaded = node.load() > STEP_RATIO[step] || node.held() >= node.bound * STEP_PART[step];
-        if loaded && node.working(now) > 0 {
+        if node.held() >= node.bound(step).floor() && node.working(now) > 0 {
             return Verdict::Wait(None);
         }
         Verdict::Go
@@ -551,7 +556,7 @@
                 match node.ready(now) {
                     Err(at) => later(at),
                     Ok(()) => {
-                        let fill = node.out.len() as f64 / node.bound;
+                        let fill = node.out.len() as f64 / node.bound(RESERVE);
                         if best.is_none_or(|(f, _)| fill < f) {
                             best = Some((fill, id));
                         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -115,7 +115,8 @@
     pub(crate) ratio: Fading,
     pub(crate) delay: Fading,
     pub(crate) weight: Fading,
-    pub(crate) bound: f64,
+    /// Attempts out at the last answer, that one included: the law's N.
+    pub(crate) count: Option<f64>,
     /// Units sent within the last window of the rule on cold nodes.
     pub(crate) sends: VecDeque<(Micros, f64)>,
     /// First send since the node was last heard of.
