--- a/src/brain.rs
+++ b/src/brain.rs
@@ -36,7 +36,7 @@
 /// Pause after "full".
 const FULL_PAUSE: Micros = 20_000;
 /// The law's target by step: what earns less stops at a lower latency and leaves the node to the rest.
-const TARGET: [f64; 4] = [1.0, 0.5, 0.2, 0.15];
+const TARGET: [f64; 4] = [1.0, 0.35, 0.15, 0.1];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
 const FORESIGHT: f64 = 1.0;
 /// How many waiting requests are looked at for one send.
