--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,7 +16,7 @@
 /// Least bound; one attempt alone would starve the measurement.
 const FLOOR: f64 = 2.0;
 /// Greatest bound.
-const CEILING: f64 = 28.0;
+const CEILING: f64 = 26.0;
 /// Smoothing time of the latency ratio, of use and of service, in microseconds.
 const SMOOTHING: f64 = 1e6;
 /// Latency ratio that a node's "full" counts as: the queue was longer than anybody wanted.
