--- a/src/brain.rs
+++ b/src/brain.rs
@@ -29,12 +29,10 @@
 const SILENT: Micros = 1_000_000;
 /// Pause between two trials of a silent node.
 const TRIAL: Micros = 400_000;
-/// First pause after a node could not be reached or broke off; doubled each time.
+/// First pause after a node could not be reached, broke off or was full; doubled each time.
 const BACKOFF: Micros = 50_000;
 /// Doublings of that pause at most.
 const BACKOFF_STEPS: u32 = 4;
-/// Pause after "full".
-const FULL_PAUSE: Micros = 20_000;
 /// The law's target by step: what earns less stops at a lower latency and leaves the node to the rest.
 const TARGET: [f64; 4] = [1.0, 0.35, 0.15, 0.1];
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
@@ -654,11 +652,9 @@
                 node.failures = 0;
                 node.unheard = None;
             }
-            Outcome::Full => {
-                node.unheard = None;
-                node.hold = node.hold.max(now + FULL_PAUSE);
-            }
-            Outcome::Unreachable | Outcome::Reset if sent >= node.hold || node.failures == 0 => {
+            Outcome::Full | Outcome::Unreachable | Outcome::Reset
+                if sent >= node.hold || node.failures == 0 =>
+            {
                 node.hold = now + (BACKOFF << node.failures.min(BACKOFF_STEPS));
                 node.failures += 1;
             }
