--- a/src/brain.rs
+++ b/src/brain.rs
@@ -35,6 +35,8 @@
 const BACKOFF_STEPS: u32 = 4;
 /// The law's target by step: what earns less stops at a lower latency and leaves the node to the rest.
 const TARGET: [f64; 4] = [1.0, 0.35, 0.15, 0.1];
+/// Longest pause of a step between two trials, in mean latencies.
+const PACE_MOST: f64 = 4.0;
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
 const FORESIGHT: f64 = 1.0;
 /// How many waiting requests are looked at for one send.
@@ -82,6 +84,7 @@
     fn learn(&mut self, now: Micros, ratio: f64, latency: Micros) {
         let count = self.working(now).max(1);
         self.ratio.add(now, ratio);
+        self.last_answer = now;
         self.delay.add(now, latency as f64);
         self.weight.add(now, 1.0);
         self.count = Some(count as f64);
@@ -95,6 +98,15 @@
         (count / (1.0 + GAIN * (self.load() / TARGET[step] - 1.0))).clamp(floor, CEILING)
     }
 
+    /// Danger: with many hosts on a node even one attempt of each is too much for it. A bound below one is
+    /// kept in time, as far as the hosts' single trials together pass what a fresh bound allows: the next
+    /// trial of the step waits a part of the latency since the last answer. Guards against jams of any
+    /// cause. Harm: after a short jam a host with little traffic lets some node time pass unused.
+    fn pace(&self, step: usize, hosts: f64) -> Micros {
+        let over = GAIN * (self.load() / TARGET[step] - 1.0) * (1.0 - START / hosts).max(0.0);
+        self.last_answer + (over.clamp(0.0, PACE_MOST) * self.delay()) as Micros
+    }
+
     fn silent(&self, now: Micros) -> bool {
         self.unheard.is_some_and(|t| now - t > SILENT)
     }
@@ -271,6 +283,7 @@
                 sends: VecDeque::new(),
                 unheard: None,
                 last_send: 0,
+                last_answer: 0,
                 failures: 0,
                 hold: 0,
             });
@@ -526,6 +539,10 @@
         if node.held() >= node.bound(step).floor() && node.working(now) > 0 {
             return Verdict::Wait(None);
         }
+        let pace = node.pace(step, f64::from(self.set.hosts));
+        if step != RESERVE && node.held() < 1.0 && now < pace {
+            return Verdict::Wait(Some(pace));
+        }
         Verdict::Go
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -122,6 +122,7 @@
     /// First send since the node was last heard of.
     pub(crate) unheard: Option<Micros>,
     pub(crate) last_send: Micros,
+    pub(crate) last_answer: Micros,
     /// Resets, failed connections and time-outs since it last answered.
     pub(crate) failures: u32,
     pub(crate) hold: Micros,
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -112,3 +112,20 @@
     assert!((6..=12).contains(&sent), "{sent} sent to a node that never answered");
     h.checker.assert_clean();
 }
+
+#[test]
+fn with_many_hosts_a_jammed_node_gets_trials_beyond_the_reserve_at_a_slower_pace() {
+    let sent_after = |hosts: u32| {
+        let mut set = settings();
+        (set.hosts, set.plans[0].reserve) = (hosts, 0.0);
+        let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+        h.ask(request(0));
+        h.wait(190_000);
+        h.answer(0, 0, Outcome::Served);
+        h.ask(request(1));
+        h.wait(60_000);
+        h.sent().len()
+    };
+    assert_eq!(sent_after(3), 2);
+    assert_eq!(sent_after(16), 1);
+}
