--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,9 +14,11 @@
 /// Bound of a node that has not answered yet.
 const START: f64 = 4.0;
 /// Bound of a fresh node for all hosts together: more hosts than this share it in time.
-const ALL: f64 = 12.0;
+const ALL: f64 = 6.0;
 /// Answers that the host's mean over all nodes counts as in the L of one, in a crowd.
 const PRIOR: f64 = 0.3;
+/// Time over which a bound below one is kept in the mean.
+const CREDIT: Micros = 1_000_000;
 /// Least bound; one attempt alone would starve the measurement.
 const FLOOR: f64 = 2.0;
 /// Greatest bound.
@@ -37,10 +39,9 @@
 const BACKOFF: Micros = 50_000;
 /// Doublings of that pause at most.
 const BACKOFF_STEPS: u32 = 4;
-/// The law's target by step: what earns less stops at a lower latency and leaves the node to the rest.
-const TARGET: [f64; 4] = [1.0, 0.35, 0.15, 0.1];
-/// Longest pause of a step between two trials, in mean latencies.
-const PACE_MOST: f64 = 4.0;
+/// The law's target beyond the reserve, times the root of what a unit earns there: what earns less stops at a
+/// lower latency and leaves the node to the rest.
+const TARGET: f64 = 0.38;
 /// A request whose due time is nearer than this part of the node's mean latency counts as late already.
 const FORESIGHT: f64 = 1.0;
 /// How many waiting requests are looked at for one send.
@@ -49,6 +50,14 @@
 const PEAK_FADE: f64 = 15e6;
 /// The part of a node's service that is dealt out in shares.
 const DEALT: f64 = 0.9;
+/// Windows of the rule on cold nodes that a host's turn lasts.
+const TURN: Micros = 4;
+/// Least units of a host's turn in a window, in mean requests.
+const TURN_UNITS: f64 = 1.0;
+/// Deals the turns evenly: the golden ratio.
+const GOLDEN: f64 = 0.618_033_988_749;
+/// Multiple of a volume's usual rate that counts as within its share in a crowd.
+const OVER: f64 = 2.0;
 /// Interval of forgetting.
 const SWEEP: Micros = 5_000_000;
 /// Pause before asking for the node list again after a failure.
@@ -59,6 +68,7 @@
 const SHARE: usize = 1;
 const SPARE: usize = 2;
 const LATE: usize = 3;
+const STEPS: [usize; 4] = [RESERVE, SHARE, SPARE, LATE];
 
 impl Node {
     /// The law's L: smoothed mean of latency over aim; 1 until the node answers.
@@ -89,7 +99,7 @@
     /// far over their aim are left out of it. Also answers resets that nobody told of. Harm: on a node
     /// that is only very slow the bound falls faster than the law's; it still rises with the first answers.
     fn learn(&mut self, now: Micros, ratio: f64, latency: Micros) {
-        self.count = Some([RESERVE, SHARE, SPARE, LATE].map(|step| self.working(now, step)));
+        self.count = Some(STEPS.map(|step| self.working(now, step)));
         self.last_answer = now;
         self.own.add(now, ratio, latency as f64);
     }
@@ -97,7 +107,7 @@
     /// The law (eq. 6.1): count out over 1 + gain x (L / target - 1), as of the last answer; units beyond the
     /// reserve see a lower target. In a crowd the count ages toward this host's part of a fresh bound.
     fn bound(&self, step: usize, v: &View) -> f64 {
-        let law = |n: f64| n / (1.0 + GAIN * (self.load(v) / TARGET[step] - 1.0));
+        let law = |n: f64| n / (1.0 + GAIN * (self.load(v) / v.target[step] - 1.0));
         if v.fresh < 1.0 {
             let age = (-((v.now - self.last_answer) as f64) / SMOOTHING).exp();
             let count = self.count.map_or(v.fresh, |c| v.fresh + (c[step] - v.fresh) * age);
@@ -108,18 +118,16 @@
         law(count[step].max(1.0)).clamp(floor, CEILING)
     }
 
-    /// Danger: with many hosts on a node even one attempt of each is too much for it. A bound below one is
-    /// kept in time: one attempt, and a pause that makes it that part of one. With a crowd (`fresh` below
-    /// one) this holds for all steps; with fewer hosts, beyond the reserve, as far as single trials together
-    /// pass a fresh bound. Guards against jams of any cause. Harm: after a short jam a host with little
-    /// traffic lets some node time pass unused.
-    fn pace(&self, step: usize, hosts: f64, v: &View) -> Micros {
-        if v.fresh < 1.0 {
-            return self.last_send + (self.delay(v) * (1.0 / self.bound(step, v) - 1.0).max(0.0)) as Micros;
-        }
-        let over = GAIN * (self.load(v) / TARGET[step] - 1.0) * (1.0 - START / hosts).max(0.0);
-        let over = if step == RESERVE { 0.0 } else { over };
-        self.last_answer + (over.clamp(0.0, PACE_MOST) * self.delay(v)) as Micros
+    /// Time between two attempts, one at a time, that keeps a bound below one.
+    fn gap(&self, step: usize, v: &View) -> Micros {
+        (self.delay(v) * (1.0 / self.bound(step, v) - 1.0).max(0.0)) as Micros
+    }
+
+    /// Danger: in a crowd even one attempt of each host is too much for a node. A bound below one is kept in
+    /// time: one attempt, and a pause that makes it that part of one, in the mean of `CREDIT`, so that short
+    /// runs pass. Guards against jams of any cause. Harm: some node time passes unused after a short jam.
+    fn pace(&self, step: usize, v: &View) -> Micros {
+        if v.fresh < 1.0 { (self.last_send + self.gap(step, v)).min(self.paid[step] - CREDIT) } else { 0 }
     }
 
     fn silent(&self, now: Micros) -> bool {
@@ -188,6 +196,7 @@
     nodes: BTreeMap<NodeId, Node>,
     all: Mean,
     used: usize,
+    target: [f64; 4],
     shards: BTreeMap<ShardId, Shard>,
     volumes: BTreeMap<VolumeId, Volume>,
     turns: BTreeMap<KeyId, Turn>,
@@ -204,6 +213,10 @@
     /// A scheduler that knows nothing yet but its settings.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         settings.hosts = settings.hosts.max(1);
+        let worth = |x: f64| TARGET * x.clamp(0.01, 1.0).sqrt();
+        let late = settings.classes.iter().map(|c| c.late_worth).fold(0.0, f64::max);
+        let (share, spare) = (settings.share_worth, settings.spare_worth);
+        let target = [1.0, worth(share), worth(spare), worth(spare * late)];
         Scheduler {
             set: settings,
             born: None,
@@ -213,6 +226,7 @@
             nodes: BTreeMap::new(),
             all: Mean::over(SMOOTHING),
             used: 0,
+            target,
             shards: BTreeMap::new(),
             volumes: BTreeMap::new(),
             turns: BTreeMap::new(),
@@ -239,7 +253,7 @@
         match event {
             Event::Nodes { whole, entries, .. } => self.on_nodes(whole, entries),
             Event::NodesFailed => {
-                let spread = self.random() % ASK_AGAIN as u64;
+                let spread = next_random(&mut self.noise) % ASK_AGAIN as u64;
                 self.wakes.insert((self.now + ASK_AGAIN / 2 + spread as Micros, Wake::List));
             }
             Event::Request(ask) => self.on_request(ask),
@@ -285,20 +299,10 @@
         // Of all hosts, those whose volumes lie at a node: as many as this host uses of the shards.
         let used = self.used as f64 / self.shards.len().max(1) as f64;
         let fresh = (ALL / (f64::from(self.set.hosts) * used)).min(1.0);
-        let (load, delay) = if weight > 0.0 {
-            ((self.all.ratio.sum / weight).exp(), (self.all.delay.sum / weight).exp())
-        } else {
-            (1.0, 0.0)
-        };
-        View { now: self.now, fresh, prior: if fresh < 1.0 { PRIOR } else { 0.0 }, load, delay }
-    }
-
-    fn random(&mut self) -> u64 {
-        self.noise = self.noise.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut z = self.noise;
-        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
+        let mean = |sum: f64| if weight > 0.0 { (sum / weight).exp() } else { 1.0 };
+        let (load, delay) = (mean(self.all.ratio.sum), mean(self.all.delay.sum));
+        let prior = if fresh < 1.0 { PRIOR } else { 0.0 };
+        View { now: self.now, target: self.target, fresh, prior, load, delay }
     }
 
     fn on_nodes(&mut self, whole: bool, entries: Vec<NodeEntry>) {
@@ -306,21 +310,7 @@
             self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
         }
         for e in entries {
-            let node = self.nodes.entry(e.node).or_insert_with(|| Node {
-                zone: e.zone,
-                shard: e.shard,
-                state: e.state,
-                started: e.started,
-                out: BTreeMap::new(),
-                own: Mean::over(SMOOTHING),
-                count: None,
-                sends: VecDeque::new(),
-                unheard: None,
-                last_send: Micros::MIN / 4,
-                last_answer: Micros::MIN / 4,
-                failures: 0,
-                hold: 0,
-            });
+            let node = self.nodes.entry(e.node).or_insert_with(|| Node::new(&e, SMOOTHING));
             if e.started.is_some() && node.started.is_none_or(|t| Some(t) < e.started) {
                 // A new process: nothing held against the old one stands, nor does its measured load.
                 node.started = e.started;
@@ -341,11 +331,8 @@
 
     fn on_request(&mut self, ask: Request) {
         let now = self.now;
-        if let Some(budget) = self.set.budget {
+        if self.set.budget.is_some() {
             self.taken.push_back(now);
-            while self.taken.front().is_some_and(|&t| t <= now - budget.window) {
-                self.taken.pop_front();
-            }
         }
         let id = ask.id;
         let (Some(class), Some(plan)) = (self.set.classes.get(ask.class), self.set.plans.get(ask.plan))
@@ -371,8 +358,12 @@
                 cap: plan.reserve / hosts.sqrt() + self.set.most_units,
             },
             seen: now,
+            used: 0.0,
+            phase: 0.0,
+            asked: Fading::over(SMOOTHING),
         });
         volume.seen = now;
+        volume.asked.add(now, ask.units);
         let in_order = class.in_order && ask.key.is_some();
         let (due, deadline) = (now + class.aim.min(ask.patience), now + ask.patience);
         let mut open = Open {
@@ -430,7 +421,7 @@
     }
 
     fn enqueue(&mut self, id: RequestId) {
-        let now = self.now;
+        let (now, v) = (self.now, self.view());
         let Some(open) = self.requests.get(&id) else { return };
         let Some(shard_id) = self.shard_of(open) else {
             return; // No node is listed at all: it waits for the list or its end.
@@ -449,8 +440,15 @@
                 let weight = if plan.weight > 0.0 { plan.weight } else { 1.0 };
                 let asked = shard.asked.entry(open.ask.volume).or_insert((Fading::over(SMOOTHING), weight));
                 asked.0.add(now, open.ask.units);
-                let rate = asked.0.read(now) / asked.1;
-                open.step = if rate <= shard.level(now) { SHARE } else { SPARE };
+                let mut within = asked.0.read(now) / asked.1 <= shard.level(now);
+                // Danger: a host of a crowd sees too little of a node to tell its power. There units also count
+                // as within the share while the volume keeps near its usual rate, as metered or seen here.
+                if let (true, Some(volume)) = (v.fresh < 1.0, self.volumes.get_mut(&open.ask.volume)) {
+                    volume.phase = (volume.phase + GOLDEN) % 1.0;
+                    let used = volume.used.max(volume.asked.read(now) / plan.rate.max(1e-3));
+                    within |= volume.phase * used < OVER;
+                }
+                open.step = if within { SHARE } else { SPARE };
             }
         }
         let class = &self.set.classes[open.ask.class];
@@ -463,10 +461,7 @@
         let worth = (class.worth * plan.price * step).max(1e-6);
         let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
         open.place = Some((shard_id, place));
-        shard.waiting.insert(place);
-        if let Some(key) = open.ask.key {
-            shard.by_key.entry(key).or_default().insert(place);
-        }
+        shard.insert(place, open.ask.key);
         self.dirty.insert(shard_id);
     }
 
@@ -474,38 +469,43 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some((shard, place)) = open.place.take() else { return };
         let Some(shard) = self.shards.get_mut(&shard) else { return };
-        shard.waiting.remove(&place);
-        if let Some(key) = open.ask.key
-            && let Some(line) = shard.by_key.get_mut(&key)
-        {
-            line.remove(&place);
-            if line.is_empty() {
-                shard.by_key.remove(&key);
-            }
-        }
+        shard.remove(place, open.ask.key);
     }
 
     /// When a cold node may take `units`, if not now. Danger: a node that has just started falls over for
-    /// good when all hosts together push it. Each keeps to its even part of what such a node bears, grown
-    /// with the slowest warming that is promised, counted as at the window's start. A host that has just
-    /// started itself does not know what it sent, and waits one window. Harm: an unused part is lost.
+    /// good when all hosts together push it. What it bears, grown with the slowest warming that is promised,
+    /// is dealt out evenly; where a part would be too small for a request, hosts take turns by the node's
+    /// age, `TURN` windows each with one of rest after it, so that no window sees two turns. A host that has
+    /// just started itself does not know what it sent, and waits one window. Harm: an unused part is lost.
     fn cold(&self, node: &Node, units: f64) -> Option<Micros> {
         let (now, window) = (self.now, self.set.cold_window);
-        let started = node.started?;
-        if window <= 0 || now - started >= self.set.warm_after + window {
+        let age = now - node.started?;
+        if window <= 0 || age >= self.set.warm_after + window {
             return None;
         }
         let born = self.born.unwrap_or(now);
-        if now < born + window && born > started {
+        if now < born + window && born > now - age {
             return Some(born + window);
         }
-        let age = (now - started - window).max(0) as f64 / self.set.warm_after.max(1) as f64;
-        let growth = 1.0 + (1.0 / self.set.cold_from.clamp(0.01, 1.0) - 1.0) * age.min(1.0);
-        let base = if self.set.cold_units > 0.0 { self.set.cold_units } else { self.set.most_units };
-        let part = base / f64::from(self.set.hosts) * growth;
+        let bears = |age: Micros| {
+            let warm = (age - window).max(0) as f64 / self.set.warm_after.max(1) as f64;
+            let base = if self.set.cold_units > 0.0 { self.set.cold_units } else { self.set.most_units };
+            base * (1.0 + (1.0 / self.set.cold_from.clamp(0.01, 1.0) - 1.0) * warm.min(1.0))
+        };
+        let (hosts, turn) = (f64::from(self.set.hosts), window * (TURN + 1));
+        let begun = age - age % turn;
+        let least = (TURN_UNITS * self.set.mean_units).clamp(1.0, self.set.most_units.max(1.0));
+        let many = (bears(begun) / least).floor().clamp(1.0, hosts);
+        if many < hosts {
+            let first = ((begun / turn) as f64 + f64::from(node.shard.0)) * GOLDEN % 1.0 * hosts;
+            let place = (f64::from(self.set.index) - first.floor()).rem_euclid(hosts);
+            if age % turn >= window * TURN || place >= many {
+                return Some(now + turn - age % turn);
+            }
+        }
         let recent = node.sends.iter().filter(|s| s.0 > now - window);
         let sent: f64 = recent.clone().map(|s| s.1).sum();
-        if sent + units <= part {
+        if sent + units <= bears(age) / many {
             return None;
         }
         Some(recent.map(|s| s.0 + window).next().unwrap_or(now + window / 8))
@@ -578,7 +578,7 @@
         if node.held() >= node.bound(step, &v).floor() && node.working(now, step) > 0.0 {
             return Verdict::Wait(None);
         }
-        let pace = node.pace(step, f64::from(self.set.hosts), &v);
+        let pace = node.pace(step, &v);
         if node.held() < 1.0 && now < pace {
             return Verdict::Wait(Some(pace));
         }
@@ -666,19 +666,14 @@
         {
             store.add(now, -open.ask.units);
         }
-        if let (Some(budget), false) = (self.set.budget, open.attempts.is_empty()) {
+        if self.set.budget.is_some() && !open.attempts.is_empty() {
             self.further.push_back(now);
-            while self.further.front().is_some_and(|&t| t < now - budget.window) {
-                self.further.pop_front();
-            }
         }
         let aim = self.set.classes[open.ask.class].aim.max(1);
-        let part = [RESERVE, SHARE, SPARE, LATE].map(|step| node.bound(step, &v).min(1.0));
+        let part = STEPS.map(|step| node.bound(step, &v).min(1.0));
+        node.paid = STEPS.map(|step| node.paid[step].max(now) + node.gap(step, &v));
         node.out.insert((id, open.attempts.len() as u32), Flight { sent: now, aim, part, overtaken: 0 });
         node.sends.push_back((now, open.ask.units));
-        while node.sends.front().is_some_and(|s| s.0 <= now - self.set.cold_window) {
-            node.sends.pop_front();
-        }
         node.unheard.get_or_insert(now);
         node.last_send = now;
         let attempt = Attempt { zone: node.zone, shard: node.shard, sent: now, fate: Fate::Out };
@@ -745,6 +740,9 @@
         self.observe(a.node, (a.request, a.attempt), a.outcome, a.latency, true);
         let Some(open) = self.requests.get_mut(&a.request) else { return };
         let Some(attempt) = open.attempts.get_mut(a.attempt as usize) else { return };
+        if let (Some(used), Some(volume)) = (a.metered, self.volumes.get_mut(&open.ask.volume)) {
+            volume.used = used;
+        }
         attempt.fate = match a.outcome {
             Outcome::Full | Outcome::Unreachable => Fate::NeverRan,
             Outcome::NotSent => Fate::NotSent,
@@ -870,6 +868,10 @@
         });
         self.turns.retain(|_, t| !t.line.is_empty() || now < t.rest);
         let window = self.set.cold_window;
+        self.nodes.values_mut().for_each(|n| n.sends.retain(|s| s.0 > now - window));
+        let counted = now - self.set.budget.map_or(0, |b| b.window);
+        self.taken.retain(|&t| t >= counted);
+        self.further.retain(|&t| t >= counted);
         self.nodes.retain(|_, n| {
             n.state != NodeState::Gone || !n.out.is_empty() || now - n.last_send <= window.max(SWEEP)
         });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -111,6 +111,8 @@
     pub plans: Vec<Plan>,
     /// Hosts that work on this pool, this one included.
     pub hosts: u32,
+    /// This host's number among them, from 0.
+    pub index: u32,
     /// The node list changes only after asking.
     pub must_ask: bool,
     /// Most attempts of one request.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 //!         rate: 10.0, reserve: 5.0, limit: 0.0, limit_burst: 0.0, limit_slack: 0.0,
 //!         weight: 1.0, price: 1.0,
 //!     }],
-//!     hosts: 1, must_ask: false, most_attempts: 3, second_copies: false, cancel: true, probes: false,
+//!     hosts: 1, index: 0, must_ask: false, most_attempts: 3, second_copies: false, cancel: true, probes: false,
 //!     advice: true, most_advice: 1_000_000, cold_units: 10.0, cold_window: 2_000_000, cold_from: 0.2,
 //!     warm_after: 10_000_000, drain_grace: 500_000, order_rest: 0, budget: None, most_units: 8.0,
 //!     mean_units: 2.0, share_worth: 0.5, spare_worth: 0.1, waste_price: 0.0,
--- a/src/state.rs
+++ b/src/state.rs
@@ -96,6 +96,7 @@
 pub(crate) struct View {
     pub(crate) now: Micros,
     pub(crate) fresh: f64,
+    pub(crate) target: [f64; 4],
     pub(crate) prior: f64,
     pub(crate) load: f64,
     pub(crate) delay: f64,
@@ -123,6 +124,11 @@
 pub(crate) struct Volume {
     pub(crate) limit: Option<Store>,
     pub(crate) reserve: Store,
+    /// Its use over all hosts as last metered, as a part of the plan's rate.
+    pub(crate) used: f64,
+    pub(crate) phase: f64,
+    /// Units that it asked for here lately.
+    pub(crate) asked: Fading,
     pub(crate) seen: Micros,
 }
 
@@ -150,6 +156,8 @@
     pub(crate) sends: VecDeque<(Micros, f64)>,
     /// First send since the node was last heard of.
     pub(crate) unheard: Option<Micros>,
+    /// Until when, by step, the attempts so far use up a bound below one.
+    pub(crate) paid: [Micros; 4],
     pub(crate) last_send: Micros,
     pub(crate) last_answer: Micros,
     /// Resets, failed connections and time-outs since it last answered.
@@ -157,6 +165,28 @@
     pub(crate) hold: Micros,
 }
 
+impl Node {
+    pub(crate) fn new(entry: &NodeEntry, span: f64) -> Self {
+        const NEVER: Micros = Micros::MIN / 4;
+        Node {
+            zone: entry.zone,
+            shard: entry.shard,
+            state: entry.state,
+            started: entry.started,
+            out: BTreeMap::new(),
+            own: Mean::over(span),
+            count: None,
+            sends: VecDeque::new(),
+            unheard: None,
+            paid: [NEVER; 4],
+            last_send: NEVER,
+            last_answer: NEVER,
+            failures: 0,
+            hold: 0,
+        }
+    }
+}
+
 pub(crate) struct Shard {
     pub(crate) nodes: Vec<NodeId>,
     /// A volume that this host serves lies here.
@@ -192,6 +222,35 @@
     }
 }
 
+impl Shard {
+    pub(crate) fn insert(&mut self, place: Place, key: Option<KeyId>) {
+        self.waiting.insert(place);
+        if let Some(key) = key {
+            self.by_key.entry(key).or_default().insert(place);
+        }
+    }
+    pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) {
+        self.waiting.remove(&place);
+        if let Some(key) = key
+            && let Some(line) = self.by_key.get_mut(&key)
+        {
+            line.remove(&place);
+            if line.is_empty() {
+                self.by_key.remove(&key);
+            }
+        }
+    }
+}
+
+/// The next number of the splitmix64 sequence.
+pub(crate) fn next_random(state: &mut u64) -> u64 {
+    *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let mut z = *state;
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
 #[derive(Default)]
 pub(crate) struct Turn {
     pub(crate) line: VecDeque<RequestId>,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -64,6 +64,8 @@
     classes: Vec<WireClass>,
     policies: Vec<WirePolicy>,
     peers_total: u32,
+    #[serde(default)]
+    index: u32,
     discovery: String,
     policy_limits: Limits,
     family_info: Family,
@@ -362,6 +364,7 @@
         classes: p.classes.into_iter().map(class).collect::<Result<_, _>>()?,
         plans: p.policies.into_iter().map(plan).collect(),
         hosts: p.peers_total,
+        index: p.index,
         must_ask: p.discovery == "ask",
         most_attempts: p.policy_limits.send_cap,
         second_copies: p.policy_limits.may_duplicate,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -37,6 +37,7 @@
         classes: vec![class(Repeats::Safe)],
         plans: vec![plan()],
         hosts: 3,
+        index: 0,
         must_ask: false,
         most_attempts: 4,
         second_copies: false,
--- /dev/null
+++ b/tests/crowd.rs
@@ -0,0 +1,114 @@
+//! A hundred hosts and more at one node: each keeps a part of a place, and the rules hold for all together.
+
+mod common;
+use common::*;
+use crowbay::*;
+
+/// Sent of three requests in a row, of which the first two took `latency`.
+fn sent_of_three(hosts: u32, reserve: f64, latency: Micros) -> usize {
+    let mut set = settings();
+    (set.hosts, set.plans[0].reserve) = (hosts, reserve);
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    for id in 0..2 {
+        h.ask(request(id));
+        h.wait(latency);
+        if h.checker.out.contains_key(&(RequestId(id), 0)) {
+            h.answer(id, 0, Outcome::Served);
+        }
+    }
+    h.ask(request(2));
+    h.wait(50_000);
+    h.checker.assert_clean();
+    h.sent().len()
+}
+
+#[test]
+fn even_reserved_units_wait_out_a_jam() {
+    assert_eq!(sent_of_three(3, 1e6, 400_000), 3, "a host of few keeps its floor");
+    assert_eq!(sent_of_three(150, 1e6, 400_000), 2, "a 150th part is kept in time");
+}
+
+#[test]
+fn beyond_the_reserve_a_lower_latency_is_enough_to_wait() {
+    assert_eq!(sent_of_three(3, 0.0, 190_000), 3);
+    assert_eq!(sent_of_three(16, 0.0, 190_000), 2);
+}
+
+#[test]
+fn on_a_quick_node_nothing_waits() {
+    assert_eq!(sent_of_three(150, 1e6, 10_000), 3);
+    assert_eq!(sent_of_three(150, 0.0, 10_000), 3);
+}
+
+#[test]
+fn a_stale_answer_is_forgotten() {
+    let mut set = settings();
+    (set.hosts, set.plans[0].reserve) = (150, 1e6);
+    let mut h = Host::with_nodes(set, &[entry(0, 0), entry(1, 1)]);
+    h.ask(request(0));
+    h.wait(900_000);
+    h.answer(0, 0, Outcome::Served);
+    // The other node is quick; after a few seconds that is what counts for the first one too.
+    for id in 1..40 {
+        let mut r = request(id);
+        r.shard = Some(ShardId(1));
+        h.ask(r);
+        h.wait(60_000);
+        if h.checker.out.contains_key(&(RequestId(id), 0)) {
+            h.answer(id, 0, Outcome::Served);
+        }
+        h.wait(60_000);
+    }
+    h.ask(request(100));
+    assert!(h.sent().contains(&100));
+}
+
+/// Units that each of `hosts` sent to a node that started at 0, all asking all the time and answered at once.
+fn sent_to_a_cold_node(hosts: u32) -> Vec<(Micros, f64)> {
+    let mut sent = Vec::new();
+    for index in 0..hosts {
+        let mut set = settings();
+        (set.hosts, set.index, set.plans[0].reserve) = (hosts, index, 1e6);
+        let mut node = entry(0, 0);
+        node.started = Some(10 * SECOND);
+        let mut h = Host::at(set, 0);
+        h.nodes(true, &[entry(0, 0)]);
+        h.until(10 * SECOND);
+        h.nodes(false, &[node]);
+        for id in 0..110 {
+            let mut r = request(id);
+            r.units = (1 + id % 3) as f64;
+            h.ask(r);
+            h.wait(100_000);
+            let out: Vec<_> = h.checker.out.keys().copied().collect();
+            for (request, attempt) in out {
+                h.answer(request.0, attempt, Outcome::Served);
+            }
+        }
+        for (at, action) in &h.log {
+            if let Action::Send { request, .. } = action {
+                sent.push((*at - 10 * SECOND, (1 + request.0 % 3) as f64));
+            }
+        }
+    }
+    sent.sort_by_key(|s| s.0);
+    sent
+}
+
+#[test]
+fn a_cold_node_gets_work_from_any_number_of_hosts_but_never_more_than_it_bears() {
+    let set = settings();
+    for hosts in [1, 8, 150] {
+        let sent = sent_to_a_cold_node(hosts);
+        let total: f64 = sent.iter().map(|s| s.1).sum();
+        assert!(total > 3.0 * set.cold_units, "{hosts} hosts sent {total} in eleven seconds");
+        for (i, first) in sent.iter().enumerate() {
+            let inside = sent[i..].iter().take_while(|s| s.0 < first.0 + set.cold_window);
+            let units: f64 = inside.map(|s| s.1).sum();
+            // Bears at the window's start, with the slowest warming that is promised.
+            let warm = (first.0 as f64 / set.warm_after as f64).min(1.0);
+            let bears = set.cold_units * (1.0 + (1.0 / set.cold_from - 1.0) * warm);
+            assert!(units <= bears + 1e-9, "{hosts} hosts: {units} of {bears} at {}", first.0);
+        }
+    }
+}
