--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,7 +33,7 @@
 const OVERTAKEN: u32 = 4;
 /// No word from a node for this long, with attempts out, makes it silent.
 const SILENT: Micros = 1_000_000;
-/// Pause between two trials of a silent node.
+/// Pause between two trials of a silent node; a crowd shares them.
 const TRIAL: Micros = 400_000;
 /// First pause after a node could not be reached, broke off or was full; doubled each time.
 const BACKOFF: Micros = 50_000;
@@ -53,7 +53,7 @@
 /// Windows of the rule on cold nodes that a host's turn lasts.
 const TURN: Micros = 4;
 /// Least units of a host's turn in a window, in mean requests.
-const TURN_UNITS: f64 = 1.0;
+const TURN_UNITS: f64 = 2.0;
 /// Deals the turns evenly: the golden ratio.
 const GOLDEN: f64 = 0.618_033_988_749;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
@@ -147,7 +147,7 @@
             return Err(Some(self.hold));
         }
         if self.silent(now) {
-            let next = self.last_send + TRIAL;
+            let next = self.last_send + (TRIAL as f64 / v.fresh) as Micros;
             return if now < next { Err(Some(next)) } else { Ok(()) };
         }
         let bound = if self.failures > 0 { 1.0 } else { self.bound(RESERVE, v).max(1.0) };
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -112,3 +112,23 @@
         }
     }
 }
+
+#[test]
+fn the_trials_of_a_silent_node_are_shared_by_the_crowd() {
+    let trials = |hosts: u32| {
+        let mut set = settings();
+        (set.hosts, set.plans[0].reserve) = (hosts, 1e6);
+        let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+        for id in 0..400 {
+            let mut r = request(id);
+            r.patience = 30 * SECOND;
+            h.ask(r);
+            h.wait(10_000);
+        }
+        h.checker.assert_clean();
+        h.sent().len()
+    };
+    let (few, many) = (trials(3), trials(150));
+    assert!((6..=12).contains(&few), "{few} sent to a node that never answered");
+    assert!((1..=2).contains(&many), "{many} sent by one of 150");
+}
