--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,8 +4,6 @@
 //! (eq. 6.1); the excess waits here, per shard, by worth and then by due time. Every send passes the
 //! guards in [`Scheduler::verdict`]; every final answer leaves through [`Scheduler::finish`].
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-
 use crate::interface::*;
 use crate::state::*;
 
@@ -58,6 +56,8 @@
 const GOLDEN: f64 = 0.618_033_988_749;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
 const OVER: f64 = 2.0;
+/// A like request within this time of one that ended unserved is its repeat, where clients do not say.
+const REPEAT: Micros = 50_000;
 /// Interval of forgetting.
 const SWEEP: Micros = 5_000_000;
 /// Pause before asking for the node list again after a failure.
@@ -189,24 +189,9 @@
 /// One host's scheduler: see the [crate documentation](crate) for its use.
 pub struct Scheduler {
     set: Settings,
-    born: Option<Micros>,
-    now: Micros,
-    noise: u64,
-    requests: BTreeMap<RequestId, Open>,
-    nodes: BTreeMap<NodeId, Node>,
-    all: Mean,
-    used: usize,
     target: [f64; 4],
-    shards: BTreeMap<ShardId, Shard>,
-    volumes: BTreeMap<VolumeId, Volume>,
-    turns: BTreeMap<KeyId, Turn>,
-    taken: VecDeque<Micros>,
-    further: VecDeque<Micros>,
-    wakes: BTreeSet<(Micros, Wake)>,
-    armed: Option<Micros>,
-    token: u64,
-    dirty: BTreeSet<ShardId>,
-    actions: Vec<Action>,
+    all: Mean,
+    mem: Memory,
 }
 
 impl Scheduler {
@@ -217,78 +202,62 @@
         let late = settings.classes.iter().map(|c| c.late_worth).fold(0.0, f64::max);
         let (share, spare) = (settings.share_worth, settings.spare_worth);
         let target = [1.0, worth(share), worth(spare), worth(spare * late)];
-        Scheduler {
-            set: settings,
-            born: None,
-            now: 0,
-            noise: seed,
-            requests: BTreeMap::new(),
-            nodes: BTreeMap::new(),
-            all: Mean::over(SMOOTHING),
-            used: 0,
-            target,
-            shards: BTreeMap::new(),
-            volumes: BTreeMap::new(),
-            turns: BTreeMap::new(),
-            taken: VecDeque::new(),
-            further: VecDeque::new(),
-            wakes: BTreeSet::new(),
-            armed: None,
-            token: 0,
-            dirty: BTreeSet::new(),
-            actions: Vec::new(),
-        }
+        let mem = Memory { noise: seed, ..Memory::default() };
+        Scheduler { set: settings, target, all: Mean::over(SMOOTHING), mem }
     }
 
     /// Takes one event at the time `now` and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        self.now = now.max(self.now);
-        if self.born.is_none() {
-            self.born = Some(self.now);
-            self.wakes.insert((self.now + SWEEP, Wake::Sweep));
+        self.mem.now = now.max(self.mem.now);
+        if self.mem.born.is_none() {
+            self.mem.born = Some(self.mem.now);
+            self.mem.wakes.insert((self.mem.now + SWEEP, Wake::Sweep));
             if self.set.must_ask {
-                self.actions.push(Action::Subscribe);
+                self.mem.actions.push(Action::Subscribe);
             }
         }
         match event {
             Event::Nodes { whole, entries, .. } => self.on_nodes(whole, entries),
             Event::NodesFailed => {
-                let spread = next_random(&mut self.noise) % ASK_AGAIN as u64;
-                self.wakes.insert((self.now + ASK_AGAIN / 2 + spread as Micros, Wake::List));
+                let spread = next_random(&mut self.mem.noise) % ASK_AGAIN as u64;
+                self.mem.wakes.insert((self.mem.now + ASK_AGAIN / 2 + spread as Micros, Wake::List));
             }
             Event::Request(ask) => self.on_request(ask),
             Event::Started { request, attempt, node, latency } => {
                 self.observe(node, (request, attempt), Outcome::Served, latency, false);
-                if let Some(open) = self.requests.get_mut(&request) {
+                if let Some(open) = self.mem.requests.get_mut(&request) {
                     open.streaming = true;
                 }
             }
             Event::Answer(answer) => self.on_answer(answer),
-            Event::Withdrawn(id) => self.close(id),
+            Event::Withdrawn(id) => {
+                self.remember(id);
+                self.close(id);
+            }
             Event::Timer(token) => {
-                if token == self.token {
-                    self.armed = None;
+                if token == self.mem.token {
+                    self.mem.armed = None;
                 }
             }
         }
-        while let Some(&(at, wake)) = self.wakes.first()
-            && at <= self.now
+        while let Some(&(at, wake)) = self.mem.wakes.first()
+            && at <= self.mem.now
         {
-            self.wakes.pop_first();
+            self.mem.wakes.pop_first();
             self.on_wake(wake);
         }
-        while let Some(shard) = self.dirty.pop_first() {
+        while let Some(shard) = self.mem.dirty.pop_first() {
             self.pump(shard);
         }
-        if let Some(&(at, _)) = self.wakes.first()
-            && self.armed.is_none_or(|armed| at < armed)
+        if let Some(&(at, _)) = self.mem.wakes.first()
+            && self.mem.armed.is_none_or(|armed| at < armed)
         {
-            self.armed = Some(at);
-            self.token += 1;
-            let after = (at - self.now).max(1);
-            self.actions.push(Action::SetTimer { after, token: self.token });
+            self.mem.armed = Some(at);
+            self.mem.token += 1;
+            let after = (at - self.mem.now).max(1);
+            self.mem.actions.push(Action::SetTimer { after, token: self.mem.token });
         }
-        actions.append(&mut self.actions);
+        actions.append(&mut self.mem.actions);
     }
 
     /// Danger: in a crowd a host hears from one node every few seconds only, so that its L is stale. The L of
@@ -297,20 +266,20 @@
     fn view(&self) -> View {
         let weight = self.all.weight.sum;
         // Of all hosts, those whose volumes lie at a node: as many as this host uses of the shards.
-        let used = self.used as f64 / self.shards.len().max(1) as f64;
+        let used = self.mem.used as f64 / self.mem.shards.len().max(1) as f64;
         let fresh = (ALL / (f64::from(self.set.hosts) * used)).min(1.0);
         let mean = |sum: f64| if weight > 0.0 { (sum / weight).exp() } else { 1.0 };
         let (load, delay) = (mean(self.all.ratio.sum), mean(self.all.delay.sum));
         let prior = if fresh < 1.0 { PRIOR } else { 0.0 };
-        View { now: self.now, target: self.target, fresh, prior, load, delay }
+        View { now: self.mem.now, target: self.target, fresh, prior, load, delay }
     }
 
     fn on_nodes(&mut self, whole: bool, entries: Vec<NodeEntry>) {
         if whole {
-            self.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
+            self.mem.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
         }
         for e in entries {
-            let node = self.nodes.entry(e.node).or_insert_with(|| Node::new(&e, SMOOTHING));
+            let node = self.mem.nodes.entry(e.node).or_insert_with(|| Node::new(&e, SMOOTHING));
             if e.started.is_some() && node.started.is_none_or(|t| Some(t) < e.started) {
                 // A new process: nothing held against the old one stands, nor does its measured load.
                 node.started = e.started;
@@ -320,29 +289,29 @@
             }
             (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
         }
-        self.shards.values_mut().for_each(|s| s.nodes.clear());
-        for (&id, node) in &self.nodes {
+        self.mem.shards.values_mut().for_each(|s| s.nodes.clear());
+        for (&id, node) in &self.mem.nodes {
             if node.state == NodeState::On {
-                self.shards.entry(node.shard).or_insert_with(|| Shard::new(SMOOTHING)).nodes.push(id);
+                self.mem.shards.entry(node.shard).or_insert_with(|| Shard::new(SMOOTHING)).nodes.push(id);
             }
         }
-        self.dirty.extend(self.shards.keys());
+        self.mem.dirty.extend(self.mem.shards.keys());
     }
 
     fn on_request(&mut self, ask: Request) {
-        let now = self.now;
+        let now = self.mem.now;
         if self.set.budget.is_some() {
-            self.taken.push_back(now);
+            self.mem.taken.push_back(now);
         }
         let id = ask.id;
         let (Some(class), Some(plan)) = (self.set.classes.get(ask.class), self.set.plans.get(ask.plan))
         else {
-            self.actions.push(Action::Refuse { request: id, come_back: 0 });
+            self.mem.actions.push(Action::Refuse { request: id, come_back: 0 });
             return;
         };
         let hosts = f64::from(ask.hosts.max(1));
-        let born = self.born.unwrap_or(now);
-        let volume = self.volumes.entry(ask.volume).or_insert_with(|| Volume {
+        let born = self.mem.born.unwrap_or(now);
+        let volume = self.mem.volumes.entry(ask.volume).or_insert_with(|| Volume {
             // Danger: this host may have been killed and restarted; its former self may have spent all of
             // its part. The store begins empty at the start and has filled since.
             limit: (plan.limit > 0.0).then(|| Store {
@@ -365,32 +334,33 @@
         volume.seen = now;
         volume.asked.add(now, ask.units);
         let in_order = class.in_order && ask.key.is_some();
-        let (due, deadline) = (now + class.aim.min(ask.patience), now + ask.patience);
-        let mut open = Open {
-            due,
-            deadline,
-            step: RESERVE,
-            attempts: Vec::new(),
-            place: None,
-            finished: false,
-            streaming: false,
-            ask,
-        };
+        let (mut first, deadline) = (now + class.aim, now + ask.patience);
+        // Danger: impatient clients repeat a request many times; all tries share one worth, and its aim runs
+        // from the first. A repeat is due when the try before it was, so that it counts as late in time. Also
+        // tells plain retries. Harm: where retries are not marked, a like request just after one that was
+        // not served is taken for its repeat.
+        if let Some((before, ended)) = self.mem.unserved.remove(&likeness(&ask))
+            && (ask.retry || now - ended < REPEAT)
+        {
+            first = before;
+        }
+        let due = first.min(deadline);
+        let mut open = Open::new(ask, RESERVE, first, due, deadline);
         if plan.reserve > 0.0 && volume.reserve.read(now) >= open.ask.units {
             volume.reserve.add(now, -open.ask.units);
         } else {
             open.step = SHARE;
         }
         let (key, patience) = (open.ask.key, open.ask.patience);
-        self.requests.insert(id, open);
+        self.mem.requests.insert(id, open);
         if patience <= 0 {
             self.finish(id, 0);
             return;
         }
-        self.wakes.insert((due, Wake::Request(id)));
-        self.wakes.insert((deadline, Wake::Request(id)));
+        self.mem.wakes.insert((due, Wake::Request(id)));
+        self.mem.wakes.insert((deadline, Wake::Request(id)));
         if let (true, Some(key)) = (in_order, key) {
-            let turn = self.turns.entry(key).or_default();
+            let turn = self.mem.turns.entry(key).or_default();
             turn.line.push_back(id);
             if turn.line.len() > 1 || now < turn.rest {
                 return;
@@ -407,30 +377,30 @@
         }
         let v = self.view();
         let fill = |n: &Node| {
-            let waiting = self.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
+            let waiting = self.mem.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
             (n.out.len() + waiting + 1) as f64 / n.bound(RESERVE, &v) * n.load(&v).max(0.1)
         };
         let usable = |n: &&Node| {
             n.state == NodeState::On
-                && !n.silent(self.now)
+                && !n.silent(self.mem.now)
                 && n.failures == 0
                 && self.cold(n, open.ask.units).is_none()
         };
-        let best = self.nodes.values().filter(usable).min_by(|a, b| fill(a).total_cmp(&fill(b)));
-        best.or(self.nodes.values().find(|n| n.state == NodeState::On)).map(|n| n.shard)
+        let best = self.mem.nodes.values().filter(usable).min_by(|a, b| fill(a).total_cmp(&fill(b)));
+        best.or(self.mem.nodes.values().find(|n| n.state == NodeState::On)).map(|n| n.shard)
     }
 
     fn enqueue(&mut self, id: RequestId) {
-        let (now, v) = (self.now, self.view());
-        let Some(open) = self.requests.get(&id) else { return };
+        let (now, v) = (self.mem.now, self.view());
+        let Some(open) = self.mem.requests.get(&id) else { return };
         let Some(shard_id) = self.shard_of(open) else {
             return; // No node is listed at all: it waits for the list or its end.
         };
-        let shard = self.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let shard = self.mem.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
         if open.ask.shard.is_some() && !shard.used {
             shard.used = true;
-            self.used += 1;
+            self.mem.used += 1;
         }
         let plan = &self.set.plans[open.ask.plan];
         if open.attempts.is_empty() && open.step != LATE {
@@ -443,7 +413,7 @@
                 let mut within = asked.0.read(now) / asked.1 <= shard.level(now);
                 // Danger: a host of a crowd sees too little of a node to tell its power. There units also count
                 // as within the share while the volume keeps near its usual rate, as metered or seen here.
-                if let (true, Some(volume)) = (v.fresh < 1.0, self.volumes.get_mut(&open.ask.volume)) {
+                if let (true, Some(volume)) = (v.fresh < 1.0, self.mem.volumes.get_mut(&open.ask.volume)) {
                     volume.phase = (volume.phase + GOLDEN) % 1.0;
                     let used = volume.used.max(volume.asked.read(now) / plan.rate.max(1e-3));
                     within |= volume.phase * used < OVER;
@@ -462,13 +432,13 @@
         let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
         open.place = Some((shard_id, place));
         shard.insert(place, open.ask.key);
-        self.dirty.insert(shard_id);
+        self.mem.dirty.insert(shard_id);
     }
 
     fn dequeue(&mut self, id: RequestId) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
         let Some((shard, place)) = open.place.take() else { return };
-        let Some(shard) = self.shards.get_mut(&shard) else { return };
+        let Some(shard) = self.mem.shards.get_mut(&shard) else { return };
         shard.remove(place, open.ask.key);
     }
 
@@ -478,12 +448,12 @@
     /// age, `TURN` windows each with one of rest after it, so that no window sees two turns. A host that has
     /// just started itself does not know what it sent, and waits one window. Harm: an unused part is lost.
     fn cold(&self, node: &Node, units: f64) -> Option<Micros> {
-        let (now, window) = (self.now, self.set.cold_window);
+        let (now, window) = (self.mem.now, self.set.cold_window);
         let age = now - node.started?;
         if window <= 0 || age >= self.set.warm_after + window {
             return None;
         }
-        let born = self.born.unwrap_or(now);
+        let born = self.mem.born.unwrap_or(now);
         if now < born + window && born > now - age {
             return Some(born + window);
         }
@@ -514,8 +484,8 @@
     /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
     /// else, for first attempts, retries and second copies alike.
     fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
-        let now = self.now;
-        let Some(open) = self.requests.get(&id) else { return Verdict::Never };
+        let now = self.mem.now;
+        let Some(open) = self.mem.requests.get(&id) else { return Verdict::Never };
         let class = &self.set.classes[open.ask.class];
         let tries = open.attempts.len();
         if open.finished || open.streaming || now >= open.deadline || tries >= self.set.most_attempts as usize
@@ -544,10 +514,10 @@
             return Verdict::Never;
         }
         if let (true, Some(key)) = (class.in_order, open.ask.key) {
-            let mine = self
-                .turns
-                .get(&key)
-                .is_some_and(|t| t.line.front() == Some(&id) && (now >= t.rest || !open.attempts.is_empty()));
+            let mine =
+                self.mem.turns.get(&key).is_some_and(|t| {
+                    t.line.front() == Some(&id) && (now >= t.rest || !open.attempts.is_empty())
+                });
             if !mine {
                 return Verdict::Wait(None);
             }
@@ -556,7 +526,7 @@
             return Verdict::Never;
         }
         let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
-        let volume = self.volumes.get(&open.ask.volume);
+        let volume = self.mem.volumes.get(&open.ask.volume);
         if let (true, Some(store)) = (first, volume.and_then(|v| v.limit)) {
             // An even part of the shared store: sums of even parts never pass the whole.
             let slack = self.set.plans[open.ask.plan].limit_slack / f64::from(open.ask.hosts.max(1));
@@ -588,16 +558,16 @@
     /// One more attempt beyond a first keeps the budget.
     fn budget_left(&self) -> bool {
         self.set.budget.is_none_or(|b| {
-            let taken = self.taken.iter().filter(|&&t| t > self.now - b.window).count();
-            let further = self.further.iter().filter(|&&t| t >= self.now - b.window).count();
+            let taken = self.mem.taken.iter().filter(|&&t| t > self.mem.now - b.window).count();
+            let further = self.mem.further.iter().filter(|&&t| t >= self.mem.now - b.window).count();
             (further + 1) as f64 <= b.free + b.share * taken as f64
         })
     }
 
     fn pump(&mut self, shard_id: ShardId) {
-        let now = self.now;
+        let now = self.mem.now;
         loop {
-            let Some(shard) = self.shards.get(&shard_id) else { return };
+            let Some(shard) = self.mem.shards.get(&shard_id) else { return };
             if shard.waiting.is_empty() {
                 return;
             }
@@ -607,7 +577,7 @@
             let v = self.view();
             let mut best: Option<(f64, NodeId)> = None;
             for &id in &shard.nodes {
-                let node = &self.nodes[&id];
+                let node = &self.mem.nodes[&id];
                 match node.ready(&v) {
                     Err(at) => later(at),
                     Ok(()) => {
@@ -621,7 +591,7 @@
             let mut chosen = None;
             let mut doomed = Vec::new();
             if let Some((_, node_id)) = best {
-                let node = &self.nodes[&node_id];
+                let node = &self.mem.nodes[&node_id];
                 // A request on the data just sent to the node costs it far less: runs stay together.
                 let run = shard.last_key.and_then(|k| shard.by_key.get(&k)).and_then(|line| line.first());
                 for &(_, _, id) in run.into_iter().chain(shard.waiting.iter()).take(SCAN) {
@@ -639,11 +609,11 @@
                 self.send(id, node);
             } else if doomed.is_empty() {
                 if let Some(at) = wake
-                    && let Some(shard) = self.shards.get_mut(&shard_id)
+                    && let Some(shard) = self.mem.shards.get_mut(&shard_id)
                     && shard.wake.is_none_or(|w| at < w || w <= now)
                 {
                     shard.wake = Some(at);
-                    self.wakes.insert((at, Wake::Shard(shard_id)));
+                    self.mem.wakes.insert((at, Wake::Shard(shard_id)));
                 }
                 return;
             }
@@ -654,20 +624,21 @@
     }
 
     fn send(&mut self, id: RequestId, node_id: NodeId) {
-        let (now, v) = (self.now, self.view());
+        let (now, v) = (self.mem.now, self.view());
         self.dequeue(id);
-        let (Some(open), Some(node)) = (self.requests.get_mut(&id), self.nodes.get_mut(&node_id)) else {
+        let (Some(open), Some(node)) = (self.mem.requests.get_mut(&id), self.mem.nodes.get_mut(&node_id))
+        else {
             return;
         };
         let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
         if first
-            && let Some(volume) = self.volumes.get_mut(&open.ask.volume)
+            && let Some(volume) = self.mem.volumes.get_mut(&open.ask.volume)
             && let Some(store) = &mut volume.limit
         {
             store.add(now, -open.ask.units);
         }
         if self.set.budget.is_some() && !open.attempts.is_empty() {
-            self.further.push_back(now);
+            self.mem.further.push_back(now);
         }
         let aim = self.set.classes[open.ask.class].aim.max(1);
         let part = STEPS.map(|step| node.bound(step, &v).min(1.0));
@@ -678,16 +649,16 @@
         node.last_send = now;
         let attempt = Attempt { zone: node.zone, shard: node.shard, sent: now, fate: Fate::Out };
         open.attempts.push(attempt);
-        if let Some(shard) = self.shards.get_mut(&node.shard) {
+        if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
             shard.last_key = open.ask.key;
         }
-        self.actions.push(Action::Send { request: id, node: node_id, patience: 0 });
+        self.mem.actions.push(Action::Send { request: id, node: node_id, patience: 0 });
     }
 
     /// Takes what an attempt tells about its node into the law and into the node's health.
     fn observe(&mut self, id: NodeId, at: (RequestId, u32), outcome: Outcome, latency: Micros, ended: bool) {
-        let now = self.now;
-        let Some(node) = self.nodes.get_mut(&id) else { return };
+        let now = self.mem.now;
+        let Some(node) = self.mem.nodes.get_mut(&id) else { return };
         let Some(&Flight { sent, aim, overtaken, .. }) = node.out.get(&at) else { return };
         let ratio = latency as f64 / aim as f64;
         if outcome == Outcome::Served {
@@ -732,15 +703,15 @@
         } else if node.unheard.is_none() {
             node.unheard = Some(now);
         }
-        self.dirty.insert(node.shard);
+        self.mem.dirty.insert(node.shard);
     }
 
     fn on_answer(&mut self, a: Answer) {
-        let now = self.now;
+        let now = self.mem.now;
         self.observe(a.node, (a.request, a.attempt), a.outcome, a.latency, true);
-        let Some(open) = self.requests.get_mut(&a.request) else { return };
+        let Some(open) = self.mem.requests.get_mut(&a.request) else { return };
         let Some(attempt) = open.attempts.get_mut(a.attempt as usize) else { return };
-        if let (Some(used), Some(volume)) = (a.metered, self.volumes.get_mut(&open.ask.volume)) {
+        if let (Some(used), Some(volume)) = (a.metered, self.mem.volumes.get_mut(&open.ask.volume)) {
             volume.used = used;
         }
         attempt.fate = match a.outcome {
@@ -749,7 +720,7 @@
             _ => Fate::MayHaveRun,
         };
         if a.outcome == Outcome::Served
-            && let Some(shard) = self.shards.get_mut(&attempt.shard)
+            && let Some(shard) = self.mem.shards.get_mut(&attempt.shard)
         {
             shard.served.add(now, open.ask.units);
             shard.peak *= (-((now - shard.peak_at) as f64) / PEAK_FADE).exp();
@@ -759,7 +730,7 @@
         let class = &self.set.classes[open.ask.class];
         if class.in_order
             && matches!(a.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
-            && let Some(turn) = open.ask.key.and_then(|k| self.turns.get_mut(&k))
+            && let Some(turn) = open.ask.key.and_then(|k| self.mem.turns.get_mut(&k))
         {
             turn.rest = turn.rest.max(now + self.set.order_rest);
         }
@@ -774,35 +745,43 @@
 
     /// Gives the one final answer: a refusal where nothing can have run or a repeat is harmless.
     fn finish(&mut self, id: RequestId, come_back: Micros) {
-        let Some(open) = self.requests.get(&id).filter(|o| !o.finished) else { return };
+        let Some(open) = self.mem.requests.get(&id).filter(|o| !o.finished) else { return };
         let class = &self.set.classes[open.ask.class];
         let harmless = matches!(class.repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
             || open.doubt().next().is_none();
         if harmless {
             let advised = come_back.max(class.aim / 4).min(self.set.most_advice);
             let come_back = if self.set.advice { advised } else { 0 };
-            self.actions.push(Action::Refuse { request: id, come_back });
+            self.mem.actions.push(Action::Refuse { request: id, come_back });
         } else {
-            self.actions.push(Action::Fail { request: id });
+            self.mem.actions.push(Action::Fail { request: id });
         }
+        self.remember(id);
         self.close(id);
     }
 
+    /// Keeps until when a request that ends unserved was due, for its repeat.
+    fn remember(&mut self, id: RequestId) {
+        if let Some(open) = self.mem.requests.get(&id) {
+            self.mem.unserved.insert(likeness(&open.ask), (open.first, self.mem.now));
+        }
+    }
+
     /// Ends a request here; it is forgotten once nothing of it is out.
     fn close(&mut self, id: RequestId) {
         self.dequeue(id);
-        let Some(open) = self.requests.get_mut(&id) else { return };
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
         if !open.finished {
             open.finished = true;
-            self.wakes.remove(&(open.due, Wake::Request(id)));
-            self.wakes.remove(&(open.deadline, Wake::Request(id)));
+            self.mem.wakes.remove(&(open.due, Wake::Request(id)));
+            self.mem.wakes.remove(&(open.deadline, Wake::Request(id)));
         }
         if open.out() {
             return;
         }
-        let Some(open) = self.requests.remove(&id) else { return };
+        let Some(open) = self.mem.requests.remove(&id) else { return };
         let Some(key) = open.ask.key.filter(|_| self.set.classes[open.ask.class].in_order) else { return };
-        let Some(turn) = self.turns.get_mut(&key) else { return };
+        let Some(turn) = self.mem.turns.get_mut(&key) else { return };
         let was_first = turn.line.front() == Some(&id);
         turn.line.retain(|&r| r != id);
         if was_first {
@@ -811,23 +790,23 @@
     }
 
     fn next_turn(&mut self, key: KeyId) {
-        let Some(turn) = self.turns.get(&key) else { return };
-        if self.now < turn.rest {
-            self.wakes.insert((turn.rest, Wake::Key(key)));
+        let Some(turn) = self.mem.turns.get(&key) else { return };
+        if self.mem.now < turn.rest {
+            self.mem.wakes.insert((turn.rest, Wake::Key(key)));
         } else if let Some(&id) = turn.line.front() {
-            if self.requests.get(&id).is_some_and(|o| !o.finished && o.place.is_none() && !o.out()) {
+            if self.mem.requests.get(&id).is_some_and(|o| !o.finished && o.place.is_none() && !o.out()) {
                 self.enqueue(id);
             }
         } else {
-            self.turns.remove(&key);
+            self.mem.turns.remove(&key);
         }
     }
 
     fn on_wake(&mut self, wake: Wake) {
-        let now = self.now;
+        let now = self.mem.now;
         match wake {
             Wake::Request(id) => {
-                let Some(open) = self.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
+                let Some(open) = self.mem.requests.get_mut(&id).filter(|o| !o.streaming) else { return };
                 if now >= open.deadline {
                     self.finish(id, 0);
                 } else if now >= open.due {
@@ -836,7 +815,7 @@
                     // that finds others waiting is answered now. Also clears the queue of a dead node.
                     let crowded = open
                         .place
-                        .is_none_or(|(s, _)| self.shards.get(&s).is_some_and(|s| s.waiting.len() > 1));
+                        .is_none_or(|(s, _)| self.mem.shards.get(&s).is_some_and(|s| s.waiting.len() > 1));
                     if crowded && !open.out() {
                         self.finish(id, 0);
                     } else if open.place.is_some() {
@@ -847,35 +826,36 @@
             }
             Wake::Key(key) => self.next_turn(key),
             Wake::Shard(shard) => {
-                if let Some(s) = self.shards.get_mut(&shard) {
+                if let Some(s) = self.mem.shards.get_mut(&shard) {
                     s.wake = None;
                 }
-                self.dirty.insert(shard);
+                self.mem.dirty.insert(shard);
             }
-            Wake::List => self.actions.push(Action::Subscribe),
+            Wake::List => self.mem.actions.push(Action::Subscribe),
             Wake::Sweep => self.sweep(),
         }
     }
 
     /// Forgets what no rule needs any more.
     fn sweep(&mut self) {
-        let now = self.now;
-        self.wakes.insert((now + SWEEP, Wake::Sweep));
-        self.volumes.retain(|_, v| {
+        let now = self.mem.now;
+        self.mem.wakes.insert((now + SWEEP, Wake::Sweep));
+        self.mem.volumes.retain(|_, v| {
             now - v.seen < SWEEP
                 || v.limit.is_some_and(|s| s.read(now) < s.cap)
                 || v.reserve.read(now) < v.reserve.cap
         });
-        self.turns.retain(|_, t| !t.line.is_empty() || now < t.rest);
+        self.mem.unserved.retain(|_, (_, ended)| now - *ended < SWEEP);
+        self.mem.turns.retain(|_, t| !t.line.is_empty() || now < t.rest);
         let window = self.set.cold_window;
-        self.nodes.values_mut().for_each(|n| n.sends.retain(|s| s.0 > now - window));
+        self.mem.nodes.values_mut().for_each(|n| n.sends.retain(|s| s.0 > now - window));
         let counted = now - self.set.budget.map_or(0, |b| b.window);
-        self.taken.retain(|&t| t >= counted);
-        self.further.retain(|&t| t >= counted);
-        self.nodes.retain(|_, n| {
+        self.mem.taken.retain(|&t| t >= counted);
+        self.mem.further.retain(|&t| t >= counted);
+        self.mem.nodes.retain(|_, n| {
             n.state != NodeState::Gone || !n.out.is_empty() || now - n.last_send <= window.max(SWEEP)
         });
-        for shard in self.shards.values_mut() {
+        for shard in self.mem.shards.values_mut() {
             shard.asked.retain(|_, (f, _)| f.read(now) > 0.01);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,8 @@
 
 pub(crate) struct Open {
     pub(crate) ask: Request,
+    /// The end of the aim, counted from the client's first try.
+    pub(crate) first: Micros,
     pub(crate) due: Micros,
     pub(crate) deadline: Micros,
     pub(crate) step: usize,
@@ -42,7 +44,27 @@
     pub(crate) streaming: bool,
 }
 
+/// What a request and its client's repeats have in common.
+pub(crate) type Likeness = (VolumeId, Option<KeyId>, usize, u64);
+
+pub(crate) fn likeness(ask: &Request) -> Likeness {
+    (ask.volume, ask.key, ask.class, ask.units.to_bits())
+}
+
 impl Open {
+    pub(crate) fn new(ask: Request, step: usize, first: Micros, due: Micros, deadline: Micros) -> Self {
+        Open {
+            ask,
+            first,
+            due,
+            deadline,
+            step,
+            attempts: Vec::new(),
+            place: None,
+            finished: false,
+            streaming: false,
+        }
+    }
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
@@ -256,3 +278,28 @@
     pub(crate) line: VecDeque<RequestId>,
     pub(crate) rest: Micros,
 }
+
+/// All that a scheduler has in mind.
+#[derive(Default)]
+pub(crate) struct Memory {
+    pub(crate) born: Option<Micros>,
+    pub(crate) now: Micros,
+    pub(crate) noise: u64,
+    pub(crate) requests: BTreeMap<RequestId, Open>,
+    pub(crate) nodes: BTreeMap<NodeId, Node>,
+    pub(crate) shards: BTreeMap<ShardId, Shard>,
+    /// Shards with a volume that this host serves.
+    pub(crate) used: usize,
+    pub(crate) volumes: BTreeMap<VolumeId, Volume>,
+    pub(crate) turns: BTreeMap<KeyId, Turn>,
+    /// Of requests that ended unserved: the end of the aim, and when they ended.
+    pub(crate) unserved: BTreeMap<Likeness, (Micros, Micros)>,
+    /// When requests were taken, and when further attempts went out.
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) further: VecDeque<Micros>,
+    pub(crate) wakes: BTreeSet<(Micros, Wake)>,
+    pub(crate) armed: Option<Micros>,
+    pub(crate) token: u64,
+    pub(crate) dirty: BTreeSet<ShardId>,
+    pub(crate) actions: Vec<Action>,
+}
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -112,3 +112,26 @@
     assert!((6..=12).contains(&sent), "{sent} sent to a node that never answered");
     h.checker.assert_clean();
 }
+
+#[test]
+fn a_repeat_is_due_when_the_first_try_was() {
+    let mut h = Host::with_nodes(settings(), &[entry(0, 0)]);
+    for id in 0..4 {
+        h.ask(request(id));
+    }
+    let mut first = request(20);
+    (first.key, first.patience) = (Some(KeyId(99)), 150_000);
+    h.ask(first);
+    h.wait(160_000);
+    assert!(h.refused(20).is_some(), "given up on");
+    h.wait(100_000);
+    let mut again = request(21);
+    (again.key, again.retry) = (Some(KeyId(99)), true);
+    h.ask(request(5));
+    h.ask(again);
+    assert!(h.refused(21).is_some(), "its aim was over before it came, and another one waits");
+    let mut other = request(22);
+    other.key = Some(KeyId(98));
+    h.ask(other);
+    assert!(h.refused(22).is_none(), "a request of its own has its own aim");
+}
