--- a/src/brain.rs
+++ b/src/brain.rs
@@ -88,8 +88,8 @@
         self.out.values().filter(|f| f.overtaken < OVERTAKEN).count() as f64
     }
 
-    /// Attempts out that are neither lost nor hung, as a step counts them: one sent under a bound below one is
-    /// that part of one.
+    /// Attempts out that are neither lost nor hung, as a step counts them: one sent under a bound below one
+    /// is that part of one.
     fn working(&self, now: Micros, step: usize) -> f64 {
         let works = |f: &&Flight| f.overtaken < OVERTAKEN && (now - f.sent) as f64 <= HUNG * f.aim as f64;
         self.out.values().filter(works).map(|f| f.part[step]).sum()
@@ -411,8 +411,9 @@
                 let asked = shard.asked.entry(open.ask.volume).or_insert((Fading::over(SMOOTHING), weight));
                 asked.0.add(now, open.ask.units);
                 let mut within = asked.0.read(now) / asked.1 <= shard.level(now);
-                // Danger: a host of a crowd sees too little of a node to tell its power. There units also count
-                // as within the share while the volume keeps near its usual rate, as metered or seen here.
+                // Danger: a host of a crowd sees too little of a node to tell its power. There units also
+                // count as within the share while the volume keeps near its usual rate, as metered or seen
+                // here. Harm: surges of many volumes at once pass for a while.
                 if let (true, Some(volume)) = (v.fresh < 1.0, self.mem.volumes.get_mut(&open.ask.volume)) {
                     volume.phase = (volume.phase + GOLDEN) % 1.0;
                     let used = volume.used.max(volume.asked.read(now) / plan.rate.max(1e-3));
