--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,12 +63,11 @@
 /// Pause before asking for the node list again after a failure.
 const ASK_AGAIN: Micros = 1_000_000;
 
-/// What a unit earns: within the reserve, within the share, beyond both, late.
+/// What a unit earns: within the reserve, within the share, beyond both.
 const RESERVE: usize = 0;
 const SHARE: usize = 1;
 const SPARE: usize = 2;
-const LATE: usize = 3;
-const STEPS: [usize; 4] = [RESERVE, SHARE, SPARE, LATE];
+const STEPS: [usize; 3] = [RESERVE, SHARE, SPARE];
 
 impl Node {
     /// The law's L: smoothed mean of latency over aim; 1 until the node answers.
@@ -189,7 +188,7 @@
 /// One host's scheduler: see the [crate documentation](crate) for its use.
 pub struct Scheduler {
     set: Settings,
-    target: [f64; 4],
+    target: [f64; 3],
     all: Mean,
     mem: Memory,
 }
@@ -199,9 +198,7 @@
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         settings.hosts = settings.hosts.max(1);
         let worth = |x: f64| TARGET * x.clamp(0.01, 1.0).sqrt();
-        let late = settings.classes.iter().map(|c| c.late_worth).fold(0.0, f64::max);
-        let (share, spare) = (settings.share_worth, settings.spare_worth);
-        let target = [1.0, worth(share), worth(spare), worth(spare * late)];
+        let target = [1.0, worth(settings.share_worth), worth(settings.spare_worth)];
         let mem = Memory { noise: seed, ..Memory::default() };
         Scheduler { set: settings, target, all: Mean::over(SMOOTHING), mem }
     }
@@ -403,7 +400,7 @@
             self.mem.used += 1;
         }
         let plan = &self.set.plans[open.ask.plan];
-        if open.attempts.is_empty() && open.step != LATE {
+        if open.attempts.is_empty() {
             if open.step == RESERVE {
                 shard.reserved.add(now, open.ask.units);
             } else {
@@ -426,8 +423,7 @@
         let step = match open.step {
             RESERVE => 1.0,
             SHARE => self.set.share_worth,
-            SPARE => self.set.spare_worth,
-            _ => self.set.spare_worth.min(class.late_worth),
+            _ => self.set.spare_worth,
         };
         let worth = (class.worth * plan.price * step).max(1e-6);
         let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
@@ -544,8 +540,13 @@
             return Verdict::Wait(Some(at));
         }
         let v = self.view();
-        let late = now + (FORESIGHT * node.delay(&v)) as Micros > open.due;
-        let step = if late { LATE } else { open.step };
+        // Danger: an answer after the aim takes node time from those in time. What the mean latency of the last
+        // second makes late is answered now. Harm: a request that would have been lucky is turned away.
+        let heard = now - node.last_answer < SMOOTHING as Micros;
+        if heard && now + (FORESIGHT * node.delay(&v)) as Micros > open.due {
+            return Verdict::Never;
+        }
+        let step = open.step;
         if node.held() >= node.bound(step, &v).floor() && node.working(now, step) > 0.0 {
             return Verdict::Wait(None);
         }
@@ -811,17 +812,11 @@
                 if now >= open.deadline {
                     self.finish(id, 0);
                 } else if now >= open.due {
-                    open.step = LATE;
-                    // Danger: work for late answers crowds out what could still be in time. A late request
-                    // that finds others waiting is answered now. Also clears the queue of a dead node.
-                    let crowded = open
-                        .place
-                        .is_none_or(|(s, _)| self.mem.shards.get(&s).is_some_and(|s| s.waiting.len() > 1));
-                    if crowded && !open.out() {
+                    // Danger: work for late answers crowds out what could still be in time, and a client that
+                    // is held back cannot come again. What is due and not out is answered now. Also clears the
+                    // queue of a dead node. Harm: the little that a late answer earns is lost on an idle node.
+                    if !open.out() {
                         self.finish(id, 0);
-                    } else if open.place.is_some() {
-                        self.dequeue(id);
-                        self.enqueue(id);
                     }
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -118,7 +118,7 @@
 pub(crate) struct View {
     pub(crate) now: Micros,
     pub(crate) fresh: f64,
-    pub(crate) target: [f64; 4],
+    pub(crate) target: [f64; 3],
     pub(crate) prior: f64,
     pub(crate) load: f64,
     pub(crate) delay: f64,
@@ -160,7 +160,7 @@
     pub(crate) sent: Micros,
     pub(crate) aim: Micros,
     /// The part of one that each step counts it as: the bound when it was sent, if that was below one.
-    pub(crate) part: [f64; 4],
+    pub(crate) part: [f64; 3],
     /// Attempts sent later that the node has served meanwhile.
     pub(crate) overtaken: u32,
 }
@@ -173,13 +173,13 @@
     pub(crate) out: BTreeMap<(RequestId, u32), Flight>,
     pub(crate) own: Mean,
     /// Attempts out at the last answer, that one included: the law's N, by step.
-    pub(crate) count: Option<[f64; 4]>,
+    pub(crate) count: Option<[f64; 3]>,
     /// Units sent within the last window of the rule on cold nodes.
     pub(crate) sends: VecDeque<(Micros, f64)>,
     /// First send since the node was last heard of.
     pub(crate) unheard: Option<Micros>,
     /// Until when, by step, the attempts so far use up a bound below one.
-    pub(crate) paid: [Micros; 4],
+    pub(crate) paid: [Micros; 3],
     pub(crate) last_send: Micros,
     pub(crate) last_answer: Micros,
     /// Resets, failed connections and time-outs since it last answered.
@@ -200,7 +200,7 @@
             count: None,
             sends: VecDeque::new(),
             unheard: None,
-            paid: [NEVER; 4],
+            paid: [NEVER; 3],
             last_send: NEVER,
             last_answer: NEVER,
             failures: 0,
--- a/tests/waiting.rs
+++ b/tests/waiting.rs
@@ -135,3 +135,18 @@
     h.ask(other);
     assert!(h.refused(22).is_none(), "a request of its own has its own aim");
 }
+
+#[test]
+fn what_the_mean_latency_makes_late_is_refused_at_once_while_the_mean_is_fresh() {
+    let mut set = settings();
+    set.plans[0].reserve = 1e6;
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    h.ask(request(0));
+    h.wait(400_000);
+    h.answer(0, 0, Outcome::Served);
+    h.ask(request(1));
+    assert!(h.refused(1).is_some_and(|advice| advice > 0), "the node takes 400 ms, the aim is 200 ms");
+    h.wait(2 * SECOND);
+    h.ask(request(2));
+    assert_eq!(h.sent(), [0, 2], "what was measured two seconds ago bars no trial");
+}
