--- a/src/brain.rs
+++ b/src/brain.rs
@@ -813,8 +813,8 @@
                     self.finish(id, 0);
                 } else if now >= open.due {
                     // Danger: work for late answers crowds out what could still be in time, and a client that
-                    // is held back cannot come again. What is due and not out is answered now. Also clears the
-                    // queue of a dead node. Harm: the little that a late answer earns is lost on an idle node.
+                    // is held back cannot come again. What is due and not out is answered now. Also clears
+                    // the queue of a dead node. Harm: what a late answer earns is lost on an idle node.
                     if !open.out() {
                         self.finish(id, 0);
                     }
