--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,7 +51,7 @@
 /// Windows of the rule on cold nodes that a host's turn lasts.
 const TURN: Micros = 4;
 /// Least units of a host's turn in a window, in mean requests.
-const TURN_UNITS: f64 = 2.0;
+const TURN_UNITS: f64 = 1.0;
 /// Deals the turns evenly: the golden ratio.
 const GOLDEN: f64 = 0.618_033_988_749;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
