--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,8 @@
 //! The decision module: one host's scheduler. Its settings, events, actions and ids are in `interface.rs`.
 //!
 //! Each node has a bound on this host's attempts out, moved on every answer by the law of the thesis
-//! (eq. 6.1); the excess waits here, per shard, by worth and then by due time. Every send passes the
+//! (eq. 6.1); the excess waits here, per shard, by worth and then latest due first. Where more hosts share
+//! a node than a fresh bound has places (a crowd), bounds below one are kept in time. Every send passes the
 //! guards in [`Scheduler::verdict`]; every final answer leaves through [`Scheduler::finish`].
 
 use crate::interface::*;
