--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 /// The law's target beyond the reserve, times the root of what a unit earns there: what earns less stops at a
 /// lower latency and leaves the node to the rest.
 const TARGET: f64 = 0.38;
-/// A request whose due time is nearer than this part of the node's mean latency counts as late already.
+/// A request whose due time is nearer than this part of the node's fresh mean latency is late already.
 const FORESIGHT: f64 = 1.0;
 /// How many waiting requests are looked at for one send.
 const SCAN: usize = 24;
@@ -541,8 +541,8 @@
             return Verdict::Wait(Some(at));
         }
         let v = self.view();
-        // Danger: an answer after the aim takes node time from those in time. What the mean latency of the last
-        // second makes late is answered now. Harm: a request that would have been lucky is turned away.
+        // Danger: an answer after the aim takes node time from those in time. What the mean latency of the
+        // last second makes late is answered now. Harm: a request that would have been lucky is turned away.
         let heard = now - node.last_answer < SMOOTHING as Micros;
         if heard && now + (FORESIGHT * node.delay(&v)) as Micros > open.due {
             return Verdict::Never;
