--- a/src/brain.rs
+++ b/src/brain.rs
@@ -120,7 +120,7 @@
 
     /// Time between two attempts, one at a time, that keeps a bound below one.
     fn gap(&self, step: usize, v: &View) -> Micros {
-        (self.delay(v) * (1.0 / self.bound(step, v) - 1.0).max(0.0)) as Micros
+        (self.delay(v) * (1.0 / self.bound(step, v) - 1.0)).clamp(0.0, 1e9) as Micros
     }
 
     /// Danger: in a crowd even one attempt of each host is too much for a node. A bound below one is kept in
@@ -197,7 +197,7 @@
 impl Scheduler {
     /// A scheduler that knows nothing yet but its settings.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
-        settings.hosts = settings.hosts.max(1);
+        settings.hosts = settings.hosts.max(settings.index.saturating_add(1));
         let worth = |x: f64| TARGET * x.clamp(0.01, 1.0).sqrt();
         let target = [1.0, worth(settings.share_worth), worth(settings.spare_worth)];
         let mem = Memory { noise: seed, ..Memory::default() };
--- a/tests/crowd.rs
+++ b/tests/crowd.rs
@@ -63,19 +63,26 @@
     assert!(h.sent().contains(&100));
 }
 
-/// Units that each of `hosts` sent to a node that started at 0, all asking all the time and answered at once.
-fn sent_to_a_cold_node(hosts: u32) -> Vec<(Micros, f64)> {
+/// Units that `hosts` hosts sent to a node that started at 0, all asking all the time and answered at once;
+/// every third host is killed and restarted on the way.
+fn sent_to_a_cold_node(hosts: u32, cold_units: f64) -> Vec<(Micros, f64)> {
     let mut sent = Vec::new();
     for index in 0..hosts {
         let mut set = settings();
-        (set.hosts, set.index, set.plans[0].reserve) = (hosts, index, 1e6);
+        (set.hosts, set.index, set.cold_units, set.plans[0].reserve) = (hosts, index, cold_units, 1e6);
         let mut node = entry(0, 0);
         node.started = Some(10 * SECOND);
-        let mut h = Host::at(set, 0);
+        let mut h = Host::at(set.clone(), 0);
         h.nodes(true, &[entry(0, 0)]);
         h.until(10 * SECOND);
-        h.nodes(false, &[node]);
+        h.nodes(false, std::slice::from_ref(&node));
+        let mut log = Vec::new();
         for id in 0..110 {
+            if index % 3 == 1 && id == 50 + u64::from(index % 7) {
+                log.append(&mut h.log);
+                h = Host::at(set.clone(), h.now);
+                h.nodes(true, std::slice::from_ref(&node));
+            }
             let mut r = request(id);
             r.units = (1 + id % 3) as f64;
             h.ask(r);
@@ -85,7 +92,8 @@
                 h.answer(request.0, attempt, Outcome::Served);
             }
         }
-        for (at, action) in &h.log {
+        log.append(&mut h.log);
+        for (at, action) in &log {
             if let Action::Send { request, .. } = action {
                 sent.push((*at - 10 * SECOND, (1 + request.0 % 3) as f64));
             }
@@ -98,21 +106,47 @@
 #[test]
 fn a_cold_node_gets_work_from_any_number_of_hosts_but_never_more_than_it_bears() {
     let set = settings();
-    for hosts in [1, 8, 150] {
-        let sent = sent_to_a_cold_node(hosts);
+    for (hosts, cold_units) in [(1, 30.0), (4, 30.0), (40, 30.0), (170, 30.0), (170, 8.0), (40, 0.5)] {
+        let sent = sent_to_a_cold_node(hosts, cold_units);
         let total: f64 = sent.iter().map(|s| s.1).sum();
-        assert!(total > 3.0 * set.cold_units, "{hosts} hosts sent {total} in eleven seconds");
+        assert!(total > 3.0 * cold_units, "{hosts} hosts sent {total} in eleven seconds");
         for (i, first) in sent.iter().enumerate() {
             let inside = sent[i..].iter().take_while(|s| s.0 < first.0 + set.cold_window);
             let units: f64 = inside.map(|s| s.1).sum();
             // Bears at the window's start, with the slowest warming that is promised.
             let warm = (first.0 as f64 / set.warm_after as f64).min(1.0);
-            let bears = set.cold_units * (1.0 + (1.0 / set.cold_from - 1.0) * warm);
+            let bears = cold_units * (1.0 + (1.0 / set.cold_from - 1.0) * warm);
             assert!(units <= bears + 1e-9, "{hosts} hosts: {units} of {bears} at {}", first.0);
         }
     }
 }
 
+#[test]
+fn absurd_numbers_do_no_harm() {
+    let mut set = settings();
+    (set.hosts, set.index, set.plans[0].rate, set.mean_units) = (0, 9, 0.0, f64::NAN);
+    let mut h = Host::with_nodes(set, &[entry(0, 0)]);
+    for (id, metered) in [(0, f64::NAN), (1, -5.0), (2, f64::INFINITY), (3, 1e300)] {
+        h.ask(request(id));
+        if h.checker.out.contains_key(&(RequestId(id), 0)) {
+            h.give(Event::Answer(Answer {
+                request: RequestId(id),
+                attempt: 0,
+                node: NodeId(0),
+                outcome: Outcome::Served,
+                settled: true,
+                latency: Micros::MAX / 8,
+                metered: Some(metered),
+                elsewhere: metered,
+            }));
+        }
+        h.give(Event::Withdrawn(RequestId(id)));
+        h.wait(3 * SECOND);
+    }
+    assert!(!h.sent().is_empty());
+    h.checker.assert_clean();
+}
+
 #[test]
 fn the_trials_of_a_silent_node_are_shared_by_the_crowd() {
     let trials = |hosts: u32| {
