--- a/src/wire.rs
+++ b/crates/benchlink/src/lib.rs
@@ -8,8 +8,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::brain::Scheduler;
-use crate::interface::*;
+use decisions::*;
 
 /// Why the adapter stopped.
 #[derive(Debug)]
--- a/src/bin/crowbay-benchlink.rs
+++ b/crates/benchlink/src/main.rs
@@ -5,7 +5,7 @@
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
-use crowbay::wire::Adapter;
+use benchlink::Adapter;
 
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 16, io::stdin().lock());
--- a/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -6,7 +6,7 @@
 //! bound waits in the host.
 //!
 //! ```
-//! use crowbay::*;
+//! use decisions::*;
 //!
 //! let settings = Settings {
 //!     classes: vec![Class {
@@ -42,7 +42,6 @@
 mod brain;
 mod interface;
 mod state;
-pub mod wire;
 
 pub use brain::Scheduler;
 pub use interface::*;
--- a/tests/checker.rs
+++ b/crates/decisions/tests/checker.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 fn checker(settings: Settings) -> Checker {
     let mut c = Checker::new(settings, 0);
--- a/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crowbay::*;
+use decisions::*;
 
 pub const SECOND: Micros = 1_000_000;
 
--- a/tests/crowd.rs
+++ b/crates/decisions/tests/crowd.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 /// Sent of three requests in a row, of which the first two took `latency`.
 fn sent_of_three(hosts: u32, reserve: f64, latency: Micros) -> usize {
--- a/tests/law.rs
+++ b/crates/decisions/tests/law.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 fn host() -> Host {
     let mut set = settings();
--- a/tests/random.rs
+++ b/crates/decisions/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 struct Dice(u64);
 
--- a/tests/rules.rs
+++ b/crates/decisions/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 fn keyed(group: Group) -> Repeats {
     Repeats::Keyed { group, window: SECOND / 2 }
--- a/tests/waiting.rs
+++ b/crates/decisions/tests/waiting.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use crowbay::*;
+use decisions::*;
 
 #[test]
 fn units_inside_the_reserve_go_before_the_rest() {
