Core without I/O: operations to the module's events, its actions to sends and one answer

Volumes cut into extents, units by length, class by opcode and length, keys by volume and block; operations over several extents are answered once, whole, refused or failed.

--- /dev/null
+++ b/crates/core/benches/core.rs
@@ -0,0 +1,32 @@
+//! What the core and the module cost for one operation that is sent and served at once.
+
+use bytes::Bytes;
+use criterion::{Criterion, criterion_group, criterion_main};
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+use storage_core::*;
+
+fn operation(c: &mut Criterion) {
+    let mut core = common::core();
+    let mut effects = Vec::new();
+    let (mut now, mut ticket) = (0, 0);
+    c.bench_function("one read, served", |b| {
+        b.iter(|| {
+            now += 100;
+            ticket += 1;
+            let operation = common::operation(ticket, Opcode::Read, ticket % 64, 1, Bytes::new());
+            core.submit(now, operation, &mut effects);
+            for effect in std::mem::take(&mut effects) {
+                if let Effect::Send(send) = effect {
+                    core.ended(now + 50, send.attempt, End::of(Outcome::Served), &mut effects);
+                }
+            }
+            core.tick(now + 60, &mut effects);
+            effects.clear();
+        })
+    });
+}
+
+criterion_group!(benches, operation);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,18 @@
+//! The gateway's core without I/O: operations on volumes become events of the decision module, its actions
+//! become sends to nodes and final answers.
+//!
+//! [`Core`] owns each request's one final answer. It decides nothing about requests: which node, when, how often,
+//! refused or failed is the module's. It knows no socket and no protocol: fronts hand in an [`Operation`] and get an
+//! [`Answer`] under the same [`Ticket`]; links carry out a [`Send`] and report how it [`Core::ended`].
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod catalogue;
+mod core;
+mod operation;
+
+pub use crate::catalogue::{Catalogue, CatalogueError, ClassRule, Part, Volume};
+pub use crate::core::{Core, Effect, End, ListedNode, NodeView, OpenView, Send, Tally, VolumeView};
+pub use crate::operation::{Answer, AttemptId, Opcode, Operation, Ticket};
+pub use decisions::{Micros, NodeState, Outcome};
--- /dev/null
+++ b/crates/core/tests/common/mod.rs
@@ -0,0 +1,97 @@
+//! A small catalogue and its operations.
+#![allow(dead_code)]
+
+use bytes::Bytes;
+use decisions::*;
+use storage_core::{Catalogue, ClassRule, Core, ListedNode, Opcode, Operation, Ticket, Volume};
+
+pub fn settings() -> Settings {
+    let class = |repeats, in_order| Class {
+        aim: 200_000,
+        aim_stretch: 0.0,
+        worth: 1.0,
+        late_worth: 0.1,
+        repeats,
+        in_order,
+        stream: false,
+    };
+    Settings {
+        classes: vec![
+            class(Repeats::Safe, false),
+            class(Repeats::Keyed { group: Group::Shard, window: 2_000_000 }, true),
+            class(Repeats::Unsafe, false),
+            class(Repeats::Safe, false),
+        ],
+        plans: vec![Plan {
+            rate: 1000.0,
+            reserve: 1000.0,
+            limit: 0.0,
+            limit_burst: 0.0,
+            limit_slack: 0.0,
+            weight: 1.0,
+            price: 1.0,
+        }],
+        hosts: 1,
+        index: 0,
+        must_ask: false,
+        most_attempts: 4,
+        second_copies: false,
+        cancel: false,
+        probes: false,
+        advice: true,
+        most_advice: 1_000_000,
+        cold_units: 30.0,
+        cold_window: 2_000_000,
+        cold_from: 0.2,
+        warm_after: 10_000_000,
+        drain_grace: 500_000,
+        order_rest: 200_000,
+        budget: None,
+        most_units: 8.0,
+        mean_units: 1.0,
+        share_worth: 0.4,
+        spare_worth: 0.1,
+        waste_price: 0.0,
+    }
+}
+
+pub fn catalogue() -> Catalogue {
+    let rule = |name: &str, opcode, max_bytes| ClassRule {
+        name: name.into(),
+        opcode,
+        max_bytes,
+        patience: 1_000_000,
+    };
+    let rules = vec![
+        rule("read", Opcode::Read, None),
+        rule("post", Opcode::Write, Some(4096)),
+        rule("bulk", Opcode::Write, None),
+        rule("flush", Opcode::Flush, None),
+    ];
+    let volume = Volume {
+        name: "vol1".into(),
+        nsid: 1,
+        blocks: 1 << 20,
+        block_size: 4096,
+        plan: 0,
+        hosts: 1,
+        extent_blocks: 8,
+        shards: vec![ShardId(0), ShardId(1)],
+    };
+    Catalogue::new(settings(), rules, 4096, vec![volume]).expect("it fits")
+}
+
+pub fn node(name: &str, shard: u32, state: NodeState) -> ListedNode {
+    ListedNode { name: name.into(), zone: 0, shard, state, started: None }
+}
+
+pub fn core() -> Core {
+    let mut core = Core::new(catalogue(), 7);
+    let nodes = [node("a", 0, NodeState::On), node("b", 1, NodeState::On)];
+    core.nodes(0, true, false, &nodes, &mut Vec::new());
+    core
+}
+
+pub fn operation(ticket: u64, opcode: Opcode, slba: u64, blocks: u32, data: Bytes) -> Operation {
+    Operation { ticket: Ticket(ticket), opcode, nsid: 1, slba, blocks, data, token: ticket }
+}
