--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -47,6 +47,8 @@
     pub data: Bytes,
     /// Token of the operation.
     pub token: u64,
+    /// Nodes are to discard repeats of it by its token.
+    pub keyed: bool,
 }
 
 /// How an attempt ended, as the link knows it.
@@ -584,6 +586,7 @@
             bytes,
             data,
             token: operation.token,
+            keyed: matches!(self.catalogue.settings.classes[open.class].repeats, Repeats::Keyed { .. }),
         }));
     }
 
--- a/crates/nvme/src/command.rs
+++ b/crates/nvme/src/command.rs
@@ -182,6 +182,10 @@
     pub fn set_token(&mut self, token: u64) {
         put(&mut self.0, 8, &token.to_le_bytes());
     }
+    /// Whether repeats of the write are to be discarded by its token, CDW14 bit 0: ours, on the node's leg.
+    pub fn keyed(&self) -> bool {
+        self.cdw(14) & 1 != 0
+    }
     /// The attempt's number, in CDW15: ours, on the node's leg.
     pub fn attempt(&self) -> u32 {
         self.cdw(15)
--- a/crates/nvme/src/session.rs
+++ b/crates/nvme/src/session.rs
@@ -34,6 +34,8 @@
     pub data: Bytes,
     /// Token of a keyed write; 0: none.
     pub token: u64,
+    /// Repeats are to be discarded by the token, on the node's leg.
+    pub keyed: bool,
     /// Attempt's number on the node's leg.
     pub attempt: u32,
 }
@@ -534,6 +536,7 @@
             blocks,
             data,
             token: sqe.token(),
+            keyed: sqe.keyed(),
             attempt: sqe.attempt(),
         }));
         Ok(None)
