--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -338,6 +338,27 @@
         }
     }
 
+    /// The host leaves: every open operation is answered now, refused where nothing of it went out or a repeat is
+    /// harmless, else failed.
+    pub fn end_all(&mut self, now: Micros, effects: &mut Vec<Effect>) {
+        self.advance(now);
+        let mut tickets: Vec<Ticket> = self.open.keys().copied().collect();
+        tickets.sort();
+        for ticket in tickets {
+            let Some(open) = self.open.get(&ticket) else { continue };
+            let untouched = open.pieces.iter().all(|p| p.sent == 0);
+            let answer = if untouched || self.repeat_is_harmless(open) {
+                Answer::Refused { come_back: self.catalogue.settings.most_advice }
+            } else {
+                Answer::Failed
+            };
+            self.count_unserved(open.operation.nsid, &answer);
+            self.drop_operation(ticket);
+            effects.push(Effect::Answer(ticket, answer));
+        }
+        self.settle_events(effects);
+    }
+
     /// An attempt ended. Ends that nobody waits for any more are counted and passed over.
     pub fn ended(&mut self, now: Micros, attempt: AttemptId, end: End, effects: &mut Vec<Effect>) {
         self.advance(now);
@@ -596,27 +617,35 @@
         let Some((ticket, index, _)) = self.requests.remove(&request) else { return };
         let Some(open) = self.open.get_mut(&ticket) else { return };
         open.pieces[index].state = PieceState::Over;
-        let repeats = self.catalogue.settings.classes[open.class].repeats;
-        let harmless = open.operation.opcode != Opcode::Write
-            || matches!(repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
+        let Some(open) = self.open.get(&ticket) else { return };
+        let harmless = self.repeat_is_harmless(open)
             || open.pieces.iter().enumerate().all(|(n, p)| n == index || p.sent == 0);
         let nsid = open.operation.nsid;
         let answer = match refused {
             Some(come_back) if harmless => Answer::Refused { come_back },
             _ => Answer::Failed,
         };
-        if let Some(view) = self.volumes.get_mut(&nsid) {
-            if answer == Answer::Failed { view.failed += 1 } else { view.refused += 1 }
-        }
-        if answer == Answer::Failed {
-            self.tally.failed += 1
-        } else {
-            self.tally.refused += 1
-        }
+        self.count_unserved(nsid, &answer);
         self.drop_operation(ticket);
         effects.push(Effect::Answer(ticket, answer));
     }
 
+    fn repeat_is_harmless(&self, open: &Open) -> bool {
+        let repeats = self.catalogue.settings.classes[open.class].repeats;
+        open.operation.opcode != Opcode::Write
+            || matches!(repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
+    }
+
+    fn count_unserved(&mut self, nsid: u32, answer: &Answer) {
+        let failed = u64::from(*answer == Answer::Failed);
+        if let Some(view) = self.volumes.get_mut(&nsid) {
+            view.failed += failed;
+            view.refused += 1 - failed;
+        }
+        self.tally.failed += failed;
+        self.tally.refused += 1 - failed;
+    }
+
     /// Answers an operation of which all parts are served.
     fn answer_if_whole(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
         let Some(open) = self.open.get(&ticket) else { return };
--- /dev/null
+++ b/crates/gateway/src/engine.rs
@@ -0,0 +1,435 @@
+//! The engine: the one coroutine that owns the core.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc as thread_mpsc;
+use std::time::Duration;
+
+use decisions::{NodeId, NodeState};
+use may::sync::mpsc::{Receiver, Sender};
+use nvme::{Admission, Completion, IoCommand, Status as NvmeStatus, StatusCode};
+use records::Clock;
+use storage_core::{
+    Answer, AttemptId, Core, Effect, End, ListedNode, Micros, Opcode, OpenView, Operation, Send, Ticket,
+};
+
+use crate::front::{Connection, ConnectionId, Front};
+use crate::link::Link;
+use crate::mapping::told;
+use crate::options::{GatewayOptions, NodeLine};
+use crate::status::{ControlAnswer, ControlRequest, NodeStatus, RequestStatus, Status, VolumeStatus};
+
+/// Messages handled with one reading of the clock.
+const BATCH: usize = 256;
+/// How often associations are held against their time-outs.
+const HOUSEKEEPING: Micros = 500_000;
+/// The longest the engine sleeps.
+const LONGEST_SLEEP: Micros = 1_000_000;
+
+/// What reaches the engine.
+pub(crate) enum Message {
+    Opened(Arc<Connection>),
+    Bound(ConnectionId, Admission),
+    Command(ConnectionId, IoCommand),
+    Abort {
+        connection: ConnectionId,
+        cid: u16,
+        sqid: u16,
+        victim: u16,
+    },
+    Closed(ConnectionId),
+    AssociationEnded(u16),
+    Ended(AttemptId, End),
+    Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
+    /// Stop; told once everything is answered.
+    Stop(thread_mpsc::Sender<()>),
+}
+
+/// The way to the engine. What it holds is bounded by what its senders may have out: the commands of each
+/// connection's queue, and the attempts of each link's.
+#[derive(Clone)]
+pub(crate) struct Inbox(pub(crate) Sender<Message>);
+
+impl Inbox {
+    pub(crate) fn send(&self, message: Message) {
+        // The engine ends last; what comes after it concerns nobody.
+        let _ = self.0.send(message);
+    }
+}
+
+struct Client {
+    connection: Arc<Connection>,
+    admission: Option<Admission>,
+    tickets: HashMap<u16, Ticket>,
+}
+
+pub(crate) struct Engine {
+    options: GatewayOptions,
+    address: String,
+    core: Core,
+    front: Arc<Front>,
+    inbox: Inbox,
+    clients: HashMap<ConnectionId, Client>,
+    tickets: HashMap<Ticket, (ConnectionId, u16)>,
+    next_ticket: u64,
+    links: HashMap<NodeId, Arc<Link>>,
+    effects: Vec<Effect>,
+    started: Micros,
+    next_housekeeping: Micros,
+    stop_by: Option<Micros>,
+    stopped: Vec<thread_mpsc::Sender<()>>,
+}
+
+impl Engine {
+    pub(crate) fn new(options: GatewayOptions, address: String, front: Arc<Front>, inbox: Inbox) -> Self {
+        let core = Core::new(options.catalogue.clone(), options.seed);
+        Engine {
+            core,
+            address,
+            started: front.clock.now(),
+            front,
+            inbox,
+            clients: HashMap::new(),
+            tickets: HashMap::new(),
+            next_ticket: 0,
+            links: HashMap::new(),
+            effects: Vec::new(),
+            next_housekeeping: 0,
+            stop_by: None,
+            stopped: Vec::new(),
+            options,
+        }
+    }
+
+    /// Runs until it was told to stop and owes nothing more.
+    pub(crate) fn run(mut self, messages: &Receiver<Message>) {
+        let clock: Clock = self.front.clock;
+        let now = clock.now();
+        let lines = std::mem::take(&mut self.options.nodes);
+        self.list(now, true, true, &lines);
+        self.settle(now);
+        loop {
+            let now = clock.now();
+            self.core.tick(now, &mut self.effects);
+            self.settle(now);
+            if now >= self.next_housekeeping {
+                self.housekeeping(now);
+            }
+            if self.may_leave(now) {
+                return self.leave();
+            }
+            let due = self.core.next_due().unwrap_or(now + LONGEST_SLEEP).min(self.next_housekeeping);
+            let sleep = (due - now).clamp(0, LONGEST_SLEEP);
+            let Ok(first) = messages.recv_timeout(Duration::from_micros(sleep as u64)) else { continue };
+            let now = clock.now();
+            self.message(now, first);
+            for _ in 1..BATCH {
+                let Ok(next) = messages.try_recv() else { break };
+                self.message(now, next);
+            }
+        }
+    }
+
+    fn message(&mut self, now: Micros, message: Message) {
+        match message {
+            Message::Opened(connection) => {
+                let client =
+                    Client { admission: None, tickets: HashMap::new(), connection: connection.clone() };
+                self.clients.insert(connection.id, client);
+            }
+            Message::Bound(id, admission) => {
+                if let Some(client) = self.clients.get_mut(&id) {
+                    client.admission = Some(admission);
+                }
+            }
+            Message::Command(id, command) => self.command(now, id, command),
+            Message::Abort { connection, cid, sqid, victim } => {
+                self.abort(now, connection, cid, sqid, victim);
+            }
+            Message::Closed(id) => self.closed(now, id),
+            Message::AssociationEnded(cntlid) => self.association_ended(cntlid),
+            Message::Ended(attempt, end) => self.core.ended(now, attempt, end, &mut self.effects),
+            Message::Control(request, reply) => {
+                let answer = self.control(now, request);
+                let _ = reply.send(answer); // Its asker may have gone.
+            }
+            Message::Stop(reply) => {
+                self.stop(now);
+                self.stopped.push(reply);
+            }
+        }
+        self.settle(now);
+    }
+
+    fn command(&mut self, now: Micros, id: ConnectionId, command: IoCommand) {
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        if self.stop_by.is_some() {
+            // It is not taken: other gateways of the volume serve it meanwhile.
+            let come_back = self.options.catalogue.settings.most_advice;
+            let refused = told(Answer::Refused { come_back }, &self.options.target.retry_delays);
+            return client.connection.complete(command.cid, refused, &self.front);
+        }
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        client.tickets.insert(command.cid, ticket);
+        self.tickets.insert(ticket, (id, command.cid));
+        let opcode = match command.opcode {
+            nvme::io::READ => Opcode::Read,
+            nvme::io::WRITE => Opcode::Write,
+            _ => Opcode::Flush,
+        };
+        let IoCommand { nsid, slba, blocks, data, token, .. } = command;
+        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token };
+        self.core.submit(now, operation, &mut self.effects);
+    }
+
+    /// A held command ends with Abort Requested; one that has gone out keeps its own answer (Base 5.1).
+    fn abort(&mut self, now: Micros, id: ConnectionId, cid: u16, sqid: u16, victim: u16) {
+        let cntlid = self.clients.get(&id).and_then(|c| c.admission).map(|a| a.cntlid);
+        let wanted = |c: &Client| c.admission.is_some_and(|a| Some(a.cntlid) == cntlid && a.qid == sqid);
+        let ticket = self.clients.values().find(|c| wanted(c)).and_then(|c| c.tickets.get(&victim)).copied();
+        let aborted = ticket.is_some_and(|t| self.core.abort(now, t, &mut self.effects));
+        if let (true, Some(ticket)) = (aborted, ticket) {
+            self.complete(ticket, Completion::of(NvmeStatus::passing(StatusCode::AbortRequested)));
+        }
+        if let Some(client) = self.clients.get(&id) {
+            let done = Completion { dw0: u32::from(!aborted), ..Completion::of(NvmeStatus::SUCCESS) };
+            client.connection.complete(cid, done, &self.front);
+        }
+    }
+
+    fn closed(&mut self, now: Micros, id: ConnectionId) {
+        let Some(client) = self.clients.remove(&id) else { return };
+        let mut tickets: Vec<Ticket> = client.tickets.into_values().collect();
+        tickets.sort();
+        for ticket in tickets {
+            self.tickets.remove(&ticket);
+            self.core.withdraw(now, ticket, &mut self.effects);
+        }
+    }
+
+    fn association_ended(&mut self, cntlid: u16) {
+        let of_it = |c: &&Client| c.admission.is_some_and(|a| a.cntlid == cntlid);
+        self.clients.values().filter(of_it).for_each(|c| c.connection.outlet.finish());
+    }
+
+    fn housekeeping(&mut self, now: Micros) {
+        self.next_housekeeping = now + HOUSEKEEPING;
+        let expired = self.front.target().expire(now);
+        for cntlid in expired {
+            tracing::info!(cntlid, "a host was silent for its keep alive time-out");
+            self.association_ended(cntlid);
+        }
+        let views = self.core.node_views();
+        self.links.retain(|id, link| {
+            let view = &views[id.0 as usize];
+            let over = view.state == NodeState::Gone && view.out == 0;
+            if over {
+                link.end();
+            }
+            !over
+        });
+    }
+
+    /// Carries out the core's effects until none is left.
+    fn settle(&mut self, now: Micros) {
+        while !self.effects.is_empty() {
+            for effect in std::mem::take(&mut self.effects) {
+                match effect {
+                    Effect::Send(send) => self.send(now, send),
+                    Effect::Forget(attempt, node) => {
+                        if let Some(link) = self.links.get(&node) {
+                            link.forget(attempt);
+                        }
+                    }
+                    Effect::Answer(ticket, answer) => {
+                        let completion = told(answer, &self.options.target.retry_delays);
+                        self.complete(ticket, completion);
+                    }
+                    Effect::Subscribe => {}
+                    Effect::Log(line) => tracing::info!("{line}"),
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, now: Micros, send: Send) {
+        let attempt = send.attempt;
+        let end = match self.links.get(&send.node) {
+            Some(link) => link.send(send),
+            None => Some(End::of(decisions::Outcome::Unreachable)),
+        };
+        if let Some(end) = end {
+            self.core.ended(now, attempt, end, &mut self.effects);
+        }
+    }
+
+    fn complete(&mut self, ticket: Ticket, completion: Completion) {
+        let Some((id, cid)) = self.tickets.remove(&ticket) else { return };
+        let Some(client) = self.clients.get_mut(&id) else { return };
+        client.tickets.remove(&cid);
+        client.connection.complete(cid, completion, &self.front);
+    }
+
+    fn list(&mut self, now: Micros, whole: bool, remembered: bool, lines: &[NodeLine]) {
+        let mut listed = Vec::with_capacity(lines.len());
+        for line in lines {
+            let node = self.core.node_id(&line.name);
+            let state = NodeState::from(line.state);
+            if state != NodeState::Gone {
+                self.link_to(node, line);
+            }
+            listed.push(ListedNode {
+                name: line.name.clone(),
+                zone: line.zone,
+                shard: line.shard,
+                state,
+                started: (line.started > 0).then_some(line.started),
+            });
+        }
+        self.core.nodes(now, whole, remembered, &listed, &mut self.effects);
+    }
+
+    fn link_to(&mut self, node: NodeId, line: &NodeLine) {
+        if let Some(link) = self.links.get(&node) {
+            if link.address == line.address {
+                return;
+            }
+            link.end();
+        }
+        let host = format!("nqn.2026-12.crowbay:gateway:{}", self.options.name);
+        let mut host_id = [0; 16];
+        host_id[..8].copy_from_slice(&self.options.seed.to_le_bytes());
+        host_id[8] = 1;
+        let inbox = self.inbox.clone();
+        match Link::start(line.address, self.options.link.clone(), host, host_id, inbox) {
+            Ok(link) => {
+                self.links.insert(node, link);
+            }
+            Err(error) => tracing::error!(node = line.name, %error, "no coroutine for a link"),
+        }
+    }
+
+    fn control(&mut self, now: Micros, request: ControlRequest) -> Result<ControlAnswer, String> {
+        match request {
+            ControlRequest::Status => Ok(ControlAnswer::Status(Box::new(self.status(now)))),
+            ControlRequest::Requests { most } => {
+                let views = self.core.open_views();
+                Ok(ControlAnswer::Requests(
+                    views.into_iter().take(most).map(|v| self.request(now, v)).collect(),
+                ))
+            }
+            ControlRequest::Nodes { whole, lines } => {
+                self.list(now, whole, false, &lines);
+                self.settle(now);
+                Ok(ControlAnswer::Done(now))
+            }
+            ControlRequest::Stop => {
+                self.stop(now);
+                Ok(ControlAnswer::Done(now))
+            }
+        }
+    }
+
+    fn request(&self, now: Micros, view: OpenView) -> RequestStatus {
+        let volume = self.options.catalogue.volume(view.nsid).map_or(String::new(), |v| v.name.clone());
+        let nodes = self.core.node_views();
+        RequestStatus {
+            id: view.ticket.0,
+            volume,
+            op: view.opcode.word().to_owned(),
+            class: self.options.catalogue.rules[view.class].name.clone(),
+            age: now - view.taken,
+            attempts: view.attempts,
+            nodes: view.nodes.iter().map(|n| nodes[n.0 as usize].name.clone()).collect(),
+        }
+    }
+
+    fn status(&self, now: Micros) -> Status {
+        let tally = self.core.tally();
+        let nodes = self.core.node_views().iter().enumerate().map(|(id, n)| {
+            let link = self.links.get(&NodeId(id as u32));
+            NodeStatus {
+                name: n.name.clone(),
+                address: link.map_or(String::new(), |l| l.address.to_string()),
+                zone: n.zone,
+                shard: n.shard,
+                state: n.state.into(),
+                started: n.started.unwrap_or(0),
+                link: link.map_or("none", |l| l.phase()).to_owned(),
+                out: n.out,
+                sent: n.sent,
+                served: n.served,
+                unserved: n.unserved,
+                load: n.load,
+                heard: n.heard.unwrap_or(0),
+                latency: n.latency,
+            }
+        });
+        let views = self.core.volume_views();
+        let volumes = self.options.catalogue.volumes().map(|v| {
+            let seen = views.get(&v.nsid).cloned().unwrap_or_default();
+            VolumeStatus {
+                name: v.name.clone(),
+                nsid: v.nsid,
+                open: seen.open,
+                taken: seen.taken,
+                served: seen.served,
+                refused: seen.refused,
+                failed: seen.failed,
+                units: seen.units,
+            }
+        });
+        Status {
+            name: self.options.name.clone(),
+            address: self.address.clone(),
+            started: self.started,
+            now,
+            stopping: self.stop_by.is_some(),
+            connections: self.front.connections.load(Ordering::Relaxed),
+            open: self.core.open_operations(),
+            out: self.core.attempts_out(),
+            taken: tally.taken,
+            served: tally.served,
+            refused: tally.refused,
+            failed: tally.failed,
+            aborted: tally.aborted,
+            withdrawn: tally.withdrawn,
+            sent: tally.sent,
+            further: tally.further,
+            late: tally.late,
+            nodes: nodes.collect(),
+            volumes: volumes.collect(),
+        }
+    }
+
+    fn stop(&mut self, now: Micros) {
+        if self.stop_by.is_none() {
+            tracing::info!(open = self.core.open_operations(), "stopping: nothing new is taken");
+            self.stop_by = Some(now + self.options.stop_within.as_micros() as Micros);
+            self.front.closing.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Everything taken is answered, or the time to leave has come: what is still open then is answered by what is
+    /// known of it.
+    fn may_leave(&mut self, now: Micros) -> bool {
+        let Some(by) = self.stop_by else { return false };
+        if self.core.open_operations() > 0 && now >= by {
+            tracing::warn!(open = self.core.open_operations(), "time to leave: the rest is answered now");
+            self.core.end_all(now, &mut self.effects);
+            self.settle(now);
+        }
+        self.core.open_operations() == 0
+    }
+
+    fn leave(mut self) {
+        self.clients.values().for_each(|c| c.connection.outlet.finish());
+        self.links.values().for_each(|l| l.end());
+        tracing::info!("every request taken is answered");
+        for stopped in self.stopped.drain(..) {
+            let _ = stopped.send(()); // Its asker may have gone.
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,144 @@
+//! Starting and stopping a gateway.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::mpsc as thread_mpsc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use may::net::TcpListener;
+use nvme::{DiscoveryEntry, Target};
+use records::Clock;
+
+use crate::engine::{Engine, Inbox, Message};
+use crate::front::Front;
+use crate::options::GatewayOptions;
+use crate::status::{ControlAnswer, ControlRequest};
+
+/// Why a gateway did not start, or did not answer.
+#[derive(Debug, thiserror::Error)]
+pub enum GatewayError {
+    /// The address cannot be listened on.
+    #[error("cannot listen on {0}: {1}; is another process using it?")]
+    Listen(SocketAddr, io::Error),
+    /// The control socket cannot be made.
+    #[error("cannot make the control socket {0}: {1}")]
+    Control(PathBuf, io::Error),
+    /// No coroutine could be started.
+    #[error("cannot start a coroutine: {0}")]
+    Start(io::Error),
+    /// The engine has ended.
+    #[error("the gateway has stopped")]
+    Stopped,
+    /// The request was turned down.
+    #[error("{0}")]
+    TurnedDown(String),
+}
+
+/// A running gateway.
+pub struct Gateway {
+    address: SocketAddr,
+    inbox: Inbox,
+    front: Arc<Front>,
+    stop_within: Duration,
+    ended: Mutex<Option<thread_mpsc::Receiver<()>>>,
+}
+
+impl Gateway {
+    /// Starts a gateway: it listens when this returns.
+    ///
+    /// # Errors
+    /// The address or the control socket cannot be had.
+    pub fn start(mut options: GatewayOptions) -> Result<Gateway, GatewayError> {
+        task::set_up(options.workers);
+        let listener =
+            TcpListener::bind(options.listen).map_err(|e| GatewayError::Listen(options.listen, e))?;
+        let address = listener.local_addr().map_err(|e| GatewayError::Listen(options.listen, e))?;
+        let subsystem = options.target.subsystem.clone();
+        options.target.discovery =
+            vec![DiscoveryEntry { subsystem, address: address.ip(), port: address.port() }];
+        let (sender, messages) = may::sync::mpsc::channel();
+        let inbox = Inbox(sender);
+        let front = Arc::new(Front {
+            target: Mutex::new(Target::new(options.target.clone())),
+            clock: Clock::new(),
+            inbox: inbox.clone(),
+            connections: AtomicUsize::new(0),
+            most: options.connections,
+            spill: options.spill,
+            digests: options.digests,
+            closing: AtomicBool::new(false),
+        });
+        if let Some(path) = options.control.clone() {
+            serve_control(&path, inbox.clone()).map_err(|e| GatewayError::Control(path, e))?;
+        }
+        let (name, stop_within) = (options.name.clone(), options.stop_within);
+        let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone());
+        let (over, ended) = thread_mpsc::channel();
+        task::spawn("engine", move || {
+            engine.run(&messages);
+            drop(over);
+        })
+        .map_err(GatewayError::Start)?;
+        let accepts = front.clone();
+        task::spawn("accept", move || accepts.accept(&listener)).map_err(GatewayError::Start)?;
+        tracing::info!(name, %address, "gateway up");
+        Ok(Gateway { address, inbox, front, stop_within, ended: Mutex::new(Some(ended)) })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Asks the engine, as the control socket does.
+    ///
+    /// # Errors
+    /// The gateway has stopped, or turned the request down.
+    pub fn ask(&self, request: ControlRequest) -> Result<ControlAnswer, GatewayError> {
+        ask(&self.inbox, request)
+    }
+
+    /// Takes nothing new, answers everything, and ends; returns when that is done. Whether it was, in time.
+    pub fn stop(&self) -> bool {
+        let (done, wait) = thread_mpsc::channel();
+        self.inbox.send(Message::Stop(done));
+        let stopped = wait.recv_timeout(self.stop_within + Duration::from_secs(2)).is_ok();
+        // The listener wakes from its wait and ends.
+        let _ = std::net::TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
+        // The last answers may still be on their way out of this process.
+        for _ in 0..100 {
+            if self.front.connections.load(Ordering::Relaxed) == 0 {
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        stopped
+    }
+
+    /// Waits until the engine has ended, by a stop from anywhere.
+    pub fn wait(&self) {
+        let ended = self.ended.lock().unwrap_or_else(|p| p.into_inner()).take();
+        if let Some(ended) = ended {
+            let _ = ended.recv();
+        }
+    }
+}
+
+fn ask(inbox: &Inbox, request: ControlRequest) -> Result<ControlAnswer, GatewayError> {
+    let (reply, answer) = thread_mpsc::channel();
+    inbox.send(Message::Control(request, reply));
+    let answer = answer.recv_timeout(Duration::from_secs(10)).map_err(|_| GatewayError::Stopped)?;
+    answer.map_err(GatewayError::TurnedDown)
+}
+
+fn serve_control(path: &std::path::Path, inbox: Inbox) -> io::Result<()> {
+    // A channel's sender may not be shared between threads as it is; each request clones it under the lock.
+    let inbox = Mutex::new(inbox);
+    control::serve(path, move |request: ControlRequest| {
+        let inbox = inbox.lock().unwrap_or_else(|p| p.into_inner()).clone();
+        ask(&inbox, request).map_err(|e| e.to_string())
+    })
+}
--- /dev/null
+++ b/crates/gateway/src/options.rs
@@ -0,0 +1,113 @@
+//! Settings of a gateway, and the lines of its node list.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use nvme::{Digests, TargetOptions};
+use serde::{Deserialize, Serialize};
+use storage_core::{Catalogue, Micros, NodeState};
+
+/// Whether a node takes work, as listed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, Default)]
+#[serde(rename_all = "lowercase")]
+pub enum NodeLineState {
+    /// It does.
+    #[default]
+    On,
+    /// It finishes what it has.
+    Draining,
+    /// It is gone.
+    Gone,
+}
+
+impl From<NodeLineState> for NodeState {
+    fn from(state: NodeLineState) -> Self {
+        match state {
+            NodeLineState::On => NodeState::On,
+            NodeLineState::Draining => NodeState::Draining,
+            NodeLineState::Gone => NodeState::Gone,
+        }
+    }
+}
+
+impl From<NodeState> for NodeLineState {
+    fn from(state: NodeState) -> Self {
+        match state {
+            NodeState::On => NodeLineState::On,
+            NodeState::Draining => NodeLineState::Draining,
+            NodeState::Gone => NodeLineState::Gone,
+        }
+    }
+}
+
+/// A line of the node list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeLine {
+    /// Its name, which a restart keeps.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Zone.
+    #[serde(default)]
+    pub zone: u32,
+    /// The shard it holds.
+    pub shard: u32,
+    /// Whether it takes work.
+    #[serde(default)]
+    pub state: NodeLineState,
+    /// When it last started, in microseconds since the Unix epoch; 0: long ago.
+    #[serde(default)]
+    pub started: Micros,
+}
+
+/// Settings of the links to nodes.
+#[derive(Clone, Debug)]
+pub struct LinkOptions {
+    /// NQN of the nodes' subsystem.
+    pub subsystem: String,
+    /// Entries of a link's queue: one fewer attempts are out at most.
+    pub entries: u32,
+    /// A connection and its way up take at most this long.
+    pub connect_timeout: Duration,
+    /// Pause after a connection could not be had or broke, before the next is tried unasked.
+    pub reconnect_pause: Duration,
+    /// A command that the node has not ended by then, on a queue without room, breaks the link.
+    pub command_timeout: Duration,
+    /// Keep alive time-out.
+    pub keep_alive: Duration,
+    /// Digests asked for.
+    pub digests: Digests,
+}
+
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayOptions {
+    /// Its name among the gateways; the last part of its host NQN.
+    pub name: String,
+    /// Where clients connect; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// Volumes, classes and the module's settings.
+    pub catalogue: Catalogue,
+    /// Feeds the module's randomness.
+    pub seed: u64,
+    /// What clients see: subsystem, namespaces, limits.
+    pub target: TargetOptions,
+    /// Digests used where a client asks for them.
+    pub digests: Digests,
+    /// Links.
+    pub link: LinkOptions,
+    /// Client connections at most.
+    pub connections: usize,
+    /// Bytes that wait for one connection that does not read, at most.
+    pub spill: usize,
+    /// The node list from before the start.
+    pub nodes: Vec<NodeLine>,
+    /// Control socket.
+    pub control: Option<PathBuf>,
+    /// Told to stop, it leaves within this, having answered all it took.
+    pub stop_within: Duration,
+    /// Threads that run coroutines; 0: one for each core.
+    pub workers: usize,
+}
--- /dev/null
+++ b/crates/gateway/src/outlet.rs
@@ -0,0 +1,131 @@
+//! A connection's way out, which never makes its user wait.
+
+use std::io::{self, ErrorKind, Write};
+use std::net::{Shutdown, TcpStream};
+use std::sync::{Arc, Mutex};
+
+use bytes::{Buf, BytesMut};
+use may::io::CoIo;
+
+/// Writes at once as far as the socket takes it; the rest is written by a coroutine that lives as long as there is a
+/// rest. Danger: a peer that stops reading must hold up nobody else. What is kept for it is bounded; beyond that its
+/// connection is closed. Harm: a peer slower than its own answers for long loses its connection.
+#[derive(Debug)]
+pub(crate) struct Outlet {
+    /// A second descriptor of the connection, whose socket does not block.
+    stream: TcpStream,
+    limit: usize,
+    spill: Mutex<Spill>,
+}
+
+#[derive(Debug, Default)]
+struct Spill {
+    rest: BytesMut,
+    /// A coroutine is writing the rest.
+    writing: bool,
+    closed: bool,
+    /// Close once the rest is written.
+    last: bool,
+}
+
+impl Outlet {
+    pub(crate) fn new(stream: &may::net::TcpStream, limit: usize) -> io::Result<Self> {
+        let stream = stream.inner().try_clone()?;
+        Ok(Outlet { stream, limit, spill: Mutex::default() })
+    }
+
+    fn spill(&self) -> std::sync::MutexGuard<'_, Spill> {
+        self.spill.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    /// Writes bytes, now or by and by, in the order of the calls.
+    pub(crate) fn push(self: &Arc<Self>, mut bytes: BytesMut) {
+        let mut spill = self.spill();
+        if spill.closed || spill.last || bytes.is_empty() {
+            return;
+        }
+        if spill.writing {
+            spill.rest.unsplit(bytes);
+        } else {
+            match write_now(&self.stream, &mut bytes) {
+                Ok(()) if bytes.is_empty() => return,
+                Ok(()) => {
+                    spill.rest = bytes;
+                    spill.writing = true;
+                    self.start(&mut spill);
+                }
+                Err(_) => return self.shut(&mut spill),
+            }
+        }
+        if spill.rest.len() > self.limit {
+            tracing::warn!(limit = self.limit, "a peer does not read its answers; its connection is closed");
+            self.shut(&mut spill);
+        }
+    }
+
+    /// Closes once everything pushed so far is written.
+    pub(crate) fn finish(&self) {
+        let mut spill = self.spill();
+        spill.last = true;
+        if !spill.writing {
+            self.shut(&mut spill);
+        }
+    }
+
+    /// Closes now.
+    pub(crate) fn close(&self) {
+        self.shut(&mut self.spill());
+    }
+
+    fn shut(&self, spill: &mut Spill) {
+        spill.closed = true;
+        spill.rest = BytesMut::new();
+        // The peer may have gone already; then there is nothing left to close.
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+
+    fn start(self: &Arc<Self>, spill: &mut Spill) {
+        let outlet = self.clone();
+        // The writer waits on a descriptor of its own: the reader may be waiting on the other.
+        let own = self.stream.try_clone().and_then(|own| CoIo::new(own).map_err(|e| e.into()));
+        let started = own.and_then(|own: CoIo<TcpStream>| task::spawn("outlet", move || outlet.drain(own)));
+        if let Err(error) = started {
+            tracing::warn!(%error, "no writer for a slow connection; it is closed");
+            self.shut(spill);
+        }
+    }
+
+    fn drain(&self, mut own: CoIo<TcpStream>) {
+        loop {
+            let chunk = {
+                let mut spill = self.spill();
+                if spill.closed || spill.rest.is_empty() {
+                    spill.writing = false;
+                    if spill.last {
+                        self.shut(&mut spill);
+                    }
+                    return;
+                }
+                let len = spill.rest.len().min(64 * 1024);
+                spill.rest.split_to(len)
+            };
+            if own.write_all(&chunk).is_err() {
+                self.close();
+            }
+        }
+    }
+}
+
+/// Writes what the socket takes without waiting.
+fn write_now(mut stream: &TcpStream, bytes: &mut BytesMut) -> io::Result<()> {
+    while !bytes.is_empty() {
+        match stream.write(bytes) {
+            Ok(0) => return Err(ErrorKind::WriteZero.into()),
+            Ok(n) => bytes.advance(n),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,156 @@
+//! What the control socket carries.
+
+use serde::{Deserialize, Serialize};
+use storage_core::Micros;
+
+use crate::options::{NodeLine, NodeLineState};
+
+/// A request on the control socket.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "do", rename_all = "lowercase", deny_unknown_fields)]
+pub enum ControlRequest {
+    /// The state of the gateway.
+    Status,
+    /// The open requests, oldest first.
+    Requests {
+        /// At most so many.
+        most: usize,
+    },
+    /// The node list, whole or the lines that changed.
+    Nodes {
+        /// Nodes left out are gone.
+        whole: bool,
+        /// The lines.
+        lines: Vec<NodeLine>,
+    },
+    /// Take nothing new, answer all, and leave.
+    Stop,
+}
+
+/// An answer on the control socket.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ControlAnswer {
+    /// The state.
+    Status(Box<Status>),
+    /// The open requests.
+    Requests(Vec<RequestStatus>),
+    /// Carried out; the time on the gateway's clock.
+    Done(Micros),
+}
+
+/// The state of a gateway. Times are microseconds since the Unix epoch.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// Its name.
+    pub name: String,
+    /// Where it listens.
+    pub address: String,
+    /// When it started.
+    pub started: Micros,
+    /// Now.
+    pub now: Micros,
+    /// It takes nothing new.
+    pub stopping: bool,
+    /// Client connections.
+    pub connections: usize,
+    /// Operations owed an answer.
+    pub open: usize,
+    /// Attempts out.
+    pub out: usize,
+    /// Operations taken.
+    pub taken: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Aborted.
+    pub aborted: u64,
+    /// Left by their client.
+    pub withdrawn: u64,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts after a request's first.
+    pub further: u64,
+    /// Ends that nobody waited for.
+    pub late: u64,
+    /// Nodes.
+    pub nodes: Vec<NodeStatus>,
+    /// Volumes.
+    pub volumes: Vec<VolumeStatus>,
+}
+
+/// A node as the gateway sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct NodeStatus {
+    /// Its name.
+    pub name: String,
+    /// Where it listens, as listed.
+    pub address: String,
+    /// Zone.
+    pub zone: u32,
+    /// Shard.
+    pub shard: u32,
+    /// As listed.
+    pub state: NodeLineState,
+    /// Its start, as listed; 0: long ago.
+    pub started: Micros,
+    /// State of the link.
+    pub link: String,
+    /// Attempts out.
+    pub out: u32,
+    /// Attempts sent.
+    pub sent: u64,
+    /// Attempts served.
+    pub served: u64,
+    /// Attempts that ended in any other way.
+    pub unserved: u64,
+    /// Requests it held, as it said last.
+    pub load: Option<u32>,
+    /// When it was last heard of; 0: never.
+    pub heard: Micros,
+    /// Latency of its last answer, in microseconds.
+    pub latency: Micros,
+}
+
+/// A volume as the gateway sees it.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct VolumeStatus {
+    /// Its name.
+    pub name: String,
+    /// Namespace identifier.
+    pub nsid: u32,
+    /// Operations open.
+    pub open: u64,
+    /// Operations taken.
+    pub taken: u64,
+    /// Served.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Units asked for.
+    pub units: f64,
+}
+
+/// An open request.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct RequestStatus {
+    /// Its number.
+    pub id: u64,
+    /// Volume.
+    pub volume: String,
+    /// What it does.
+    pub op: String,
+    /// Class.
+    pub class: String,
+    /// Age, in microseconds.
+    pub age: Micros,
+    /// Attempts sent.
+    pub attempts: u32,
+    /// Nodes at which attempts are out.
+    pub nodes: Vec<String>,
+}
--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -170,6 +170,12 @@
         self.flights.len() - self.free.len()
     }
 
+    /// Gives up all commands out, as the connection is gone, and names them as submitted.
+    pub fn abandon(&mut self) -> Vec<u64> {
+        self.step = Step::Over;
+        self.flights.iter_mut().filter_map(Option::take).map(|f| f.user).collect()
+    }
+
     /// Sends a command and returns its identifier; `None` where the queue is full or not ready.
     pub fn submit(&mut self, submission: Submission, out: &mut BytesMut) -> Option<u16> {
         if !self.is_ready() { None } else { self.send(submission, out) }
