--- /dev/null
+++ b/crates/judge/src/day.rs
@@ -0,0 +1,278 @@
+//! The records of a day, brought together.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use records::{ClassTerms, ClientLine, DayLine, Micros, NodeLine, Op, ReadError, Terms, Told, VolumeTerms};
+
+/// Why a day could not be read.
+#[derive(Debug, thiserror::Error)]
+pub enum DayError {
+    /// Its folder could not be read.
+    #[error("cannot read {0}: {1}")]
+    Io(PathBuf, std::io::Error),
+    /// Its terms are not terms.
+    #[error("{0}: {1}")]
+    Terms(PathBuf, serde_json::Error),
+    /// Records.
+    #[error(transparent)]
+    Records(#[from] ReadError),
+    /// The folder holds no client's records.
+    #[error("{0} holds no clients-*.jsonl; is it the --out folder of a day?")]
+    Empty(PathBuf),
+}
+
+/// A command, as its client saw it.
+#[derive(Clone, Debug)]
+pub struct Command {
+    /// Its name.
+    pub token: u64,
+    /// Gateway.
+    pub gateway: String,
+    /// Connection, which keeps order.
+    pub connection: u64,
+    /// When it was sent.
+    pub issued: Micros,
+    /// What it does.
+    pub op: Op,
+    /// Volume.
+    pub nsid: u32,
+    /// First block.
+    pub slba: u64,
+    /// Blocks.
+    pub blocks: u32,
+    /// Every answer.
+    pub answers: Vec<(Micros, Told)>,
+    /// Tokens that a read found.
+    pub found: Vec<u64>,
+    /// Blocks that do not belong together.
+    pub torn: u32,
+    /// The connection ended first, by the client or not.
+    pub lost: Option<(Micros, bool)>,
+    /// An abort was asked for.
+    pub abort: bool,
+}
+
+/// An attempt, as its node saw it.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Index of the node's file.
+    pub node: usize,
+    /// Gateway.
+    pub gateway: String,
+    /// The command.
+    pub token: u64,
+    /// Number.
+    pub n: u32,
+    /// When it arrived.
+    pub arrived: Micros,
+    /// What it does.
+    pub op: Op,
+    /// Volume.
+    pub nsid: u32,
+    /// First block.
+    pub slba: u64,
+    /// Blocks.
+    pub blocks: u32,
+    /// When it ran, and whether it took effect.
+    pub ran: Option<(Micros, bool)>,
+    /// When it was answered, and whether with *full*.
+    pub answered: Option<(Micros, bool)>,
+}
+
+/// A node's life from one start to the next.
+#[derive(Clone, Debug)]
+pub struct Life {
+    /// Its name.
+    pub name: String,
+    /// Shard.
+    pub shard: u32,
+    /// Starts.
+    pub starts: Vec<(Micros, bool)>,
+    /// Units a second when warm.
+    pub units_per_s: f64,
+    /// When it fell over.
+    pub falls: Vec<Micros>,
+}
+
+/// All records of a day.
+#[derive(Clone, Debug)]
+pub struct Day {
+    /// Terms.
+    pub terms: Terms,
+    /// Commands by token.
+    pub commands: BTreeMap<u64, Command>,
+    /// Attempts by arrival.
+    pub attempts: Vec<Attempt>,
+    /// Nodes, by file.
+    pub lives: Vec<Life>,
+    /// The director's lines.
+    pub lines: Vec<DayLine>,
+}
+
+impl Day {
+    /// Reads the folder of a day: `terms.json`, `day.jsonl`, `clients-*.jsonl`, `node-*.jsonl`.
+    ///
+    /// # Errors
+    /// What could not be read, by file and line.
+    pub fn read(dir: &Path) -> Result<Day, DayError> {
+        let path = dir.join("terms.json");
+        let text = std::fs::read(&path).map_err(|e| DayError::Io(path.clone(), e))?;
+        let terms = serde_json::from_slice(&text).map_err(|e| DayError::Terms(path, e))?;
+        let entries = std::fs::read_dir(dir).map_err(|e| DayError::Io(dir.to_owned(), e))?;
+        let mut files: Vec<PathBuf> = entries.filter_map(|e| e.ok().map(|e| e.path())).collect();
+        files.sort();
+        let named = |prefix: &str| {
+            let named = move |p: &&PathBuf| {
+                let name = p.file_name().and_then(|n| n.to_str()).unwrap_or_default();
+                name.starts_with(prefix) && name.ends_with(".jsonl")
+            };
+            files.iter().filter(named).cloned().collect::<Vec<_>>()
+        };
+        let (clients, nodes) = (named("clients-"), named("node-"));
+        if clients.is_empty() {
+            return Err(DayError::Empty(dir.to_owned()));
+        }
+        let mut client_lines = Vec::new();
+        for path in clients {
+            client_lines.extend(records::read::<ClientLine>(&path)?);
+        }
+        let node_lines = nodes.iter().map(|p| records::read(p)).collect::<Result<_, _>>()?;
+        let day = dir.join("day.jsonl");
+        let lines = if day.exists() { records::read(&day)? } else { Vec::new() };
+        Ok(Day::of(terms, client_lines, node_lines, lines))
+    }
+
+    /// Brings records together.
+    pub fn of(
+        terms: Terms,
+        client_lines: Vec<ClientLine>,
+        node_lines: Vec<Vec<NodeLine>>,
+        lines: Vec<DayLine>,
+    ) -> Day {
+        let mut day =
+            Day { terms, commands: BTreeMap::new(), attempts: Vec::new(), lives: Vec::new(), lines };
+        for line in client_lines {
+            day.client_line(line);
+        }
+        for lines in node_lines {
+            day.node_file(lines);
+        }
+        day.attempts.sort_by_key(|a| (a.arrived, a.token, a.n, a.slba));
+        day
+    }
+
+    fn client_line(&mut self, line: ClientLine) {
+        match line {
+            ClientLine::Issue { t, token, gateway, connection, op, nsid, slba, blocks } => {
+                self.commands.insert(
+                    token,
+                    Command {
+                        token,
+                        gateway,
+                        connection,
+                        issued: t,
+                        op,
+                        nsid,
+                        slba,
+                        blocks,
+                        answers: Vec::new(),
+                        found: Vec::new(),
+                        torn: 0,
+                        lost: None,
+                        abort: false,
+                    },
+                );
+            }
+            ClientLine::Answer { t, token, told, found, torn, .. } => {
+                if let Some(command) = self.commands.get_mut(&token) {
+                    command.answers.push((t, told));
+                    (command.found, command.torn) = (found, torn);
+                }
+            }
+            ClientLine::Lost { t, token, by_client } => {
+                if let Some(command) = self.commands.get_mut(&token) {
+                    command.lost.get_or_insert((t, by_client));
+                }
+            }
+            ClientLine::Abort { token, .. } => {
+                if let Some(command) = self.commands.get_mut(&token) {
+                    command.abort = true;
+                }
+            }
+        }
+    }
+
+    fn node_file(&mut self, lines: Vec<NodeLine>) {
+        let node = self.lives.len();
+        let mut life =
+            Life { name: String::new(), shard: 0, starts: Vec::new(), units_per_s: 0.0, falls: Vec::new() };
+        // By token, attempt and first block: what a node may run at one time is named apart by these.
+        let mut open: BTreeMap<(u64, u32, u64), usize> = BTreeMap::new();
+        for line in lines {
+            match line {
+                NodeLine::Start { t, node, shard, cold, units_per_s } => {
+                    (life.name, life.shard, life.units_per_s) = (node, shard, units_per_s);
+                    life.starts.push((t, cold));
+                }
+                NodeLine::Arrive { t, gateway, token, attempt, op, nsid, slba, blocks } => {
+                    open.insert((token, attempt, slba), self.attempts.len());
+                    self.attempts.push(Attempt {
+                        node,
+                        gateway,
+                        token,
+                        n: attempt,
+                        arrived: t,
+                        op,
+                        nsid,
+                        slba,
+                        blocks,
+                        ran: None,
+                        answered: None,
+                    });
+                }
+                NodeLine::Run { t, token, attempt, slba, applied, .. } => {
+                    if let Some(&index) = open.get(&(token, attempt, slba)) {
+                        self.attempts[index].ran = Some((t, applied));
+                    }
+                }
+                NodeLine::Answer { t, token, attempt, slba, full } => {
+                    if let Some(&index) = open.get(&(token, attempt, slba)) {
+                        self.attempts[index].answered = Some((t, full));
+                    }
+                }
+                NodeLine::Fell { t } => life.falls.push(t),
+                NodeLine::Down { .. } | NodeLine::Fault { .. } => {}
+            }
+        }
+        self.lives.push(life);
+    }
+
+    /// Class of a command.
+    pub fn class(&self, op: Op, nsid: u32, blocks: u32) -> Option<&ClassTerms> {
+        let size = self.volume(nsid).map_or(0, |v| u64::from(v.block_size));
+        let bytes = u64::from(blocks) * size;
+        self.terms.classes.iter().find(|c| c.op == op && c.max_bytes.is_none_or(|most| bytes <= most))
+    }
+
+    /// Terms of a volume.
+    pub fn volume(&self, nsid: u32) -> Option<&VolumeTerms> {
+        self.terms.volumes.iter().find(|v| v.nsid == nsid)
+    }
+
+    /// Units of blocks of a volume.
+    pub fn units(&self, nsid: u32, blocks: u32) -> f64 {
+        let size = self.volume(nsid).map_or(0, |v| u64::from(v.block_size));
+        let units = (u64::from(blocks) * size).div_ceil(self.terms.unit_bytes.max(1)).max(1) as f64;
+        units.min(self.terms.most_units)
+    }
+
+    /// Whether a gateway was killed or leaving within a span, or not up: what it held then is its client's loss.
+    pub fn was_down(&self, gateway: &str, from: Micros, to: Micros) -> bool {
+        let slack = self.terms.clock_slack;
+        self.lines.iter().any(|line| match line {
+            DayLine::Down { t, gateway: g, .. } => g == gateway && (from - slack..=to + slack).contains(t),
+            _ => false,
+        })
+    }
+}
