--- /dev/null
+++ b/crates/crowbay/src/day.rs
@@ -0,0 +1,165 @@
+//! `demo`, `badday`, `judge`, `replay-day` and `bench`.
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use judge::{Day, Report};
+use lab::{BenchOptions, BenchRow, Demo, Summary, demo_site};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::command::{BenchArgs, DemoArgs, ReplayArgs};
+use crate::{Ended, Failure, USAGE, log};
+
+/// A folder of this process, removed at its end unless it was asked for.
+struct Folder {
+    path: PathBuf,
+    kept: bool,
+}
+
+impl Folder {
+    fn new(out: Option<&PathBuf>) -> Result<Folder, Failure> {
+        let own = || std::env::temp_dir().join(format!("crowbay-demo-{}", std::process::id()));
+        let folder = Folder { path: out.cloned().unwrap_or_else(own), kept: out.is_some() };
+        std::fs::create_dir_all(&folder.path)
+            .map_err(|e| Failure { code: USAGE, what: format!("{}: {e}", folder.path.display()) })?;
+        Ok(folder)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.kept {
+            let _ = std::fs::remove_dir_all(&self.path); // Left behind, it is only in a temporary folder.
+        }
+    }
+}
+
+pub fn demo(args: &DemoArgs) -> Ended {
+    let mut site = demo_site()?;
+    log::start(&site.log);
+    if let Some(day) = &mut site.day {
+        day.seconds = args.seconds.clamp(1.0, 3600.0);
+    }
+    site.trouble.retain(|t| t.at_s + t.for_s < args.seconds);
+    let folder = Folder::new(args.out.as_ref())?;
+    if args.out.is_some() && folder.path.join("day.jsonl").exists() {
+        let what = format!("{} holds an earlier day; name another folder", folder.path.display());
+        return Err(Failure { code: USAGE, what });
+    }
+    let demo = Demo::start(site, &folder.path)?;
+    if args.hold {
+        let mut signals = Signals::new([SIGINT, SIGTERM])?;
+        println!("{}", serde_json::to_string(&demo.ready())?);
+        signals.forever().next();
+        demo.stop();
+        return Ok(ExitCode::SUCCESS);
+    }
+    let ready = demo.ready();
+    println!("a gateway on {} serves {} over six stand-in nodes", ready.address, ready.nqn);
+    println!("nodes are shown as number:state/attempts out; clients, nodes and gateway share this process");
+    println!();
+    let (report, summary, status) = demo.play(&mut |line| println!("{line}"))?;
+    println!();
+    println!("answers    served {}, refused {}, failed {}", report.served, report.refused, report.failed);
+    println!(
+        "attempts   {} sent, {} of them repeats, {} ended late",
+        status.sent, status.further, status.late
+    );
+    println!("latency    {}", latency(&summary));
+    println!();
+    print_rules(&report);
+    Ok(code(&report))
+}
+
+fn latency(summary: &Summary) -> String {
+    let at = |q| summary.latency.value_at_quantile(q) as f64 / 1000.0;
+    format!(
+        "of what was served, from the intended time: p50 {:.1} ms, p99 {:.1} ms, p99.9 {:.1} ms",
+        at(0.5),
+        at(0.99),
+        at(0.999)
+    )
+}
+
+fn print_rules(report: &Report) {
+    println!("{:22} {:>8} {:>8}", "rule", "checked", "broken");
+    for (name, rule) in &report.rules {
+        println!("{name:22} {:>8} {:>8}", rule.checked, rule.broken);
+        for finding in &rule.findings {
+            println!("    at {}: {}", finding.t, finding.what);
+        }
+    }
+    println!();
+    println!("worth served: {:.3} of what was due", report.worth_part);
+}
+
+fn code(report: &Report) -> ExitCode {
+    if report.kept() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn exe() -> Result<PathBuf, Failure> {
+    Ok(std::env::current_exe()?)
+}
+
+pub fn badday(file: &Path, out: &Path) -> Ended {
+    crate::serve::load(file)?;
+    let played = lab::play(&exe()?, file, out, &mut |line| println!("{line}"))?;
+    let report = &played.report;
+    println!();
+    println!(
+        "commands {}: served {}, refused {}, failed {}, aborted {}, lost with their connection {}; attempts {}",
+        report.commands,
+        report.served,
+        report.refused,
+        report.failed,
+        report.aborted,
+        report.lost,
+        report.attempts
+    );
+    println!("latency    {}", latency(&played.summary));
+    println!();
+    print_rules(report);
+    println!("records and report: {}", out.display());
+    if !played.stuck.is_empty() {
+        let what = format!("did not leave when asked to: {}", played.stuck.join(", "));
+        return Err(Failure { code: 1, what });
+    }
+    Ok(code(report))
+}
+
+pub fn judge(dir: &Path) -> Ended {
+    let report = judge::judge(&Day::read(dir).map_err(|e| Failure { code: USAGE, what: e.to_string() })?);
+    print_rules(&report);
+    Ok(code(&report))
+}
+
+pub fn replay(args: &ReplayArgs) -> Ended {
+    let wrong = |e: lab::LabError| Failure { code: USAGE, what: e.to_string() };
+    let mapped = lab::map_day(&args.file, args.seconds).map_err(wrong)?;
+    std::fs::create_dir_all(&args.out)?;
+    let file = args.out.join("replay.toml");
+    std::fs::write(&file, &mapped.toml)?;
+    mapped.mapped.iter().for_each(|line| println!("plays       {line}"));
+    mapped.unmapped.iter().for_each(|line| println!("leaves out  {line}"));
+    println!("day file: {}", file.display());
+    if args.dry {
+        crate::serve::load(&file)?;
+        return Ok(ExitCode::SUCCESS);
+    }
+    badday(&file, &args.out)
+}
+
+pub fn bench(args: &BenchArgs) -> Ended {
+    let options = BenchOptions {
+        span: Duration::from_secs_f64(args.seconds.clamp(0.05, 600.0)),
+        depths: args.depths.clone(),
+        sizes: args.sizes.clone(),
+        rounds: args.rounds,
+    };
+    println!("one process holds host, gateway and stand-in node; medians of {} rounds", args.rounds.max(1));
+    println!("{}", BenchRow::head());
+    lab::bench_path(&options, &mut |line| println!("{line}"))?;
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/crates/crowbay/src/serve.rs
@@ -0,0 +1,121 @@
+//! `gateway` and `node`: run until told to stop.
+
+use std::io::{Read, Write};
+use std::path::Path;
+use std::process::ExitCode;
+
+use emulator::{Node, NodeStatus};
+use gateway::{Gateway, NodeLine};
+use lab::{NodeRequest, Ready};
+use records::{Clock, Recorder};
+use settings::Site;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+
+use crate::command::{GatewayArgs, NodeArgs};
+use crate::{Ended, Failure, USAGE, log};
+
+/// Reads a site file; its problems are the caller's mistake.
+pub fn load(path: &Path) -> Result<Site, Failure> {
+    Site::load(path).map_err(|e| Failure { code: USAGE, what: e.to_string() })
+}
+
+fn unknown(kind: &str, name: &str, config: &Path) -> Failure {
+    Failure { code: USAGE, what: format!("{}: no [[{kind}]] is named '{name}'", config.display()) }
+}
+
+fn say_ready(name: &str, address: std::net::SocketAddr) -> Result<(), Failure> {
+    let line = serde_json::to_string(&Ready { name: name.to_owned(), address })?;
+    let mut out = std::io::stdout();
+    writeln!(out, "{line}")?;
+    out.flush()?;
+    Ok(())
+}
+
+/// Ends the process once standard input closes: its parent is gone.
+fn end_with_parent() {
+    std::thread::spawn(|| {
+        let mut rest = [0; 64];
+        while matches!(std::io::stdin().read(&mut rest), Ok(n) if n > 0) {}
+        std::process::exit(0);
+    });
+}
+
+fn node_list(path: &Path) -> Result<Vec<NodeLine>, Failure> {
+    let wrong = |what: String| Failure { code: USAGE, what: format!("{}: {what}", path.display()) };
+    let text = std::fs::read(path).map_err(|e| wrong(e.to_string()))?;
+    serde_json::from_slice(&text).map_err(|e| wrong(e.to_string()))
+}
+
+pub fn gateway(args: &GatewayArgs) -> Ended {
+    let mut site = load(&args.config)?;
+    log::start(&site.log);
+    let index = site.gateway_index(&args.name).ok_or_else(|| unknown("gateway", &args.name, &args.config))?;
+    if let Some(listen) = args.listen {
+        site.gateway[index].listen = listen;
+    }
+    let nodes = match &args.nodes {
+        Some(path) => node_list(path)?,
+        None => site.node_lines(),
+    };
+    let seed = args.seed.unwrap_or_else(|| Clock::new().now() as u64 ^ u64::from(std::process::id()) << 40);
+    let gateway = Gateway::start(site.gateway_options(index, seed, nodes, args.control.clone())?)?;
+    if args.with_parent {
+        end_with_parent();
+    }
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    say_ready(&args.name, gateway.address())?;
+    let (handle, gateway) = (signals.handle(), std::sync::Arc::new(gateway));
+    let stops = gateway.clone();
+    let waiter = std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            stops.stop();
+        }
+    });
+    gateway.wait();
+    gateway.stop();
+    handle.close();
+    let _ = waiter.join();
+    if let Some(path) = &args.control {
+        let _ = std::fs::remove_file(path); // Made by this process.
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+pub fn node(args: &NodeArgs) -> Ended {
+    let mut site = load(&args.config)?;
+    log::start(&site.log);
+    let index = site.node.iter().position(|n| n.name == args.name);
+    let index = index.ok_or_else(|| unknown("node", &args.name, &args.config))?;
+    if let Some(listen) = args.listen {
+        site.node[index].address = listen;
+    }
+    let recorder = match &args.records {
+        Some(path) => Recorder::append(path)
+            .map_err(|e| Failure { code: USAGE, what: format!("{}: {e}", path.display()) })?,
+        None => Recorder::none(),
+    };
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let node = std::sync::Arc::new(Node::start(site.node_options(index, args.cold), recorder)?);
+    if let Some(path) = &args.control {
+        let node = node.clone();
+        control::serve(path, move |request: NodeRequest| -> Result<Option<NodeStatus>, String> {
+            match request {
+                NodeRequest::Status => Ok(Some(node.status())),
+                NodeRequest::Fault(fault) => {
+                    node.fault(fault);
+                    Ok(None)
+                }
+            }
+        })?;
+    }
+    if args.with_parent {
+        end_with_parent();
+    }
+    say_ready(&args.name, node.address())?;
+    signals.forever().next();
+    if let Some(path) = &args.control {
+        let _ = std::fs::remove_file(path); // Made by this process.
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/judge/src/day.rs
+++ b/crates/judge/src/day.rs
@@ -275,4 +275,19 @@
             _ => false,
         })
     }
+
+    /// How long a gateway's process stood still within a span: it could answer nobody then.
+    pub fn stalled(&self, gateway: &str, from: Micros, to: Micros) -> Micros {
+        let (mut sum, mut since) = (0, None);
+        for line in &self.lines {
+            match line {
+                DayLine::Stall { t, gateway: g, on: true } if g == gateway => since = Some(*t),
+                DayLine::Stall { t, gateway: g, on: false } if g == gateway => {
+                    sum += since.take().map_or(0, |s| (to.min(*t) - from.max(s)).max(0));
+                }
+                _ => {}
+            }
+        }
+        sum + since.map_or(0, |s| (to - from.max(s)).max(0))
+    }
 }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -223,6 +223,15 @@
         /// Killed outright, not asked to leave.
         killed: bool,
     },
+    /// A gateway's process stands still, or goes on.
+    Stall {
+        /// When.
+        t: Micros,
+        /// The gateway.
+        gateway: String,
+        /// It stands still.
+        on: bool,
+    },
     /// A trouble began or ended.
     Trouble {
         /// When.
