--- a/crates/crowbay/src/log.rs
+++ b/crates/crowbay/src/log.rs
@@ -1,19 +1,21 @@
 //! Structured logs on standard error.
 
 use settings::{Log, LogFormat, LogLevel};
-use tracing::Level;
+use tracing_subscriber::EnvFilter;
 
 /// Starts the logs. A second start in one process changes nothing.
 pub fn start(log: &Log) {
     let level = match log.level {
-        LogLevel::Error => Level::ERROR,
-        LogLevel::Warn => Level::WARN,
-        LogLevel::Info => Level::INFO,
-        LogLevel::Debug => Level::DEBUG,
-        LogLevel::Trace => Level::TRACE,
+        LogLevel::Error => "error",
+        LogLevel::Warn => "warn",
+        LogLevel::Info => "info",
+        LogLevel::Debug => "debug",
+        LogLevel::Trace => "trace",
     };
+    // The runtime tells of every descriptor; that is of use to nobody who runs a gateway.
+    let filter = EnvFilter::new(format!("{level},may=warn"));
     let builder =
-        tracing_subscriber::fmt().with_max_level(level).with_writer(std::io::stderr).with_target(false);
+        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
     // The only failure is that logs were started before.
     let _ = match log.format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc as thread_mpsc;
-use std::time::Duration;
 
 use decisions::{NodeId, NodeState};
 use may::sync::mpsc::{Receiver, Sender};
@@ -19,13 +18,12 @@
 use crate::mapping::told;
 use crate::options::{GatewayOptions, NodeLine};
 use crate::status::{ControlAnswer, ControlRequest, NodeStatus, RequestStatus, Status, VolumeStatus};
+use crate::ticker::Ticker;
 
 /// Messages handled with one reading of the clock.
 const BATCH: usize = 256;
-/// How often associations are held against their time-outs.
-const HOUSEKEEPING: Micros = 500_000;
-/// The longest the engine sleeps.
-const LONGEST_SLEEP: Micros = 1_000_000;
+/// How often associations and links are held against their time-outs.
+const HOUSEKEEPING: Micros = 50_000;
 
 /// What reaches the engine.
 pub(crate) enum Message {
@@ -41,6 +39,8 @@
     Closed(ConnectionId),
     AssociationEnded(u16),
     Ended(AttemptId, End),
+    /// Something is due.
+    Tick,
     Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
     /// Stop; told once everything is answered.
     Stop(thread_mpsc::Sender<()>),
@@ -102,13 +102,14 @@
         }
     }
 
-    /// Runs until it was told to stop and owes nothing more.
-    pub(crate) fn run(mut self, messages: &Receiver<Message>) {
+    /// Runs until it was told to stop and owes nothing more. The ticker sends [`Message::Tick`] at the times set here.
+    pub(crate) fn run(mut self, messages: &Receiver<Message>, ticker: &Ticker) {
         let clock: Clock = self.front.clock;
         let now = clock.now();
         let lines = std::mem::take(&mut self.options.nodes);
         self.list(now, true, true, &lines);
         self.settle(now);
+        let mut told = Micros::MIN;
         loop {
             let now = clock.now();
             self.core.tick(now, &mut self.effects);
@@ -119,9 +120,12 @@
             if self.may_leave(now) {
                 return self.leave();
             }
-            let due = self.core.next_due().unwrap_or(now + LONGEST_SLEEP).min(self.next_housekeeping);
-            let sleep = (due - now).clamp(0, LONGEST_SLEEP);
-            let Ok(first) = messages.recv_timeout(Duration::from_micros(sleep as u64)) else { continue };
+            let due = self.core.next_due().unwrap_or(Micros::MAX).min(self.next_housekeeping);
+            if due != told {
+                ticker.due(due);
+                told = due;
+            }
+            let Ok(first) = messages.recv() else { return };
             let now = clock.now();
             self.message(now, first);
             for _ in 1..BATCH {
@@ -133,6 +137,7 @@
 
     fn message(&mut self, now: Micros, message: Message) {
         match message {
+            Message::Tick => {}
             Message::Opened(connection) => {
                 let client =
                     Client { admission: None, tickets: HashMap::new(), connection: connection.clone() };
@@ -223,6 +228,7 @@
         }
         let views = self.core.node_views();
         self.links.retain(|id, link| {
+            link.watch();
             let view = &views[id.0 as usize];
             let over = view.state == NodeState::Gone && view.out == 0;
             if over {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -52,7 +52,8 @@
                 Err(error) => {
                     // Out of descriptors, most likely: those that are served go on, and some will close.
                     tracing::warn!(%error, "a connection could not be accepted");
-                    may::coroutine::sleep(std::time::Duration::from_millis(20));
+                    // A plain sleep holds up one of the threads for a moment; a timed wait might never end (ticker.rs).
+                    std::thread::sleep(std::time::Duration::from_millis(5));
                     continue;
                 }
             };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use crate::front::Front;
 use crate::options::GatewayOptions;
 use crate::status::{ControlAnswer, ControlRequest};
+use crate::ticker::Ticker;
 
 /// Why a gateway did not start, or did not answer.
 #[derive(Debug, thiserror::Error)]
@@ -75,10 +76,13 @@
             serve_control(&path, inbox.clone()).map_err(|e| GatewayError::Control(path, e))?;
         }
         let (name, stop_within) = (options.name.clone(), options.stop_within);
+        let ticks = inbox.clone();
+        let ticker =
+            Ticker::start(front.clock, move || ticks.send(Message::Tick)).map_err(GatewayError::Start)?;
         let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone());
         let (over, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
-            engine.run(&messages);
+            engine.run(&messages, &ticker);
             drop(over);
         })
         .map_err(GatewayError::Start)?;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod options;
 mod outlet;
 mod status;
+mod ticker;
 
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::io::{self, Read, Write};
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use decisions::Outcome;
@@ -39,8 +39,14 @@
 
 struct State {
     phase: Phase,
+    /// Since when.
+    since: Instant,
     queue: Option<(Initiator, Arc<Outlet>)>,
-    admin: Option<Arc<Outlet>>,
+    admin: Option<(Initiator, Arc<Outlet>)>,
+    /// When the last keep alive went out.
+    kept: Instant,
+    /// The connection that is on its way up.
+    rising: Option<std::net::TcpStream>,
     /// Sends that wait for the connection: never sent, should it not come.
     waiting: VecDeque<Send>,
     /// Attempts out by the number under which they were submitted, and since when.
@@ -70,8 +76,11 @@
     ) -> io::Result<Arc<Link>> {
         let state = State {
             phase: Phase::Connecting,
+            since: Instant::now(),
             queue: None,
             admin: None,
+            kept: Instant::now(),
+            rising: None,
             waiting: VecDeque::new(),
             flights: HashMap::new(),
             next: 0,
@@ -107,7 +116,7 @@
     /// Ends the link: what is out may have run.
     pub(crate) fn end(&self) {
         let mut state = self.state();
-        state.phase = Phase::Over;
+        state.enter(Phase::Over);
         close(&mut state);
         drop(state);
         self.wanted.post();
@@ -124,7 +133,7 @@
                 None
             }
             Phase::Down => {
-                state.phase = Phase::Connecting;
+                state.enter(Phase::Connecting);
                 state.waiting.push_back(send);
                 drop(state);
                 self.wanted.post();
@@ -173,15 +182,56 @@
             if self.broke() {
                 return;
             }
-            // A send asks for the next connection at once; unasked it is tried after a pause.
+            // A send asks for the next connection at once; unasked it is tried after a pause, when the watch says so.
             while self.wanted.try_wait() {}
-            self.wanted.wait_timeout(self.options.reconnect_pause);
+            if self.state().phase == Phase::Down {
+                self.wanted.wait();
+            }
             let mut state = self.state();
-            if state.phase == Phase::Over {
-                return;
+            match state.phase {
+                Phase::Over => return,
+                Phase::Connecting => {}
+                Phase::Down | Phase::Up => state.enter(Phase::Connecting),
+            }
+        }
+    }
+
+    /// Looks after the link's times; called by the engine's housekeeping, as no coroutine waits with a time
+    /// (ticker.rs). A way up that takes too long ends, with what waited for it; a pause ends; the association is kept
+    /// alive, and a node that has not answered that for a whole time-out loses its link.
+    pub(crate) fn watch(&self) {
+        let mut state = self.state();
+        let mut late = VecDeque::new();
+        match state.phase {
+            Phase::Connecting if state.since.elapsed() > self.options.connect_timeout => {
+                late = std::mem::take(&mut state.waiting);
+                if let Some(rising) = &state.rising {
+                    let _ = rising.shutdown(Shutdown::Both); // Its reader wakes and gives up.
+                }
+            }
+            Phase::Down if state.since.elapsed() > self.options.reconnect_pause => self.wanted.post(),
+            Phase::Up if state.kept.elapsed() > self.options.keep_alive / 2 => self.keep_alive(&mut state),
+            _ => {}
+        }
+        drop(state);
+        late.into_iter()
+            .for_each(|s| self.inbox.send(Message::Ended(s.attempt, End::of(Outcome::Unreachable))));
+    }
+
+    fn keep_alive(&self, state: &mut State) {
+        let Some((initiator, outlet)) = &mut state.admin else { return };
+        if initiator.outstanding() > 0 {
+            if state.kept.elapsed() > self.options.keep_alive {
+                tracing::warn!(address = %self.address, "a node does not answer its keep alive; its link is broken");
+                close(state);
             }
-            state.phase = Phase::Connecting;
+            return;
         }
+        let mut out = BytesMut::new();
+        let sqe = Sqe::new(admin::KEEP_ALIVE);
+        initiator.submit(Submission { sqe, data: Bytes::new(), expect: 0, user: 0 }, &mut out);
+        outlet.push(out);
+        state.kept = Instant::now();
     }
 
     /// The connection is gone or never came: what went out may have run, what waited never did. Whether the link ends.
@@ -191,7 +241,7 @@
             close(&mut state);
             let over = state.phase == Phase::Over;
             if !over {
-                state.phase = Phase::Down;
+                state.enter(Phase::Down);
             }
             (std::mem::take(&mut state.flights), std::mem::take(&mut state.waiting), over)
         };
@@ -204,33 +254,34 @@
         over
     }
 
-    /// Connects and brings both queues up, within the connect time-out.
-    fn connect(&self) -> Result<TcpStream, LinkError> {
-        let deadline = Instant::now() + self.options.connect_timeout;
-        let (mut admin_stream, admin, ready) = self.bring_up(0, 0, 8192, deadline)?;
+    /// Connects and brings both queues up; the watch ends it if it takes too long.
+    fn connect(self: &Arc<Self>) -> Result<TcpStream, LinkError> {
+        let (mut admin_stream, admin, ready) = self.bring_up(0, 0, 8192)?;
         let HostEvent::Ready { cntlid, limits: Some(limits) } = ready else {
             return Err(LinkError::NoLimits);
         };
-        let (stream, initiator, _) = self.bring_up(1, cntlid, limits.in_capsule, deadline)?;
+        let (stream, initiator, _) = self.bring_up(1, cntlid, limits.in_capsule)?;
         let outlet = Arc::new(Outlet::new(&stream, SPILL)?);
         let admin_outlet = Arc::new(Outlet::new(&admin_stream, SPILL)?);
-        let mut state = self.state();
-        if state.phase == Phase::Over {
-            return Err(LinkError::Over);
-        }
-        state.phase = Phase::Up;
-        state.queue = Some((initiator, outlet.clone()));
-        state.admin = Some(admin_outlet.clone());
         let mut ended = Vec::new();
-        while let Some(send) = state.waiting.pop_front() {
-            let attempt = send.attempt;
-            ended.extend(self.submit(&mut state, send).map(|end| (attempt, end)));
+        {
+            let mut state = self.state();
+            if state.phase == Phase::Over {
+                return Err(LinkError::Over);
+            }
+            state.enter(Phase::Up);
+            state.kept = Instant::now();
+            state.queue = Some((initiator, outlet.clone()));
+            state.admin = Some((admin, admin_outlet));
+            while let Some(send) = state.waiting.pop_front() {
+                let attempt = send.attempt;
+                ended.extend(self.submit(&mut state, send).map(|end| (attempt, end)));
+            }
         }
-        drop(state);
         ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::Ended(a, end)));
-        let every = self.options.keep_alive / 2;
-        task::spawn("keep-alive", move || {
-            keep_alive(&mut admin_stream, admin, &admin_outlet, every);
+        let link = self.clone();
+        task::spawn("link-admin", move || {
+            link.read_admin(&mut admin_stream);
             // Without its admin queue the association is over, and so is the I/O queue.
             outlet.close();
         })?;
@@ -243,11 +294,10 @@
         qid: u16,
         cntlid: u16,
         in_capsule: u32,
-        deadline: Instant,
     ) -> Result<(TcpStream, Initiator, HostEvent), LinkError> {
-        let left = || deadline.checked_duration_since(Instant::now()).filter(|d| !d.is_zero());
-        let mut stream = TcpStream::connect_timeout(&self.address, left().ok_or(LinkError::Late)?)?;
+        let mut stream = TcpStream::connect_timeout(&self.address, self.options.connect_timeout)?;
         stream.set_nodelay(true)?;
+        let _rising = Rising::new(self, &stream)?;
         let mut out = BytesMut::new();
         let options = InitiatorOptions {
             host: self.host.clone(),
@@ -266,7 +316,6 @@
         loop {
             stream.write_all(&out)?;
             out.clear();
-            stream.set_read_timeout(Some(left().ok_or(LinkError::Late)?))?;
             let n = stream.read(&mut buffer)?;
             if n == 0 {
                 return Err(LinkError::Closed);
@@ -275,10 +324,26 @@
             match events.pop() {
                 None => {}
                 Some(HostEvent::Fault(fault)) => return Err(fault.into()),
-                Some(ready) => {
-                    stream.set_read_timeout(None)?;
-                    return Ok((stream, initiator, ready));
-                }
+                Some(ready) => return Ok((stream, initiator, ready)),
+            }
+        }
+    }
+
+    /// Reads the admin queue until its connection ends.
+    fn read_admin(&self, stream: &mut TcpStream) {
+        let (mut buffer, mut events) = (vec![0; 1024], Vec::new());
+        loop {
+            let n = match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return,
+                Ok(n) => n,
+            };
+            let mut state = self.state();
+            let Some((initiator, outlet)) = &mut state.admin else { return };
+            let mut out = BytesMut::new();
+            initiator.receive(&buffer[..n], &mut out, &mut events);
+            outlet.push(out);
+            if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
+                return;
             }
         }
     }
@@ -322,30 +387,25 @@
     }
 }
 
-/// Keeps an association alive until its connection ends, or the node has not answered for a whole time-out.
-fn keep_alive(stream: &mut TcpStream, mut initiator: Initiator, outlet: &Arc<Outlet>, every: Duration) {
-    let (mut buffer, mut events) = (vec![0; 1024], Vec::new());
-    if stream.set_read_timeout(Some(every)).is_err() {
-        return;
+impl State {
+    fn enter(&mut self, phase: Phase) {
+        (self.phase, self.since) = (phase, Instant::now());
     }
-    loop {
-        let mut out = BytesMut::new();
-        match stream.read(&mut buffer) {
-            Ok(0) => return,
-            Ok(n) => initiator.receive(&buffer[..n], &mut out, &mut events),
-            Err(e) if matches!(e.kind(), io::ErrorKind::TimedOut | io::ErrorKind::WouldBlock) => {
-                if initiator.outstanding() > 0 {
-                    return; // The last one was never answered.
-                }
-                let sqe = Sqe::new(admin::KEEP_ALIVE);
-                initiator.submit(Submission { sqe, data: Bytes::new(), expect: 0, user: 0 }, &mut out);
-            }
-            Err(_) => return,
-        }
-        if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
-            return;
-        }
-        outlet.push(out);
+}
+
+/// Names the connection that is on its way up, for the watch to end.
+struct Rising<'a>(&'a Link);
+
+impl<'a> Rising<'a> {
+    fn new(link: &'a Link, stream: &TcpStream) -> io::Result<Self> {
+        link.state().rising = Some(stream.inner().try_clone()?);
+        Ok(Rising(link))
+    }
+}
+
+impl Drop for Rising<'_> {
+    fn drop(&mut self) {
+        self.0.state().rising = None;
     }
 }
 
@@ -353,7 +413,7 @@
     if let Some((_, outlet)) = state.queue.take() {
         outlet.close();
     }
-    if let Some(admin) = state.admin.take() {
+    if let Some((_, admin)) = state.admin.take() {
         admin.close();
     }
 }
@@ -391,8 +451,6 @@
     Io(#[from] io::Error),
     #[error("it closed on the way up")]
     Closed,
-    #[error("not up in time")]
-    Late,
     #[error("the controller did not identify itself")]
     NoLimits,
     #[error(transparent)]
--- a/crates/judge/src/day.rs
+++ b/crates/judge/src/day.rs
@@ -1,6 +1,6 @@
 //! The records of a day, brought together.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
 
 use records::{ClassTerms, ClientLine, DayLine, Micros, NodeLine, Op, ReadError, Terms, Told, VolumeTerms};
@@ -66,6 +66,8 @@
     pub n: u32,
     /// When it arrived.
     pub arrived: Micros,
+    /// The earliest it may have been sent: a node that stands still reads late what came meanwhile.
+    pub sent: Micros,
     /// What it does.
     pub op: Op,
     /// Volume.
@@ -209,6 +211,9 @@
             Life { name: String::new(), shard: 0, starts: Vec::new(), units_per_s: 0.0, falls: Vec::new() };
         // By token, attempt and first block: what a node may run at one time is named apart by these.
         let mut open: BTreeMap<(u64, u32, u64), usize> = BTreeMap::new();
+        // The last time that the node stood still, or was down with its connections open.
+        let (mut still, mut since) = ((Micros::MIN, Micros::MIN), None);
+        let slack = self.terms.clock_slack;
         for line in lines {
             match line {
                 NodeLine::Start { t, node, shard, cold, units_per_s } => {
@@ -223,6 +228,7 @@
                         token,
                         n: attempt,
                         arrived: t,
+                        sent: if t <= still.1.saturating_add(slack) { still.0 } else { t },
                         op,
                         nsid,
                         slba,
@@ -242,6 +248,10 @@
                     }
                 }
                 NodeLine::Fell { t } => life.falls.push(t),
+                NodeLine::Fault { t, fault } if fault == "Stall(true)" => since = Some(t),
+                NodeLine::Fault { t, fault } if fault == "Stall(false)" => {
+                    still = (since.take().unwrap_or(t), t);
+                }
                 NodeLine::Down { .. } | NodeLine::Fault { .. } => {}
             }
         }
@@ -267,6 +277,20 @@
         units.min(self.terms.most_units)
     }
 
+    /// Requests that a command becomes: one for each run of extents on one shard; a flush, one for each shard.
+    pub fn requests(&self, c: &Command) -> usize {
+        let Some(v) = self.volume(c.nsid).filter(|v| v.extent_blocks > 0 && !v.shards.is_empty()) else {
+            return 1;
+        };
+        if c.blocks == 0 {
+            return v.shards.iter().collect::<BTreeSet<_>>().len();
+        }
+        let shard = |extent: u64| v.shards[(extent % v.shards.len() as u64) as usize];
+        let last = (c.slba + u64::from(c.blocks) - 1) / v.extent_blocks;
+        let extents: Vec<u32> = (c.slba / v.extent_blocks..=last).map(shard).collect();
+        1 + extents.windows(2).filter(|w| w[0] != w[1]).count()
+    }
+
     /// Whether a gateway was killed or leaving within a span, or not up: what it held then is its client's loss.
     pub fn was_down(&self, gateway: &str, from: Micros, to: Micros) -> bool {
         let slack = self.terms.clock_slack;
--- a/crates/lab/src/timeline.rs
+++ b/crates/lab/src/timeline.rs
@@ -43,15 +43,22 @@
 
 /// The changes of a day, by time since its start.
 pub(crate) fn timeline(site: &Site) -> Vec<(Duration, Change)> {
-    let lag = Duration::from_millis(site.day.as_ref().map_or(0, |d| d.list_lag_ms.into()));
     let mut changes = Vec::new();
     for trouble in &site.trouble {
+        let lag = list_lag(site, trouble.at_s).max(list_lag(site, trouble.at_s + trouble.for_s));
         trouble.of.iter().for_each(|name| changes.extend(of_trouble(trouble, name, lag)));
     }
     changes.sort_by_key(|c| c.0);
     changes
 }
 
+/// How late the node list is about what happens at a time.
+fn list_lag(site: &Site, at: f64) -> Duration {
+    let usual = Duration::from_millis(site.day.as_ref().map_or(0, |d| d.list_lag_ms.into()));
+    let late = |t: &&Trouble| t.what == TroubleKind::LateList && (t.at_s..t.at_s + t.for_s).contains(&at);
+    usual + site.trouble.iter().filter(late).map(|t| Duration::from_secs_f64(t.factor)).sum::<Duration>()
+}
+
 fn of_trouble(trouble: &Trouble, name: &str, lag: Duration) -> Vec<(Duration, Change)> {
     let at = Duration::from_secs_f64(trouble.at_s);
     let end = at + Duration::from_secs_f64(trouble.for_s);
@@ -81,6 +88,7 @@
         TroubleKind::StallGateway => {
             vec![(at, Change::Stall(name.clone(), true)), (end, Change::Stall(name, false))]
         }
-        _ => vec![(at, Change::Leave(name))],
+        TroubleKind::Leave => vec![(at, Change::Leave(name))],
+        _ => Vec::new(),
     }
 }
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -313,8 +313,16 @@
         let start = Instant::now();
         let (mut at, mut next_leave, mut sequence) = (Duration::ZERO, o.leaves, 0u64);
         while at < o.duration && !self.leaving.load(Ordering::Relaxed) {
-            let rate = self.rate(at).max(1e-3);
-            at += Duration::from_secs_f64((-(1.0 - rng.random::<f64>()).ln() / rate).min(1.0));
+            let rate = self.rate(at);
+            if rate <= 0.0 {
+                at += Duration::from_millis(5);
+                self.repeat_until(start + at, &mut sequence);
+                continue;
+            }
+            at += Duration::from_secs_f64((-(1.0 - rng.random::<f64>()).ln() / rate).min(60.0));
+            if at >= o.duration {
+                break;
+            }
             let intended = start + at;
             self.repeat_until(intended, &mut sequence);
             if !o.leaves.is_zero() && at >= next_leave {
--- a/crates/records/src/terms.rs
+++ b/crates/records/src/terms.rs
@@ -65,6 +65,10 @@
     pub plan: usize,
     /// Bytes in a block.
     pub block_size: u32,
+    /// Blocks in an extent.
+    pub extent_blocks: u64,
+    /// Shards of the extents, in turn.
+    pub shards: Vec<u32>,
 }
 
 /// The rule on cold nodes.
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -311,8 +311,13 @@
             slack: p.limit_slack,
             price: p.price,
         };
-        let volume =
-            |v: &Volume| VolumeTerms { nsid: v.nsid, plan: self.plan_index(v), block_size: v.block_size };
+        let volume = |v: &Volume| VolumeTerms {
+            nsid: v.nsid,
+            plan: self.plan_index(v),
+            block_size: v.block_size,
+            extent_blocks: v.extent_blocks,
+            shards: v.shards.clone(),
+        };
         Terms {
             classes: self.class.iter().map(class).collect(),
             plans: self.plan.iter().map(plan).collect(),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -371,11 +371,12 @@
             KillGateway | StopGateway | StallGateway => {
                 ("gateway", s.gateway.iter().map(|g| &*g.name).collect())
             }
+            LateList => ("node list", vec!["list"]),
             Leave => ("client", s.client.iter().map(|c| &*c.name).collect()),
             _ => ("node", s.node.iter().map(|n| &*n.name).collect()),
         };
         for (m, name) in t.of.iter().enumerate().filter(|(_, name)| !known.contains(&name.as_str())) {
-            self.problem(format!("trouble[{n}].of[{m}]"), format!("no [[{kind}]] is named '{name}'"));
+            self.problem(format!("trouble[{n}].of[{m}]"), format!("no {kind} is named '{name}'"));
         }
         if t.of.is_empty() {
             self.problem(format!("trouble[{n}].of"), format!("names of at least one {kind} are needed"));
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -491,6 +491,8 @@
     Drain,
     /// The node list leaves a node out.
     Unlist,
+    /// Changes of the node list reach the gateways `factor` seconds later; `of` is ["list"].
+    LateList,
     /// A gateway is killed outright, and started again.
     KillGateway,
     /// A gateway is told to leave, and started again.
