--- a/crates/load/src/host.rs
+++ b/crates/load/src/host.rs
@@ -122,6 +122,7 @@
 pub struct Host {
     options: HostOptions,
     limits: ControllerLimits,
+    cntlid: u16,
     admin: Arc<Queue>,
     queues: Vec<Arc<Queue>>,
     admin_answers: Mutex<Receiver<Reply>>,
@@ -159,7 +160,7 @@
             read(queue.clone(), options.address, take)?;
             queues.push(queue);
         }
-        let host = Host { options, limits, admin, queues, admin_answers: Mutex::new(admin_answers) };
+        let host = Host { options, limits, cntlid, admin, queues, admin_answers: Mutex::new(admin_answers) };
         host.keep_alive()?;
         Ok(host)
     }
@@ -169,6 +170,11 @@
         &self.limits
     }
 
+    /// The controller.
+    pub fn cntlid(&self) -> u16 {
+        self.cntlid
+    }
+
     /// Sends a command on an I/O queue, from 1. `expect` is the bytes that a read brings.
     ///
     /// # Errors
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -95,11 +95,15 @@
         }
         let start = rest[..at].rfind('\n').map_or(0, |n| n + 1);
         let end = rest[at..].find('\n').map_or(rest.len(), |n| at + n);
-        let blank = rest[start..end].trim().is_empty() || rest[start..end].trim_start().starts_with('[');
-        if missing || blank || problems.len() >= MOST {
+        let header = rest[start..end].trim_start().starts_with('[');
+        if problems.len() >= MOST || (!header && (missing || rest[start..end].trim().is_empty())) {
             return (None, problems);
         }
-        rest.replace_range(start..end, &" ".repeat(end - start));
+        // A section that lacks a key is left out whole, so that the others are still looked at.
+        let next = rest[end..].find("\n[").map_or(rest.len(), |n| end + n);
+        let blank = start..if header { next } else { end };
+        let spaces: String = rest[blank.clone()].chars().map(|c| if c == '\n' { c } else { ' ' }).collect();
+        rest.replace_range(blank, &spaces);
     }
 }
 
--- /dev/null
+++ b/crates/settings/tests/problems.rs
@@ -0,0 +1,84 @@
+//! Every problem of a file is told, with its line and key.
+
+use settings::{Problem, Site};
+
+const GOOD: &str = include_str!("../../lab/src/demo.toml");
+
+fn problems(text: &str) -> Vec<Problem> {
+    Site::parse(text).expect_err("it has problems")
+}
+
+/// The good file with lines replaced, and the line at which the first stands now.
+fn with(changes: &[(&str, &str)]) -> (String, usize) {
+    let mut text = GOOD.to_owned();
+    for (from, to) in changes {
+        assert!(text.contains(from), "{from}");
+        text = text.replacen(from, to, 1);
+    }
+    let line = GOOD.lines().position(|l| l.contains(changes[0].0)).map_or(0, |n| n + 1);
+    (text, line)
+}
+
+#[test]
+fn the_demonstration_is_well_formed_and_so_is_the_bad_day() {
+    Site::parse(GOOD).expect("well formed");
+    Site::parse(include_str!("../../../days/bad-day.toml")).expect("well formed");
+}
+
+#[test]
+fn each_wrong_value_is_told_with_its_line_and_key() {
+    let cases = [
+        ("aim_ms = 150", "aim_ms = 0", "class[0].aim_ms"),
+        ("patience_ms = 750", "patience_ms = 100", "class[0].patience_ms"),
+        ("plan = \"priority\"", "plan = \"gold\"", "volume[0].plan"),
+        ("shards = [0, 2, 4]", "shards = [0, 2, 9]", "volume[1].shards[2]"),
+        ("nsid = 2", "nsid = 1", "volume[1].nsid"),
+        ("name = \"node3\"", "name = \"node2\"", "node[3].name"),
+        ("window_ms = 2500", "window_ms = 0", "class[2].window_ms"),
+        ("cold_from = 0.2", "cold_from = 0", "rules.cold_from"),
+        ("limit_burst = 400", "limit_burst = 4", "plan[0].limit_burst"),
+        ("subsystem = \"nqn", "subsystem = \"x", "site.subsystem"),
+        ("volumes = [\"statements\"]", "volumes = [\"letters\"]", "client[1].volumes[0]"),
+        ("of = [\"node1\"]", "of = [\"node77\"]", "trouble[0].of[0]"),
+        ("kib = 64", "kib = 6", "client[1].mix[0].kib"),
+    ];
+    for (from, to, key) in cases {
+        let (text, line) = with(&[(from, to)]);
+        let found = problems(&text);
+        let told = found.iter().find(|p| p.key == key);
+        let told = told.unwrap_or_else(|| panic!("{to}: {found:?}"));
+        assert_eq!(told.line, line, "{to}: {told}");
+    }
+}
+
+#[test]
+fn unknown_keys_wrong_types_and_wrong_values_are_all_told_at_once() {
+    let (text, _) = with(&[
+        ("unit_kib = 4", "unit_kib = \"four\""),
+        ("price = 1.2", "price = 1.2\ncolour = \"red\""),
+        ("seed = 7", "sead = 7"),
+    ]);
+    let found = problems(&text);
+    let lines: Vec<&str> = text.lines().collect();
+    for word in ["unit_kib", "colour", "sead"] {
+        let told = found.iter().find(|p| lines[p.line - 1].contains(word));
+        assert!(told.is_some(), "{word}: {found:#?}");
+    }
+}
+
+#[test]
+fn a_missing_section_and_text_that_is_no_toml_are_told() {
+    let without = GOOD.replace("[rules]", "[other]");
+    assert!(problems(&without).iter().any(|p| p.what.contains("other")), "{:?}", problems(&without));
+    let broken = GOOD.replacen("name = \"demo\"", "name = \"demo", 1);
+    let found = problems(&broken);
+    assert_eq!(found[0].line, 3, "{found:?}");
+    let empty = problems("");
+    assert!(empty[0].what.contains("missing field"), "{empty:?}");
+}
+
+#[test]
+fn a_site_without_gateways_nodes_or_a_class_for_flushes_is_told_so() {
+    let (text, _) = with(&[("op = \"flush\"", "op = \"read\"")]);
+    assert!(problems(&text).iter().any(|p| p.what.contains("op = \"flush\"")), "{:?}", problems(&text));
+}
