A descriptor outlives its registration with the poller: a crash under load

Cause: CoIo closes its descriptor before it leaves the poller; while the connection's other descriptor keeps the socket open the registration stays, and its events name a coroutine that is gone: the process crashed about once in six measurements at depth 128. Change: another owner keeps the descriptor until the CoIo is gone.

--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -1,6 +1,8 @@
 //! The simulator's wire: its messages, their framing, and the translation to and from the module's own
 //! words. One [`Adapter`] hosts any number of schedulers, which share nothing. No decision is made here.
 
+#![forbid(unsafe_code)]
+
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 use std::io::{self, BufRead, Write};
--- a/crates/gateway/src/outlet.rs
+++ b/crates/gateway/src/outlet.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, ErrorKind, Write};
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::{AsRawFd, RawFd};
 use std::sync::{Arc, Mutex};
 
 use bytes::{Buf, BytesMut};
@@ -87,15 +88,21 @@
     fn start(self: &Arc<Self>, spill: &mut Spill) {
         let outlet = self.clone();
         // The writer waits on a descriptor of its own: the reader may be waiting on the other.
-        let own = self.stream.try_clone().and_then(|own| CoIo::new(own).map_err(|e| e.into()));
-        let started = own.and_then(|own: CoIo<TcpStream>| task::spawn("outlet", move || outlet.drain(own)));
+        let started = self.stream.try_clone().and_then(|own| {
+            let own = Arc::new(own);
+            let waits = CoIo::new(Held(own.clone())).map_err(io::Error::from)?;
+            task::spawn("outlet", move || {
+                outlet.drain(waits);
+                drop(own);
+            })
+        });
         if let Err(error) = started {
             tracing::warn!(%error, "no writer for a slow connection; it is closed");
             self.shut(spill);
         }
     }
 
-    fn drain(&self, mut own: CoIo<TcpStream>) {
+    fn drain(&self, mut own: CoIo<Held>) {
         loop {
             let chunk = {
                 let mut spill = self.spill();
@@ -116,6 +123,29 @@
     }
 }
 
+/// A descriptor that outlives its registration with the runtime.
+///
+/// Danger: `CoIo` closes its descriptor before it takes it out of the poller. As the connection's other descriptor keeps the
+/// socket open, the registration would stay, and its events would name a coroutine that is gone (seen as a crash of the
+/// process under load). So another owner keeps the descriptor open until the `CoIo` is gone.
+struct Held(Arc<TcpStream>);
+
+impl AsRawFd for Held {
+    fn as_raw_fd(&self) -> RawFd {
+        self.0.as_raw_fd()
+    }
+}
+
+impl Write for Held {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        (&*self.0).write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// Writes what the socket takes without waiting.
 fn write_now(mut stream: &TcpStream, bytes: &mut BytesMut) -> io::Result<()> {
     while !bytes.is_empty() {
