--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -17,6 +17,7 @@
 use crate::link::Link;
 use crate::mapping::told;
 use crate::options::{GatewayOptions, NodeLine};
+use crate::outlet::Outlet;
 use crate::status::{ControlAnswer, ControlRequest, NodeStatus, RequestStatus, Status, VolumeStatus};
 use crate::ticker::Ticker;
 
@@ -75,6 +76,8 @@
     next_ticket: u64,
     links: HashMap<NodeId, Arc<Link>>,
     effects: Vec<Effect>,
+    /// Outlets with something to write at the end of the batch.
+    dirty: Vec<Arc<Outlet>>,
     started: Micros,
     next_housekeeping: Micros,
     stop_by: Option<Micros>,
@@ -95,6 +98,7 @@
             next_ticket: 0,
             links: HashMap::new(),
             effects: Vec::new(),
+            dirty: Vec::new(),
             next_housekeeping: 0,
             stop_by: None,
             stopped: Vec::new(),
@@ -117,6 +121,7 @@
             if now >= self.next_housekeeping {
                 self.housekeeping(now);
             }
+            self.dirty.drain(..).for_each(|outlet| outlet.flush());
             if self.may_leave(now) {
                 return self.leave();
             }
@@ -132,6 +137,16 @@
                 let Ok(next) = messages.try_recv() else { break };
                 self.message(now, next);
             }
+            // Before the module's timers and the rest: what is decided goes out.
+            self.dirty.drain(..).for_each(|outlet| outlet.flush());
+        }
+    }
+
+    /// Answers a command of a connection, with the batch.
+    fn answer(&mut self, id: ConnectionId, cid: u16, completion: Completion) {
+        let Some(client) = self.clients.get(&id) else { return };
+        if client.connection.complete(cid, completion, &self.front) {
+            self.dirty.push(client.connection.outlet.clone());
         }
     }
 
@@ -173,7 +188,7 @@
             // It is not taken: other gateways of the volume serve it meanwhile.
             let come_back = self.options.catalogue.settings.most_advice;
             let refused = told(Answer::Refused { come_back }, &self.options.target.retry_delays);
-            return client.connection.complete(command.cid, refused, &self.front);
+            return self.answer(id, command.cid, refused);
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
@@ -198,10 +213,7 @@
         if let (true, Some(ticket)) = (aborted, ticket) {
             self.complete(ticket, Completion::of(NvmeStatus::passing(StatusCode::AbortRequested)));
         }
-        if let Some(client) = self.clients.get(&id) {
-            let done = Completion { dw0: u32::from(!aborted), ..Completion::of(NvmeStatus::SUCCESS) };
-            client.connection.complete(cid, done, &self.front);
-        }
+        self.answer(id, cid, Completion { dw0: u32::from(!aborted), ..Completion::of(NvmeStatus::SUCCESS) });
     }
 
     fn closed(&mut self, now: Micros, id: ConnectionId) {
@@ -263,7 +275,7 @@
     fn send(&mut self, now: Micros, send: Send) {
         let attempt = send.attempt;
         let end = match self.links.get(&send.node) {
-            Some(link) => link.send(send),
+            Some(link) => link.send(send, &mut self.dirty),
             None => Some(End::of(decisions::Outcome::Unreachable)),
         };
         if let Some(end) = end {
@@ -275,7 +287,7 @@
         let Some((id, cid)) = self.tickets.remove(&ticket) else { return };
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.tickets.remove(&cid);
-        client.connection.complete(cid, completion, &self.front);
+        self.answer(id, cid, completion);
     }
 
     fn list(&mut self, now: Micros, whole: bool, remembered: bool, lines: &[NodeLine]) {
@@ -431,6 +443,7 @@
     }
 
     fn leave(mut self) {
+        self.dirty.drain(..).for_each(|outlet| outlet.flush());
         self.clients.values().for_each(|c| c.connection.outlet.finish());
         self.links.values().for_each(|l| l.end());
         tracing::info!("every request taken is answered");
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -143,16 +143,15 @@
         self.session.lock().unwrap_or_else(|p| p.into_inner())
     }
 
-    /// Answers a command. The status is cut to what the host asked to be told.
-    pub(crate) fn complete(&self, cid: u16, mut completion: Completion, front: &Front) {
-        let mut out = BytesMut::new();
-        {
-            let mut session = self.session();
-            if !completion.status.is_success() {
-                completion.status = session.allowed(completion.status, &mut front.target());
-            }
-            session.complete(cid, completion, &mut out);
+    /// Answers a command. The status is cut to what the host asked to be told. The answer goes out with the next flush;
+    /// whether one is due.
+    pub(crate) fn complete(&self, cid: u16, mut completion: Completion, front: &Front) -> bool {
+        let mut session = self.session();
+        if !completion.status.is_success() {
+            completion.status = session.allowed(completion.status, &mut front.target());
         }
-        self.outlet.push(out);
+        self.outlet.append(|out| {
+            session.complete(cid, completion, out);
+        })
     }
 }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -123,8 +123,8 @@
     }
 
     /// Sends an attempt, or keeps it until the connection is up. Its end is reported once, unless it is forgotten.
-    /// `Some` is an end known at once: it never went out.
-    pub(crate) fn send(&self, send: Send) -> Option<End> {
+    /// `Some` is an end known at once: it never went out. An outlet to be flushed is added to `dirty`.
+    pub(crate) fn send(&self, send: Send, dirty: &mut Vec<Arc<Outlet>>) -> Option<End> {
         let mut state = self.state();
         match state.phase {
             Phase::Over => Some(End::of(Outcome::Unreachable)),
@@ -139,17 +139,20 @@
                 self.wanted.post();
                 None
             }
-            Phase::Up => self.submit(&mut state, send),
+            Phase::Up => self.submit(&mut state, send, dirty),
         }
     }
 
     /// Danger: attempts that nobody waits for any more still hold places in the node's queue. Where one has done so
     /// for longer than the command time-out and there is no room, the link is broken and made anew. Until then a full
     /// queue reports that the attempt never ran. Covers nodes that lose commands. Harm: what else is out is lost too.
-    fn submit(&self, state: &mut State, send: Send) -> Option<End> {
+    fn submit(&self, state: &mut State, send: Send, dirty: &mut Vec<Arc<Outlet>>) -> Option<End> {
         let Some((initiator, outlet)) = &mut state.queue else { return Some(End::of(Outcome::Unreachable)) };
-        let mut out = BytesMut::new();
-        let submitted = initiator.submit(submission(&send, state.next), &mut out);
+        let mut submitted = None;
+        let due = outlet.append(|out| submitted = initiator.submit(submission(&send, state.next), out));
+        if due {
+            dirty.push(outlet.clone());
+        }
         if submitted.is_none() {
             let stuck = state.flights.values().any(|f| f.1.elapsed() > self.options.command_timeout);
             if stuck {
@@ -160,8 +163,6 @@
         }
         state.flights.insert(state.next, (send.attempt, Instant::now()));
         state.next += 1;
-        let outlet = outlet.clone();
-        outlet.push(out);
         None
     }
 
@@ -263,7 +264,7 @@
         let (stream, initiator, _) = self.bring_up(1, cntlid, limits.in_capsule)?;
         let outlet = Arc::new(Outlet::new(&stream, SPILL)?);
         let admin_outlet = Arc::new(Outlet::new(&admin_stream, SPILL)?);
-        let mut ended = Vec::new();
+        let (mut ended, mut dirty) = (Vec::new(), Vec::new());
         {
             let mut state = self.state();
             if state.phase == Phase::Over {
@@ -275,9 +276,10 @@
             state.admin = Some((admin, admin_outlet));
             while let Some(send) = state.waiting.pop_front() {
                 let attempt = send.attempt;
-                ended.extend(self.submit(&mut state, send).map(|end| (attempt, end)));
+                ended.extend(self.submit(&mut state, send, &mut dirty).map(|end| (attempt, end)));
             }
         }
+        dirty.iter().for_each(Outlet::flush);
         ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::Ended(a, end)));
         let link = self.clone();
         task::spawn("link-admin", move || {
--- a/crates/gateway/src/outlet.rs
+++ b/crates/gateway/src/outlet.rs
@@ -40,33 +40,52 @@
     }
 
     /// Writes bytes, now or by and by, in the order of the calls.
-    pub(crate) fn push(self: &Arc<Self>, mut bytes: BytesMut) {
-        let mut spill = self.spill();
-        if spill.closed || spill.last || bytes.is_empty() {
-            return;
+    pub(crate) fn push(self: &Arc<Self>, bytes: BytesMut) {
+        if !bytes.is_empty() {
+            self.append(|rest| rest.unsplit(bytes));
+            self.flush();
         }
-        if spill.writing {
-            spill.rest.unsplit(bytes);
-        } else {
-            match write_now(&self.stream, &mut bytes) {
-                Ok(()) if bytes.is_empty() => return,
-                Ok(()) => {
-                    spill.rest = bytes;
-                    spill.writing = true;
-                    self.start(&mut spill);
-                }
-                Err(_) => return self.shut(&mut spill),
-            }
+    }
+
+    /// Appends bytes that go out with the next [`Outlet::flush`]. Whether one is due: many answers of one batch then
+    /// cost one call into the system.
+    pub(crate) fn append(&self, write: impl FnOnce(&mut BytesMut)) -> bool {
+        let mut spill = self.spill();
+        if spill.closed || spill.last {
+            return false;
         }
+        let first = spill.rest.is_empty();
+        write(&mut spill.rest);
         if spill.rest.len() > self.limit {
             tracing::warn!(limit = self.limit, "a peer does not read its answers; its connection is closed");
             self.shut(&mut spill);
         }
+        first && !spill.writing
+    }
+
+    /// Writes what was appended, as far as the socket takes it.
+    pub(crate) fn flush(self: &Arc<Self>) {
+        let mut spill = self.spill();
+        if spill.closed || spill.writing {
+            return;
+        }
+        match write_now(&self.stream, &mut spill.rest) {
+            Ok(()) if spill.rest.is_empty() => {}
+            Ok(()) => {
+                spill.writing = true;
+                self.start(&mut spill);
+            }
+            Err(_) => self.shut(&mut spill),
+        }
     }
 
     /// Closes once everything pushed so far is written.
     pub(crate) fn finish(&self) {
         let mut spill = self.spill();
+        if !spill.closed && !spill.writing {
+            // What was appended and not flushed yet goes out as far as the socket takes it.
+            let _ = write_now(&self.stream, &mut spill.rest);
+        }
         spill.last = true;
         if !spill.writing {
             self.shut(&mut spill);
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -213,11 +213,11 @@
             let what = format!("{} is not a power of two from 4 to 1024", l.transfer_kib);
             self.problem("limits.transfer_kib".into(), what);
         }
-        if l.spill_kib < l.transfer_kib as usize {
-            self.problem(
-                "limits.spill_kib".into(),
-                "less than one transfer; at least transfer_kib is needed",
-            );
+        // A client that reads slowly may have a whole queue of answers on the way: it asked for them.
+        let asked = l.queue_entries as usize * l.transfer_kib as usize;
+        if l.spill_kib < asked {
+            let what = format!("less than a queue of the largest answers; at least {asked} is needed");
+            self.problem("limits.spill_kib".into(), what);
         }
         for (n, &ms) in l.retry_delays_ms.iter().enumerate() {
             if ms == 0 || ms % 100 != 0 || ms > 6_553_500 {
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -135,7 +135,7 @@
             io_queues: 16,
             transfer_kib: 128,
             in_capsule_kib: 8,
-            spill_kib: 4096,
+            spill_kib: 32 * 1024,
             retry_delays_ms: [100, 500, 2000],
             stop_within_ms: 5000,
             workers: 0,
