--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -4,8 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use decisions::{
-    Action, Answer as ModuleAnswer, Event, Group, Micros, NodeEntry, NodeId, NodeState, Outcome, Repeats,
-    Request, RequestId, Scheduler, ShardId, VolumeId,
+    Action, Answer as ModuleAnswer, Event, Group, Micros, NodeEntry, NodeId, NodeLook, NodeState, Outcome,
+    Repeats, Request, RequestId, Scheduler, ShardId, VolumeId,
 };
 
 use crate::catalogue::{Catalogue, Part};
@@ -172,6 +172,48 @@
     pub nodes: Vec<NodeId>,
 }
 
+/// An operation that ended unserved.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedView {
+    /// When.
+    pub at: Micros,
+    /// Its name.
+    pub ticket: Ticket,
+    /// Namespace.
+    pub nsid: u32,
+    /// What it was to do.
+    pub opcode: Opcode,
+    /// Index of its class.
+    pub class: usize,
+    /// Refused with this advice; none: failed.
+    pub refused: Option<Micros>,
+    /// How old it was.
+    pub age: Micros,
+    /// Attempts sent for it.
+    pub attempts: u32,
+    /// How the last of them ended, as far as it did.
+    pub last: Option<Outcome>,
+}
+
+impl EndedView {
+    /// Why, as far as it shows from outside the module.
+    pub fn reason(&self) -> &'static str {
+        match (self.attempts, self.last) {
+            (0, _) => "held until it would have been late, or its limit",
+            (_, None) => "no answer in time",
+            (_, Some(Outcome::Unreachable)) => "node unreachable",
+            (_, Some(Outcome::Full)) => "node full",
+            (_, Some(Outcome::Error)) => "node error",
+            (_, Some(Outcome::Reset)) => "connection broke",
+            (_, Some(Outcome::TimedOut)) => "no answer in time",
+            (_, Some(_)) => "a part of it was not served",
+        }
+    }
+}
+
+/// Operations that ended unserved and are kept for people.
+const ENDED_KEPT: usize = 200;
+
 #[derive(Clone, Debug, PartialEq)]
 enum PieceState {
     Open,
@@ -193,6 +235,8 @@
     block_size: u32,
     taken: Micros,
     pieces: Vec<Piece>,
+    /// How the last attempt ended that did not serve.
+    last: Option<Outcome>,
 }
 
 struct Out {
@@ -222,6 +266,8 @@
     nodes: Vec<NodeView>,
     volumes: BTreeMap<u32, VolumeView>,
     tally: Tally,
+    ended: VecDeque<EndedView>,
+    reasons: BTreeMap<&'static str, u64>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -245,6 +291,8 @@
             nodes: Vec::new(),
             volumes,
             tally: Tally::default(),
+            ended: VecDeque::new(),
+            reasons: BTreeMap::new(),
             events: VecDeque::new(),
             actions: Vec::new(),
         }
@@ -299,7 +347,7 @@
         if operation.token == 0 {
             operation.token = self.token_salt ^ (ticket.0 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         }
-        self.open.insert(ticket, Open { operation, class, block_size, taken: self.now, pieces });
+        self.open.insert(ticket, Open { operation, class, block_size, taken: self.now, pieces, last: None });
         self.settle_events(effects);
     }
 
@@ -352,7 +400,7 @@
             } else {
                 Answer::Failed
             };
-            self.count_unserved(open.operation.nsid, &answer);
+            self.count_unserved(ticket, &answer);
             self.drop_operation(ticket);
             effects.push(Effect::Answer(ticket, answer));
         }
@@ -387,6 +435,11 @@
         }
         let served = end.outcome == Outcome::Served;
         let waiting = self.requests.get(&attempt.request).copied();
+        if let (false, Some((ticket, ..))) = (served, waiting)
+            && let Some(open) = self.open.get_mut(&ticket)
+        {
+            open.last = Some(end.outcome);
+        }
         self.events.push_back(Event::Answer(ModuleAnswer {
             request: attempt.request,
             attempt: attempt.n,
@@ -493,6 +546,21 @@
         }
     }
 
+    /// What the module thinks of a node.
+    pub fn look(&self, node: NodeId) -> Option<NodeLook> {
+        self.scheduler.look(node)
+    }
+
+    /// The last operations that ended unserved, oldest first.
+    pub fn ended_views(&self) -> impl Iterator<Item = &EndedView> {
+        self.ended.iter()
+    }
+
+    /// How many ended unserved, by reason.
+    pub fn reasons(&self) -> &BTreeMap<&'static str, u64> {
+        &self.reasons
+    }
+
     /// Operations that are owed an answer.
     pub fn open_operations(&self) -> usize {
         self.open.len()
@@ -620,12 +688,11 @@
         let Some(open) = self.open.get(&ticket) else { return };
         let harmless = self.repeat_is_harmless(open)
             || open.pieces.iter().enumerate().all(|(n, p)| n == index || p.sent == 0);
-        let nsid = open.operation.nsid;
         let answer = match refused {
             Some(come_back) if harmless => Answer::Refused { come_back },
             _ => Answer::Failed,
         };
-        self.count_unserved(nsid, &answer);
+        self.count_unserved(ticket, &answer);
         self.drop_operation(ticket);
         effects.push(Effect::Answer(ticket, answer));
     }
@@ -636,14 +703,34 @@
             || matches!(repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
     }
 
-    fn count_unserved(&mut self, nsid: u32, answer: &Answer) {
+    fn count_unserved(&mut self, ticket: Ticket, answer: &Answer) {
+        let Some(open) = self.open.get(&ticket) else { return };
         let failed = u64::from(*answer == Answer::Failed);
-        if let Some(view) = self.volumes.get_mut(&nsid) {
+        let ended = EndedView {
+            at: self.now,
+            ticket,
+            nsid: open.operation.nsid,
+            opcode: open.operation.opcode,
+            class: open.class,
+            refused: match answer {
+                Answer::Refused { come_back } => Some(*come_back),
+                _ => None,
+            },
+            age: self.now - open.taken,
+            attempts: open.pieces.iter().map(|p| p.sent).sum(),
+            last: open.last,
+        };
+        if let Some(view) = self.volumes.get_mut(&ended.nsid) {
             view.failed += failed;
             view.refused += 1 - failed;
         }
         self.tally.failed += failed;
         self.tally.refused += 1 - failed;
+        *self.reasons.entry(ended.reason()).or_default() += 1;
+        self.ended.push_back(ended);
+        if self.ended.len() > ENDED_KEPT {
+            self.ended.pop_front();
+        }
     }
 
     /// Answers an operation of which all parts are served.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,8 @@
 mod operation;
 
 pub use crate::catalogue::{Catalogue, CatalogueError, ClassRule, Part, Volume};
-pub use crate::core::{Core, Effect, End, ListedNode, NodeView, OpenView, Send, Tally, VolumeView};
+pub use crate::core::{
+    Core, Effect, End, EndedView, ListedNode, NodeView, OpenView, Send, Tally, VolumeView,
+};
 pub use crate::operation::{Answer, AttemptId, Opcode, Operation, Ticket};
-pub use decisions::{Micros, NodeState, Outcome};
+pub use decisions::{Micros, NodeLook, NodeState, Outcome};
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -281,6 +281,23 @@
     Timer(u64),
 }
 
+/// What the module thinks of a node, for operators.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeLook {
+    /// The law's bound on attempts out, within the reserve.
+    pub bound: f64,
+    /// The law's L: smoothed latency over aim.
+    pub load: f64,
+    /// Places taken.
+    pub held: usize,
+    /// Requests that wait for its shard.
+    pub waiting: usize,
+    /// No word from it for too long.
+    pub silent: bool,
+    /// It warms up.
+    pub cold: bool,
+}
+
 /// What a host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -1,6 +1,6 @@
 //! The engine: the one coroutine that owns the core.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc as thread_mpsc;
@@ -10,7 +10,8 @@
 use nvme::{Admission, Completion, IoCommand, Status as NvmeStatus, StatusCode};
 use records::Clock;
 use storage_core::{
-    Answer, AttemptId, Core, Effect, End, ListedNode, Micros, Opcode, OpenView, Operation, Send, Ticket,
+    Answer, AttemptId, Core, Effect, End, EndedView, ListedNode, Micros, Opcode, OpenView, Operation, Send,
+    Ticket,
 };
 
 use crate::front::{Connection, ConnectionId, Front};
@@ -18,7 +19,9 @@
 use crate::mapping::told;
 use crate::options::{GatewayOptions, NodeLine};
 use crate::outlet::Outlet;
-use crate::status::{ControlAnswer, ControlRequest, NodeStatus, RequestStatus, Status, VolumeStatus};
+use crate::status::{
+    ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
+};
 use crate::ticker::Ticker;
 
 /// Messages handled with one reading of the clock.
@@ -76,6 +79,10 @@
     next_ticket: u64,
     links: HashMap<NodeId, Arc<Link>>,
     effects: Vec<Effect>,
+    /// The operators' orders: their number, volumes held, everything paused.
+    revision: u64,
+    held: BTreeSet<u32>,
+    paused: bool,
     /// Outlets with something to write at the end of the batch.
     dirty: Vec<Arc<Outlet>>,
     started: Micros,
@@ -98,6 +105,9 @@
             next_ticket: 0,
             links: HashMap::new(),
             effects: Vec::new(),
+            revision: 0,
+            held: BTreeSet::new(),
+            paused: false,
             dirty: Vec::new(),
             next_housekeeping: 0,
             stop_by: None,
@@ -184,8 +194,8 @@
 
     fn command(&mut self, now: Micros, id: ConnectionId, command: IoCommand) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if self.stop_by.is_some() {
-            // It is not taken: other gateways of the volume serve it meanwhile.
+        if self.stop_by.is_some() || self.paused || self.held.contains(&command.nsid) {
+            // It is not taken: it never becomes a request, whether this gateway leaves or an operator holds the volume.
             let come_back = self.options.catalogue.settings.most_advice;
             let refused = told(Answer::Refused { come_back }, &self.options.target.retry_delays);
             return self.answer(id, command.cid, refused);
@@ -343,6 +353,21 @@
                 self.settle(now);
                 Ok(ControlAnswer::Done(now))
             }
+            ControlRequest::Orders { revision, lines, held, paused } => {
+                let volume = |name: &String| {
+                    let mut volumes = self.options.catalogue.volumes();
+                    volumes.find(|v| &v.name == name).map(|v| v.nsid)
+                };
+                (self.revision, self.paused) = (revision, paused);
+                self.held = held.iter().filter_map(volume).collect();
+                self.list(now, true, false, &lines);
+                self.settle(now);
+                Ok(ControlAnswer::Done(now))
+            }
+            ControlRequest::Ended => {
+                let ended = self.core.ended_views().map(|e| self.ended(e)).collect();
+                Ok(ControlAnswer::Ended(ended))
+            }
             ControlRequest::Stop => {
                 self.stop(now);
                 Ok(ControlAnswer::Done(now))
@@ -364,11 +389,31 @@
         }
     }
 
+    fn ended(&self, e: &EndedView) -> EndedStatus {
+        EndedStatus {
+            at: e.at,
+            id: e.ticket.0,
+            volume: self.options.catalogue.volume(e.nsid).map_or(String::new(), |v| v.name.clone()),
+            op: e.opcode.word().to_owned(),
+            class: self.options.catalogue.rules[e.class].name.clone(),
+            refused: e.refused,
+            age: e.age,
+            attempts: e.attempts,
+            reason: e.reason().to_owned(),
+        }
+    }
+
     fn status(&self, now: Micros) -> Status {
         let tally = self.core.tally();
         let nodes = self.core.node_views().iter().enumerate().map(|(id, n)| {
             let link = self.links.get(&NodeId(id as u32));
+            let look = self.core.look(NodeId(id as u32));
             NodeStatus {
+                bound: look.map_or(0.0, |l| l.bound),
+                l: look.map_or(0.0, |l| l.load),
+                waiting: look.map_or(0, |l| l.waiting),
+                silent: look.is_some_and(|l| l.silent),
+                cold: look.is_some_and(|l| l.cold),
                 name: n.name.clone(),
                 address: link.map_or(String::new(), |l| l.address.to_string()),
                 zone: n.zone,
@@ -401,6 +446,15 @@
         });
         Status {
             name: self.options.name.clone(),
+            pid: std::process::id(),
+            revision: self.revision,
+            held: self
+                .held
+                .iter()
+                .filter_map(|n| self.options.catalogue.volume(*n))
+                .map(|v| v.name.clone())
+                .collect(),
+            paused: self.paused,
             address: self.address.clone(),
             started: self.started,
             now,
@@ -417,6 +471,7 @@
             sent: tally.sent,
             further: tally.further,
             late: tally.late,
+            reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,4 +23,6 @@
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
-pub use status::{ControlAnswer, ControlRequest, NodeStatus, RequestStatus, Status, VolumeStatus};
+pub use status::{
+    ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
+};
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -23,6 +23,19 @@
         /// The lines.
         lines: Vec<NodeLine>,
     },
+    /// What the operators' intents mean: the whole node list, and what is not taken.
+    Orders {
+        /// The intents' number.
+        revision: u64,
+        /// The whole list.
+        lines: Vec<NodeLine>,
+        /// Volumes of which nothing new is taken, by name.
+        held: Vec<String>,
+        /// Nothing new is taken at all.
+        paused: bool,
+    },
+    /// The last operations that ended unserved.
+    Ended,
     /// Take nothing new, answer all, and leave.
     Stop,
 }
@@ -35,15 +48,48 @@
     Status(Box<Status>),
     /// The open requests.
     Requests(Vec<RequestStatus>),
+    /// Operations that ended unserved, oldest first.
+    Ended(Vec<EndedStatus>),
     /// Carried out; the time on the gateway's clock.
     Done(Micros),
 }
 
+/// An operation that ended unserved.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct EndedStatus {
+    /// When.
+    pub at: Micros,
+    /// Its number.
+    pub id: u64,
+    /// Volume.
+    pub volume: String,
+    /// What it was to do.
+    pub op: String,
+    /// Class.
+    pub class: String,
+    /// Refused with this advice; none: failed.
+    pub refused: Option<Micros>,
+    /// How old it was.
+    pub age: Micros,
+    /// Attempts sent.
+    pub attempts: u32,
+    /// Why, as far as it shows.
+    pub reason: String,
+}
+
 /// The state of a gateway. Times are microseconds since the Unix epoch.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Status {
     /// Its name.
     pub name: String,
+    /// Its process.
+    pub pid: u32,
+    /// The intents that it follows.
+    pub revision: u64,
+    /// Volumes held.
+    pub held: Vec<String>,
+    /// Nothing new is taken.
+    pub paused: bool,
     /// Where it listens.
     pub address: String,
     /// When it started.
@@ -76,6 +122,8 @@
     pub further: u64,
     /// Ends that nobody waited for.
     pub late: u64,
+    /// What ended unserved, by reason.
+    pub reasons: std::collections::BTreeMap<String, u64>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
@@ -113,6 +161,16 @@
     pub heard: Micros,
     /// Latency of its last answer, in microseconds.
     pub latency: Micros,
+    /// The law's bound on attempts out.
+    pub bound: f64,
+    /// The law's L: smoothed latency over aim.
+    pub l: f64,
+    /// Requests that wait for its shard.
+    pub waiting: usize,
+    /// No word from it for too long.
+    pub silent: bool,
+    /// It warms up.
+    pub cold: bool,
 }
 
 /// A volume as the gateway sees it.
