--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -50,34 +50,180 @@
     },
     /// Map the troubles of a bench day to a scripted day, play it and judge it
     ReplayDay(ReplayArgs),
-    /// Show the state of a gateway
+    /// Run a whole site: supervise its gateways and stand-in nodes, keep the operators' intents, serve consoles
+    ///
+    /// SIGTERM, SIGINT or `crowbay stop --state DIR` stop the site in order. Killed, it leaves the processes running; started
+    /// again on the same state it adopts them.
+    Appliance(ApplianceArgs),
+    /// Watch and steer a site from this terminal
+    Console(ConsoleArgs),
+    /// Show the state of a site, or of one gateway
     Status(At),
-    /// Show the open requests of a gateway, oldest first
+    /// Show the nodes of a site: state, who says so, attempts out, the law's bound and L
+    Nodes(SiteAt),
+    /// Show the volumes of a site
+    Volumes(SiteAt),
+    /// Show the open requests, oldest first
     Requests {
-        /// Where it is reached
+        /// Where they are
         #[command(flatten)]
         at: At,
-        /// At most so many
+        /// At most so many of each gateway
+        #[arg(long, default_value_t = 50)]
+        most: usize,
+    },
+    /// Tell why a request waits, or how it ended
+    Why {
+        /// Number of the request, as `requests` shows it: GATEWAY/NUMBER
+        request: String,
+        /// Where
+        #[command(flatten)]
+        at: SiteAt,
+    },
+    /// Send nothing new to a node
+    Drain(IntentArgs),
+    /// Let a node take work again
+    Undrain(IntentArgs),
+    /// Take nothing new of a volume; what is in flight ends
+    Hold(IntentArgs),
+    /// Take a volume's requests again
+    Release(IntentArgs),
+    /// Take nothing new at all
+    Pause(SiteAt),
+    /// Take requests again
+    Resume(SiteAt),
+    /// Leave a note for whoever looks next
+    Note {
+        /// The note
+        text: String,
+        /// Where
+        #[command(flatten)]
+        at: SiteAt,
+    },
+    /// Show the audit record: who changed what, when, and the value before
+    Log {
+        /// Where
+        #[command(flatten)]
+        at: SiteAt,
+        /// The last so many entries
         #[arg(long, default_value_t = 50)]
         most: usize,
     },
-    /// Tell a gateway to take nothing new, answer all, and leave
+    /// Start again processes that ended too often and were given up
+    Revive(SiteAt),
+    /// Stop a site in order, or tell one gateway to answer all and leave
     Stop(At),
+    /// Write a commented site file
+    Init(InitArgs),
+    /// Check a site before its start: file, ports, limits, rights, space, clock
+    Doctor {
+        /// Site file
+        #[arg(long)]
+        config: PathBuf,
+        /// Folder of the state
+        #[arg(long)]
+        state: PathBuf,
+    },
+    /// Print the completion script of a shell
+    Completions {
+        /// The shell
+        shell: clap_complete::Shell,
+    },
+    /// Write the manual pages into a folder
+    Man {
+        /// The folder
+        dir: PathBuf,
+    },
     /// Measure the path: straight to one node without work, against through the gateway
     Bench(BenchArgs),
 }
 
-/// How a gateway is reached.
+/// How a site or one gateway is reached.
 #[derive(Debug, Args)]
+#[group(skip)]
 pub struct At {
-    /// Its control socket
+    /// Folder of the site's state
+    #[arg(long, required_unless_present = "control", conflicts_with = "control")]
+    pub state: Option<PathBuf>,
+    /// Control socket of one gateway
     #[arg(long)]
-    pub control: PathBuf,
+    pub control: Option<PathBuf>,
     /// Print JSON
     #[arg(long)]
     pub json: bool,
 }
 
+/// How a site is reached.
+#[derive(Debug, Args)]
+pub struct SiteAt {
+    /// Folder of the site's state
+    #[arg(long)]
+    pub state: PathBuf,
+    /// Print JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
+/// Arguments of a change.
+#[derive(Debug, Args)]
+pub struct IntentArgs {
+    /// Name of the node or volume
+    pub name: String,
+    /// Where
+    #[command(flatten)]
+    pub at: SiteAt,
+    /// Carry it out although requests will be refused
+    #[arg(long)]
+    pub confirm: bool,
+}
+
+/// Arguments of `appliance`.
+#[derive(Debug, Args)]
+pub struct ApplianceArgs {
+    /// Site file
+    #[arg(long)]
+    pub config: PathBuf,
+    /// Folder of the state: journal, sockets, locks, logs
+    #[arg(long)]
+    pub state: PathBuf,
+}
+
+/// Arguments of `console`.
+#[derive(Debug, Args)]
+pub struct ConsoleArgs {
+    /// Folder of the site's state
+    #[arg(long)]
+    pub state: PathBuf,
+    /// Print the view once, as text, and end
+    #[arg(long)]
+    pub once: bool,
+    /// With --once: as JSON
+    #[arg(long, requires = "once")]
+    pub json: bool,
+}
+
+/// Arguments of `init`.
+#[derive(Debug, Args)]
+pub struct InitArgs {
+    /// The file to write; one that is there is not overwritten
+    pub file: PathBuf,
+    /// Name of the site; left out: asked for
+    #[arg(long)]
+    pub name: Option<String>,
+    /// Stand-in nodes; left out: asked for
+    #[arg(long)]
+    pub nodes: Option<u32>,
+    /// Gateways; left out: asked for
+    #[arg(long)]
+    pub gateways: Option<u32>,
+    /// Volumes; left out: asked for
+    #[arg(long)]
+    pub volumes: Option<u32>,
+    /// First port of the gateways; left out: asked for
+    #[arg(long)]
+    pub port: Option<u16>,
+}
+
 /// Arguments of `gateway`.
 #[derive(Debug, Args)]
 pub struct GatewayArgs {
@@ -99,6 +245,12 @@
     /// Seed of the module's randomness; left out: from the clock
     #[arg(long)]
     pub seed: Option<u64>,
+    /// Lock file that stands for the identity: a second gateway on it is not started
+    #[arg(long)]
+    pub lock: Option<PathBuf>,
+    /// Take nothing until the supervisor's first orders
+    #[arg(long, hide = true)]
+    pub await_orders: bool,
     /// End when standard input closes
     #[arg(long, hide = true)]
     pub with_parent: bool,
@@ -125,6 +277,9 @@
     /// Start cold
     #[arg(long)]
     pub cold: bool,
+    /// Lock file that stands for the identity: a second node on it is not started
+    #[arg(long)]
+    pub lock: Option<PathBuf>,
     /// End when standard input closes
     #[arg(long, hide = true)]
     pub with_parent: bool,
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -5,13 +5,16 @@
 mod command;
 mod day;
 mod log;
+mod operate;
 mod serve;
+mod setup;
 mod show;
 
 use std::process::ExitCode;
 
 use clap::Parser;
 use command::{Cli, Command};
+use steering::Change;
 
 /// The file, field or argument was wrong.
 pub(crate) const USAGE: u8 = 2;
@@ -40,9 +43,27 @@
         Command::Badday { file, out } => day::badday(&file, &out),
         Command::Judge { dir } => day::judge(&dir),
         Command::ReplayDay(args) => day::replay(&args),
-        Command::Status(args) => show::status(&args),
+        Command::Appliance(args) => serve::appliance(&args),
+        Command::Console(args) => operate::console(&args),
+        Command::Status(at) => show::status(&at),
+        Command::Nodes(at) => operate::nodes(&at),
+        Command::Volumes(at) => operate::volumes(&at),
         Command::Requests { at, most } => show::requests(&at, most),
-        Command::Stop(args) => show::stop(&args),
+        Command::Why { request, at } => operate::why(&request, &at),
+        Command::Drain(args) => operate::named(Change::Drain, &args),
+        Command::Undrain(args) => operate::named(Change::Undrain, &args),
+        Command::Hold(args) => operate::named(Change::Hold, &args),
+        Command::Release(args) => operate::named(Change::Release, &args),
+        Command::Pause(at) => operate::intent(Change::Pause, &at, true),
+        Command::Resume(at) => operate::intent(Change::Resume, &at, true),
+        Command::Note { text, at } => operate::intent(Change::Note(text), &at, true),
+        Command::Log { at, most } => operate::log(&at, most),
+        Command::Revive(at) => operate::revive(&at),
+        Command::Stop(at) => show::stop(&at),
+        Command::Init(args) => setup::init(&args),
+        Command::Doctor { config, state } => setup::doctor(&config, &state),
+        Command::Completions { shell } => setup::completions(shell),
+        Command::Man { dir } => setup::man(&dir),
         Command::Bench(args) => day::bench(&args),
     };
     match done {
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -3,7 +3,10 @@
 use std::io::{Read, Write};
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 
+use appliance::{Identity, Paths};
 use emulator::{Node, NodeStatus};
 use gateway::{Gateway, NodeLine};
 use lab::{NodeRequest, Ready};
@@ -12,7 +15,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::command::{GatewayArgs, NodeArgs};
+use crate::command::{ApplianceArgs, GatewayArgs, NodeArgs};
 use crate::{Ended, Failure, USAGE, log};
 
 /// Reads a site file; its problems are the caller's mistake.
@@ -59,7 +62,10 @@
         None => site.node_lines(),
     };
     let seed = args.seed.unwrap_or_else(|| Clock::new().now() as u64 ^ u64::from(std::process::id()) << 40);
-    let gateway = Gateway::start(site.gateway_options(index, seed, nodes, args.control.clone())?)?;
+    let _identity = args.lock.as_deref().map(Identity::take).transpose()?;
+    let mut options = site.gateway_options(index, seed, nodes, args.control.clone())?;
+    options.await_orders = args.await_orders;
+    let gateway = Gateway::start(options)?;
     if args.with_parent {
         end_with_parent();
     }
@@ -95,6 +101,7 @@
             .map_err(|e| Failure { code: USAGE, what: format!("{}: {e}", path.display()) })?,
         None => Recorder::none(),
     };
+    let _identity = args.lock.as_deref().map(Identity::take).transpose()?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let node = std::sync::Arc::new(Node::start(site.node_options(index, args.cold), recorder)?);
     if let Some(path) = &args.control {
@@ -119,3 +126,21 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+pub fn appliance(args: &ApplianceArgs) -> Ended {
+    let site = load(&args.config)?;
+    log::start(&site.log);
+    let wrong = |e: std::io::Error| Failure { code: USAGE, what: format!("{}: {e}", args.config.display()) };
+    let paths = Paths {
+        config: args.config.canonicalize().map_err(wrong)?,
+        state: std::path::absolute(&args.state)?,
+        exe: std::env::current_exe()?,
+    };
+    let stop = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, stop.clone())?;
+    signal_hook::flag::register(SIGINT, stop.clone())?;
+    appliance::run(paths, &stop, |paths| {
+        println!("the site is supervised; watch it with: crowbay console --state {}", paths.state.display());
+    })?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -6,8 +6,8 @@
 
 use gateway::{ControlAnswer, ControlRequest, Status};
 
-use crate::command::At;
-use crate::{Ended, Failure};
+use crate::command::{At, SiteAt};
+use crate::{Ended, Failure, operate};
 
 pub fn check(file: &Path) -> Ended {
     let site = crate::serve::load(file)?;
@@ -25,8 +25,13 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn ask(at: &At, request: &ControlRequest) -> Result<ControlAnswer, Failure> {
-    Ok(control::call(&at.control, request, Duration::from_secs(10))?)
+fn ask(control: &Path, request: &ControlRequest) -> Result<ControlAnswer, Failure> {
+    Ok(control::call(control, request, Duration::from_secs(10))?)
+}
+
+fn site_at(at: &At) -> SiteAt {
+    // The arguments ask for one of the two.
+    SiteAt { state: at.state.clone().unwrap_or_default(), json: at.json }
 }
 
 fn unexpected() -> Failure {
@@ -34,7 +39,10 @@
 }
 
 pub fn status(at: &At) -> Ended {
-    let ControlAnswer::Status(status) = ask(at, &ControlRequest::Status)? else { return Err(unexpected()) };
+    let Some(control) = &at.control else { return operate::status(&site_at(at)) };
+    let ControlAnswer::Status(status) = ask(control, &ControlRequest::Status)? else {
+        return Err(unexpected());
+    };
     if at.json {
         println!("{}", serde_json::to_string_pretty(&status)?);
     } else {
@@ -86,7 +94,8 @@
 }
 
 pub fn requests(at: &At, most: usize) -> Ended {
-    let ControlAnswer::Requests(requests) = ask(at, &ControlRequest::Requests { most })? else {
+    let Some(control) = &at.control else { return operate::requests(&site_at(at), most) };
+    let ControlAnswer::Requests(requests) = ask(control, &ControlRequest::Requests { most })? else {
         return Err(unexpected());
     };
     if at.json {
@@ -109,7 +118,8 @@
 }
 
 pub fn stop(at: &At) -> Ended {
-    ask(at, &ControlRequest::Stop)?;
+    let Some(control) = &at.control else { return operate::stop(&site_at(at)) };
+    ask(control, &ControlRequest::Stop)?;
     println!("the gateway takes nothing new and leaves once all is answered");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -107,7 +107,7 @@
             effects: Vec::new(),
             revision: 0,
             held: BTreeSet::new(),
-            paused: false,
+            paused: options.await_orders,
             dirty: Vec::new(),
             next_housekeeping: 0,
             stop_by: None,
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -104,6 +104,8 @@
     pub spill: usize,
     /// The node list from before the start.
     pub nodes: Vec<NodeLine>,
+    /// Nothing is taken until the first orders come.
+    pub await_orders: bool,
     /// Control socket.
     pub control: Option<PathBuf>,
     /// Told to stop, it leaves within this, having answered all it took.
--- a/crates/lab/src/replay.rs
+++ b/crates/lab/src/replay.rs
@@ -360,6 +360,7 @@
             limits: Limits::default(),
             link: Link::default(),
             log: Log { format: LogFormat::Text, level: LogLevel::Warn },
+            appliance: settings::Appliance::default(),
             class: self.classes(day),
             plan: self.plans(day, capacity),
             volume: self.volumes(),
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -188,6 +188,7 @@
             connections: l.connections,
             spill: l.spill_kib * 1024,
             nodes,
+            await_orders: false,
             control,
             stop_within: millis(l.stop_within_ms),
             workers: l.workers,
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -23,6 +23,9 @@
     /// Logs.
     #[serde(default)]
     pub log: Log,
+    /// The appliance.
+    #[serde(default)]
+    pub appliance: Appliance,
     /// Classes, in the order in which they are tried.
     pub class: Vec<Class>,
     /// Plans.
@@ -144,6 +147,20 @@
     }
 }
 
+/// The appliance: what its supervisor runs.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Appliance {
+    /// Stand-in nodes are processes of the site; else they run somewhere else, at their stated addresses.
+    pub run_nodes: bool,
+}
+
+impl Default for Appliance {
+    fn default() -> Self {
+        Appliance { run_nodes: true }
+    }
+}
+
 /// Links to nodes.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields, default)]
--- a/crates/steering/src/intents.rs
+++ b/crates/steering/src/intents.rs
@@ -260,6 +260,11 @@
         self.versions.get(subject).copied().unwrap_or_default()
     }
 
+    /// Versions of all subjects that were ever changed.
+    pub fn versions(&self) -> &BTreeMap<String, Revision> {
+        &self.versions
+    }
+
     /// Whether a change would leave the state as it is, and since when.
     fn already(&self, change: &Change) -> Option<Option<&Mark>> {
         match change {
