--- a/crates/crowbay/tests/appliance.rs
+++ b/crates/crowbay/tests/appliance.rs
@@ -488,3 +488,45 @@
     let report = judge(&Day::read(&stage.state()).unwrap());
     assert!(report.kept() && report.lost == 0, "{:#?}", report.rules);
 }
+
+#[test]
+fn a_silent_node_with_work_out_is_drained_twice_and_undone_and_no_answer_is_lost() {
+    let stage = Stage::new(2, 2);
+    let mut client = stage.client();
+    let view = stage.all_up(&mut client);
+    let load = Load::start(&stage, &view, 200.0);
+    stage.until(&mut client, "it is served", |v| v.volumes[0].served > 20);
+    let fault = |on| {
+        let request = lab::NodeRequest::Fault(emulator::Fault::Silent(on));
+        let control = stage.state().join("node1.sock");
+        control::call::<_, Option<emulator::NodeStatus>>(&control, &request, PATIENCE)
+            .expect("it is switched")
+    };
+    fault(true);
+    stage.until(&mut client, "attempts hang at it", |v| v.nodes[0].out > 0);
+    let clock = Clock::new();
+    let drained = clock.now();
+    let drain = || Change::Drain("node1".into());
+    assert!(client.intent(drain(), "anna", "test", None, true).unwrap().is_done());
+    let twice = client.intent(drain(), "anna", "test", None, true).unwrap();
+    assert!(matches!(twice, Verdict::Already { since: Some(_) }), "{twice:?}");
+    stage.until(&mut client, "the drain is followed", |v| is_drained(v, "node1"));
+    // What hung is answered at its deadline, while nothing new goes there.
+    stage.until(&mut client, "nothing is out there any more", |v| v.nodes[0].out == 0);
+    fault(false);
+    let undone = clock.now();
+    assert!(client.intent(Change::Undrain("node1".into()), "anna", "test", None, false).unwrap().is_done());
+    let before = view.nodes[0].served;
+    stage.until(&mut client, "it serves again", |v| {
+        v.nodes[0].state == State::On && v.nodes[0].served > before + 20
+    });
+    load.end();
+    let lines: Vec<NodeLine> = records::read(&stage.state().join("node-node1.jsonl")).unwrap();
+    let late = lines.iter().filter(|l| match l {
+        NodeLine::Arrive { t, .. } => (drained + 1_000_000..undone).contains(t),
+        _ => false,
+    });
+    assert_eq!(late.count(), 0, "new work a second after the drain");
+    let report = judge(&Day::read(&stage.state()).unwrap());
+    assert!(report.kept() && report.lost == 0, "{:#?}", report.rules);
+}
