The site's end waits for the last answers to be written, not for a time

Cause: the loop slept 50 ms at its end so that answers given last would go out. Change: it waits until they are written, one second at most, so that a console which never reads holds up nothing.

--- a/crates/appliance/src/hub.rs
+++ b/crates/appliance/src/hub.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
 
 use crate::view::SiteView;
 use crate::wire::{self, Answer, FromConsole, Hello, Question, ToConsole, Update, VERSION};
@@ -36,6 +37,8 @@
     behind: bool,
     open: usize,
     closed: bool,
+    /// An answer is being written.
+    writing: bool,
 }
 
 /// A console as the site sees it.
@@ -108,6 +111,19 @@
         *self.view.lock().unwrap_or_else(|p| p.into_inner()) = Arc::new(view);
     }
 
+    /// Waits until the answers given so far are written, or the time is up: a console that never reads is not waited for
+    /// longer.
+    pub(crate) fn settle(&self, within: Duration) {
+        let end = Instant::now() + within;
+        for console in self.consoles().clone() {
+            let mut outbox = console.outbox();
+            while (outbox.writing || !outbox.answers.is_empty()) && !outbox.closed && Instant::now() < end {
+                let left = end.saturating_duration_since(Instant::now());
+                outbox = console.wake.wait_timeout(outbox, left).unwrap_or_else(|p| p.into_inner()).0;
+            }
+        }
+    }
+
     /// Hands an update to every console that subscribed.
     pub(crate) fn publish(&self, update: Update) {
         let consoles = self.consoles().clone();
@@ -131,7 +147,7 @@
     }
 
     fn converse(&self, mut stream: UnixStream, site: &str, to_site: &Sender<Asked>) -> io::Result<()> {
-        stream.set_read_timeout(Some(std::time::Duration::from_secs(10)))?;
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
         let Some(hello) = wire::read::<Hello>(&mut stream)? else { return Ok(()) };
         let full = self.consoles().len() >= CONSOLES;
         if hello.version != VERSION || full {
@@ -201,7 +217,10 @@
     fn next(&self, console: &Console) -> io::Result<Option<Vec<u8>>> {
         let mut outbox = console.outbox();
         loop {
+            outbox.writing = false;
+            console.wake.notify_all();
             if let Some(answer) = outbox.answers.pop_front() {
+                outbox.writing = true;
                 return Ok(Some(answer));
             }
             if outbox.closed {
--- a/crates/appliance/src/site.rs
+++ b/crates/appliance/src/site.rs
@@ -248,8 +248,7 @@
             }
         }
         self.tell();
-        // Answers that were given last still go out.
-        std::thread::sleep(Duration::from_millis(50));
+        self.hub.settle(Duration::from_secs(1));
     }
 
     fn happened(&mut self, happening: Happens) {
