--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -36,13 +36,7 @@
     /// Show it: one gateway, six stand-in nodes, clients and some troubles, in one process for 30 s
     Demo(DemoArgs),
     /// Play a scripted day through real gateway and node processes, and judge it
-    Badday {
-        /// The day file: a site with [day], [[client]] and [[trouble]]
-        file: PathBuf,
-        /// Folder for the records, logs and report.json
-        #[arg(long)]
-        out: PathBuf,
-    },
+    Badday(BaddayArgs),
     /// Hold the records of a day against the seven rules
     Judge {
         /// The folder that a day was played into
@@ -299,6 +293,22 @@
     pub seconds: f64,
 }
 
+/// Arguments of `badday`.
+#[derive(Debug, Args)]
+pub struct BaddayArgs {
+    /// The day file: a site with [day], [[client]] and [[trouble]]; with --random any site file
+    pub file: PathBuf,
+    /// Folder for the records, logs and report.json
+    #[arg(long)]
+    pub out: PathBuf,
+    /// Draw the troubles by this seed in place of the file's; the day is kept as OUT/drawn.toml
+    #[arg(long, value_name = "SEED")]
+    pub random: Option<u64>,
+    /// How many troubles are drawn
+    #[arg(long, requires = "random", default_value_t = 45, value_parser = clap::value_parser!(u32).range(1..=1000))]
+    pub troubles: u32,
+}
+
 /// Arguments of `replay-day`.
 #[derive(Debug, Args)]
 pub struct ReplayArgs {
--- a/crates/crowbay/src/day.rs
+++ b/crates/crowbay/src/day.rs
@@ -9,7 +9,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::command::{BenchArgs, DemoArgs, ReplayArgs};
+use crate::command::{BaddayArgs, BenchArgs, DemoArgs, ReplayArgs};
 use crate::{Ended, Failure, USAGE, log};
 
 /// A folder of this process, removed at its end unless it was asked for.
@@ -103,7 +103,19 @@
     Ok(std::env::current_exe()?)
 }
 
-pub fn badday(file: &Path, out: &Path) -> Ended {
+/// Plays a day file, or one that is drawn from it.
+pub fn badday_of(args: &BaddayArgs) -> Ended {
+    let Some(seed) = args.random else { return badday(&args.file, &args.out) };
+    let mut site = crate::serve::load(&args.file)?;
+    lab::draw_day(&mut site, lab::Draw { seed, troubles: args.troubles as usize });
+    std::fs::create_dir_all(&args.out)?;
+    let file = args.out.join("drawn.toml");
+    std::fs::write(&file, toml::to_string(&site)?)?;
+    println!("{} troubles drawn by seed {seed}: {}", args.troubles, file.display());
+    badday(&file, &args.out)
+}
+
+fn badday(file: &Path, out: &Path) -> Ended {
     crate::serve::load(file)?;
     let played = lab::play(&exe()?, file, out, &mut |line| println!("{line}"))?;
     let report = &played.report;
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -40,7 +40,7 @@
         Command::Gateway(args) => serve::gateway(&args),
         Command::Node(args) => serve::node(&args),
         Command::Demo(args) => day::demo(&args),
-        Command::Badday { file, out } => day::badday(&file, &out),
+        Command::Badday(args) => day::badday_of(&args),
         Command::Judge { dir } => day::judge(&dir),
         Command::ReplayDay(args) => day::replay(&args),
         Command::Appliance(args) => serve::appliance(&args),
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -480,7 +480,12 @@
     fn down(&self, state: &mut State) {
         state.faults.down = true;
         state.jobs.clear();
-        state.connections.values().for_each(|c| c.outlet.close());
+        // Danger: bytes that came before the death must not be handled after it, not even once it is back.
+        let State { target, connections, .. } = &mut *state;
+        for (_, mut connection) in connections.drain() {
+            connection.session.closed(target, &mut Vec::new());
+            connection.outlet.close();
+        }
         self.recorder.write(&NodeLine::Down { t: self.clock.now() });
     }
 
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -243,6 +243,23 @@
     stage.until("the link comes back", |s| s.nodes[0].link == "up");
 }
 
+#[test]
+fn what_reached_a_node_before_it_died_does_not_run_once_it_is_back() {
+    let stage = Stage::new();
+    let host = stage.host(1);
+    stage.nodes[0].fault(Fault::Stall(true));
+    // Two blocks are the unsafe class: it is not sent again.
+    host.write(1, 1, 0, 2, fill(5, 1, 0, 2, 4096), 5).unwrap();
+    stage.until("the write is out", |s| s.out == 1);
+    stage.nodes[0].fault(Fault::Die);
+    stage.nodes[0].fault(Fault::Revive);
+    assert_eq!(stage.answer().word, Word::Failed, "it may have run");
+    stage.until("the link is up", |s| s.nodes[0].link == "up");
+    // A node serves in turn of arrival: what came before would have run before this.
+    host.read(1, 1, 0, 2, 4096, 6).unwrap();
+    assert_eq!(look(served(&stage.answer()), 1, 0, 4096), [Found::Empty, Found::Empty]);
+}
+
 #[test]
 fn a_node_that_refuses_connections_and_one_that_dies_come_back() {
     let stage = Stage::new();
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod demo;
 mod feed;
 mod fleet;
+mod random;
 mod replay;
 mod timeline;
 
@@ -19,6 +20,7 @@
 pub use demo::{Demo, DemoReady, demo_site};
 pub use fleet::{NodeRequest, Ready};
 pub use load::Summary;
+pub use random::{Draw, draw_day};
 pub use replay::{Mapped, map_day};
 
 use std::io;
