A host without tokens is told "refused" only if nothing of its write ran

Need: an ordinary host sets no token; its repeat carries another one, which no node can recognise. The rule for several parts called such a write refused, safe to repeat, in classes whose repeats every node discards, though a part had run.

Change: the core counts for each part the attempts that are out, were served or may have run; a write is refused only if there are none, or its class is safe, or the client gave the token and the class's group is all nodes. A leaving gateway judges by the same.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -227,10 +227,14 @@
     state: PieceState,
     /// Attempts sent.
     sent: u32,
+    /// Attempts that are out, were served, or may have run.
+    doubt: u32,
 }
 
 struct Open {
     operation: Operation,
+    /// The client gave the token: its repeat carries the same.
+    named: bool,
     class: usize,
     block_size: u32,
     taken: Micros,
@@ -332,7 +336,7 @@
                 retry: false,
             }));
             self.requests.insert(request, (ticket, pieces.len(), self.now + patience));
-            pieces.push(Piece { request, part, state: PieceState::Open, sent: 0 });
+            pieces.push(Piece { request, part, state: PieceState::Open, sent: 0, doubt: 0 });
             if let Some(view) = self.volumes.get_mut(&operation.nsid) {
                 view.units += units;
             }
@@ -344,10 +348,12 @@
         }
         self.tally.taken += 1;
         let mut operation = operation;
-        if operation.token == 0 {
+        let named = operation.token != 0;
+        if !named {
             operation.token = self.token_salt ^ (ticket.0 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         }
-        self.open.insert(ticket, Open { operation, class, block_size, taken: self.now, pieces, last: None });
+        let taken = self.now;
+        self.open.insert(ticket, Open { operation, named, class, block_size, taken, pieces, last: None });
         self.settle_events(effects);
     }
 
@@ -394,8 +400,7 @@
         tickets.sort();
         for ticket in tickets {
             let Some(open) = self.open.get(&ticket) else { continue };
-            let untouched = open.pieces.iter().all(|p| p.sent == 0);
-            let answer = if untouched || self.repeat_is_harmless(open) {
+            let answer = if self.repeat_is_harmless(open) {
                 Answer::Refused { come_back: self.catalogue.settings.most_advice }
             } else {
                 Answer::Failed
@@ -435,10 +440,12 @@
         }
         let served = end.outcome == Outcome::Served;
         let waiting = self.requests.get(&attempt.request).copied();
-        if let (false, Some((ticket, ..))) = (served, waiting)
+        if let (false, Some((ticket, index, _))) = (served, waiting)
             && let Some(open) = self.open.get_mut(&ticket)
         {
             open.last = Some(end.outcome);
+            let never_ran = matches!(end.outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
+            open.pieces[index].doubt -= u32::from(never_ran);
         }
         self.events.push_back(Event::Answer(ModuleAnswer {
             request: attempt.request,
@@ -649,6 +656,7 @@
         let piece = &mut open.pieces[index];
         let attempt = AttemptId { request, n: piece.sent };
         piece.sent += 1;
+        piece.doubt += 1;
         self.tally.sent += 1;
         self.tally.further += u64::from(attempt.n > 0);
         let due = if patience > 0 { deadline.min(self.now + patience) } else { deadline };
@@ -680,16 +688,14 @@
     }
 
     /// The module ended a request unserved: the whole operation ends with it. Danger: a write of several parts of
-    /// which one went through must not be called refused; it is, only where repeating all of it is harmless.
+    /// which one went through must not be called refused; it is only where repeating all of it is harmless.
     fn end(&mut self, request: RequestId, refused: Option<Micros>, effects: &mut Vec<Effect>) {
         let Some((ticket, index, _)) = self.requests.remove(&request) else { return };
         let Some(open) = self.open.get_mut(&ticket) else { return };
         open.pieces[index].state = PieceState::Over;
         let Some(open) = self.open.get(&ticket) else { return };
-        let harmless = self.repeat_is_harmless(open)
-            || open.pieces.iter().enumerate().all(|(n, p)| n == index || p.sent == 0);
         let answer = match refused {
-            Some(come_back) if harmless => Answer::Refused { come_back },
+            Some(come_back) if self.repeat_is_harmless(open) => Answer::Refused { come_back },
             _ => Answer::Failed,
         };
         self.count_unserved(ticket, &answer);
@@ -697,10 +703,15 @@
         effects.push(Effect::Answer(ticket, answer));
     }
 
+    /// Whether the client may repeat the whole operation without a second effect: nothing of it can have run, or nodes
+    /// discard the repeat. Danger: a client that sets no token repeats under another one, which no node can recognise;
+    /// once any part of its write may have run it is not told that a repeat is safe, whatever the class's group. Also
+    /// covers hosts of other makers, which know of no tokens. Harm: more failures for them, fewer refusals.
     fn repeat_is_harmless(&self, open: &Open) -> bool {
         let repeats = self.catalogue.settings.classes[open.class].repeats;
-        open.operation.opcode != Opcode::Write
-            || matches!(repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
+        let known = open.named && matches!(repeats, Repeats::Keyed { group: Group::All, .. });
+        let untouched = open.pieces.iter().all(|p| p.doubt == 0);
+        untouched || known || open.operation.opcode != Opcode::Write || repeats == Repeats::Safe
     }
 
     fn count_unserved(&mut self, ticket: Ticket, answer: &Answer) {
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use common::*;
-use decisions::NodeId;
+use decisions::{Group, NodeId, Repeats};
 use proptest::prelude::*;
 use storage_core::*;
 
@@ -20,6 +20,13 @@
         Driver { core: core(), now: 1000, out: Vec::new(), answers: Vec::new() }
     }
 
+    /// With bulk writes whose repeats every node discards by their token.
+    fn known_to_all() -> Self {
+        let mut settings = settings();
+        settings.classes[2].repeats = Repeats::Keyed { group: Group::All, window: 2_000_000 };
+        Driver { core: core_of(catalogue_of(settings)), ..Driver::new() }
+    }
+
     fn take(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -44,6 +51,16 @@
         self.take(effects);
     }
 
+    /// A write by a host that sets no token.
+    fn submit_foreign(&mut self, ticket: u64, slba: u64, blocks: u32) {
+        let data = Bytes::from(vec![7; blocks as usize * 4096]);
+        let mut foreign = operation(ticket, Opcode::Write, slba, blocks, data);
+        foreign.token = 0;
+        let mut effects = Vec::new();
+        self.core.submit(self.now, foreign, &mut effects);
+        self.take(effects);
+    }
+
     fn end(&mut self, index: usize, outcome: Outcome) {
         let send = self.out.remove(index);
         let data = match (outcome, send.opcode) {
@@ -95,6 +112,53 @@
     assert_eq!(d.core.open_operations(), 0);
 }
 
+#[test]
+fn a_foreign_host_with_a_served_part_and_a_refused_one_is_not_told_that_a_repeat_is_safe() {
+    for foreign in [true, false] {
+        let mut d = Driver::known_to_all();
+        match foreign {
+            true => d.submit_foreign(1, 6, 4),
+            false => d.submit(1, Opcode::Write, 6, 4),
+        }
+        d.end(0, Outcome::Served);
+        while !d.out.is_empty() {
+            d.end(0, Outcome::Full);
+            d.until(d.now + 500_000);
+        }
+        d.until(5_000_000);
+        let [(Ticket(1), answer)] = &d.answers[..] else { panic!("{:?}", d.answers) };
+        assert_eq!(*answer == Answer::Failed, foreign, "{answer:?}");
+    }
+}
+
+#[test]
+fn a_foreign_hosts_write_that_a_node_may_have_run_is_failed_and_one_that_no_node_ran_is_refused() {
+    for (outcome, failed) in [(None, true), (Some(Outcome::Reset), true), (Some(Outcome::Full), false)] {
+        let mut d = Driver::known_to_all();
+        d.submit_foreign(1, 0, 2);
+        while let Some(outcome) = outcome.filter(|_| !d.out.is_empty()) {
+            d.end(0, outcome);
+            d.until(d.now + 500_000);
+        }
+        d.until(5_000_000);
+        let [(Ticket(1), answer)] = &d.answers[..] else { panic!("{:?}", d.answers) };
+        assert_eq!(*answer == Answer::Failed, failed, "{outcome:?}: {answer:?}");
+    }
+}
+
+#[test]
+fn leaving_a_foreign_hosts_write_that_is_out_is_failed_and_one_that_waits_is_refused() {
+    let mut d = Driver::known_to_all();
+    d.submit_foreign(1, 0, 2);
+    let mut effects = Vec::new();
+    d.core.nodes(d.now, false, false, &[node("b", 1, NodeState::Draining)], &mut effects);
+    d.submit_foreign(2, 8, 2);
+    d.core.end_all(d.now, &mut effects);
+    d.take(effects);
+    assert_eq!(d.answers[0], (Ticket(1), Answer::Failed));
+    assert!(matches!(d.answers[1], (Ticket(2), Answer::Refused { .. })), "{:?}", d.answers);
+}
+
 #[test]
 fn parts_of_a_write_carry_their_own_bytes() {
     let mut d = Driver::new();
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -56,6 +56,10 @@
 }
 
 pub fn catalogue() -> Catalogue {
+    catalogue_of(settings())
+}
+
+pub fn catalogue_of(settings: Settings) -> Catalogue {
     let rule = |name: &str, opcode, max_bytes| ClassRule {
         name: name.into(),
         opcode,
@@ -78,7 +82,7 @@
         extent_blocks: 8,
         shards: vec![ShardId(0), ShardId(1)],
     };
-    Catalogue::new(settings(), rules, 4096, vec![volume]).expect("it fits")
+    Catalogue::new(settings, rules, 4096, vec![volume]).expect("it fits")
 }
 
 pub fn node(name: &str, shard: u32, state: NodeState) -> ListedNode {
@@ -86,7 +90,11 @@
 }
 
 pub fn core() -> Core {
-    let mut core = Core::new(catalogue(), 7);
+    core_of(catalogue())
+}
+
+pub fn core_of(catalogue: Catalogue) -> Core {
+    let mut core = Core::new(catalogue, 7);
     let nodes = [node("a", 0, NodeState::On), node("b", 1, NodeState::On)];
     core.nodes(0, true, false, &nodes, &mut Vec::new());
     core
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -298,6 +298,21 @@
     assert_eq!(stage.status().nodes[1].sent, 1);
 }
 
+#[test]
+fn a_host_without_tokens_whose_write_ran_in_part_is_told_failed_and_refused_only_if_nothing_ran() {
+    let stage = Stage::new();
+    let host = stage.host(1);
+    let foreign = |slba: u64, user: u64| {
+        let sqe = Sqe::blocks(opcode::WRITE, 1, slba, 2);
+        host.submit(1, sqe, fill(user, 1, slba, 2, 4096), 0, user).unwrap();
+        stage.answer().word
+    };
+    stage.nodes[1].fault(Fault::Full(true));
+    assert_eq!(foreign(7, 5), Word::Failed, "block 7 is written, block 8 is not");
+    stage.nodes[0].fault(Fault::Full(true));
+    assert!(matches!(foreign(23, 6), Word::Refused(_)), "neither block");
+}
+
 #[test]
 fn damaged_data_and_half_an_answer_are_never_served() {
     let stage = Stage::new();
--- a/crates/judge/src/day.rs
+++ b/crates/judge/src/day.rs
@@ -340,6 +340,19 @@
         here.map(|s| (to.min(s.1) - from.max(s.0)).max(0)).sum()
     }
 
+    /// Whether a gateway had been told to leave at a time, and had not come up again.
+    pub fn was_leaving(&self, gateway: &str, at: Micros) -> bool {
+        let mut leaving = false;
+        for line in &self.lines {
+            match line {
+                DayLine::Down { t, gateway: g, .. } if g == gateway && *t <= at => leaving = true,
+                DayLine::Up { t, gateway: g } if g == gateway && *t <= at => leaving = false,
+                _ => {}
+            }
+        }
+        leaving
+    }
+
     /// Which life of a gateway a moment falls into: how often it had come up by then.
     pub fn life(&self, gateway: &str, at: Micros) -> usize {
         let up = |line: &&DayLine| matches!(line, DayLine::Up { t, gateway: g } if g == gateway && *t <= at);
--- a/crates/judge/src/rules.rs
+++ b/crates/judge/src/rules.rs
@@ -48,6 +48,9 @@
         Some((_, true)) => {}
         // The gateway closed a connection with a command out: only where it was killed or told to leave.
         Some((t, false)) if day.was_down(&c.gateway, c.issued, t) => {}
+        // Nor is owed what came while it was leaving: it takes nothing new then, and this never became a request.
+        Some(_)
+            if day.was_leaving(&c.gateway, c.issued) && day.attempts.iter().all(|a| a.token != c.token) => {}
         Some((t, false)) => {
             let what = format!("{} closed the connection with command {:x} out", c.gateway, c.token);
             report.breach(t, what);
--- a/crates/judge/tests/planted.rs
+++ b/crates/judge/tests/planted.rs
@@ -422,3 +422,19 @@
         assert_eq!(broken == 0, kept);
     }
 }
+
+#[test]
+fn a_command_that_meets_a_leaving_gateway_is_owed_nothing_unless_it_was_taken() {
+    for (leaving, taken, kept) in [(true, false, true), (true, true, false), (false, false, false)] {
+        let mut p = good();
+        if leaving {
+            p.lines.push(DayLine::Down { t: 20 * S, gateway: "g1".into(), killed: false });
+        }
+        p.issue(20 * S + 400_000, 7, Op::Read, 0, 1);
+        if taken {
+            p.arrive(20 * S + 401_000, 7, 0, Op::Read, 0, 1);
+        }
+        p.clients.push(ClientLine::Lost { t: 20 * S + 402_000, token: 7, by_client: false });
+        assert_eq!(p.judge().kept(), kept, "{:#?}", p.judge().rules);
+    }
+}
