--- a/crates/crowbay/tests/appliance.rs
+++ b/crates/crowbay/tests/appliance.rs
@@ -36,6 +36,11 @@
 
 impl Stage {
     fn new(nodes: u32, gateways: u32) -> Stage {
+        Stage::with(nodes, gateways, |text| text)
+    }
+
+    /// A site whose file is changed before its start.
+    fn with(nodes: u32, gateways: u32, edit: impl FnOnce(String) -> String) -> Stage {
         let dir = tempfile::Builder::new().prefix("crb").tempdir().unwrap();
         let file = dir.path().join("site.toml");
         let numbers = [nodes.to_string(), gateways.to_string()];
@@ -48,7 +53,8 @@
         for g in 0..gateways as u16 {
             text = text.replace(&format!("127.0.0.1:{}", 4420 + g), &format!("127.0.0.1:{}", free_port()));
         }
-        std::fs::write(&file, text.replace("[rules]", "[appliance]\nrecords = true\n\n[rules]")).unwrap();
+        let text = edit(text.replace("[rules]", "[appliance]\nrecords = true\n\n[rules]"));
+        std::fs::write(&file, text).unwrap();
         let mut stage = Stage { dir, supervisor: None };
         stage.start();
         stage
@@ -77,6 +83,19 @@
         self.supervisor = Some(self.command().spawn().unwrap());
     }
 
+    /// Starts the supervisor with the signal of an exceeded file size ignored, so that the write is told of it as of a
+    /// full disk.
+    fn start_without_file_size_signal(&mut self) {
+        let plain = self.command();
+        let mut shell = Command::new("sh");
+        shell
+            .args(["-c", "trap '' XFSZ; exec \"$0\" \"$@\""])
+            .arg(plain.get_program())
+            .args(plain.get_args());
+        shell.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        self.supervisor = Some(shell.spawn().unwrap());
+    }
+
     fn kill_supervisor(&mut self) {
         let mut child = self.supervisor.take().unwrap();
         child.kill().unwrap();
@@ -162,9 +181,18 @@
 
 impl Load {
     fn start(stage: &Stage, view: &SiteView, rate: f64) -> Load {
+        let mix = "{ op = \"read\", kib = 4, share = 0.5 }, { op = \"write\", kib = 4, share = 0.5 }";
+        Load::start_mix(stage, view, rate, mix)
+    }
+
+    fn start_reads(stage: &Stage, view: &SiteView, rate: f64) -> Load {
+        Load::start_mix(stage, view, rate, "{ op = \"read\", kib = 4, share = 1 }")
+    }
+
+    fn start_mix(stage: &Stage, view: &SiteView, rate: f64, mix: &str) -> Load {
         let day = format!(
             "{}\n[day]\nseed = 5\nseconds = 600\n[[client]]\nname = \"c\"\nvolumes = [\"vol1\", \"vol2\"]\nrate = {rate}\n\
-             mix = [{{ op = \"read\", kib = 4, share = 0.5 }}, {{ op = \"write\", kib = 4, share = 0.5 }}]\nrepeats = 1\n",
+             mix = [{mix}]\nrepeats = 1\n",
             std::fs::read_to_string(stage.file()).unwrap()
         );
         let site = Site::parse(&day).expect("well formed");
@@ -530,3 +558,80 @@
     let report = judge(&Day::read(&stage.state()).unwrap());
     assert!(report.kept() && report.lost == 0, "{:#?}", report.rules);
 }
+
+/// Bounds the size of the files that a process may write; none: no bound.
+fn bound_files(pid: u32, bytes: Option<u64>) {
+    use rustix::process::{Pid, Resource, Rlimit, prlimit};
+    let pid = Pid::from_raw(pid as i32).unwrap();
+    prlimit(Some(pid), Resource::Fsize, Rlimit { current: bytes, maximum: None }).unwrap();
+}
+
+#[test]
+fn a_full_disk_under_the_running_supervisor_turns_intents_down_and_nothing_else_suffers() {
+    let mut stage = Stage::new(2, 1);
+    stage.all_up(&mut stage.client());
+    stage.kill_supervisor();
+    stage.start_without_file_size_signal();
+    let mut client = stage.client();
+    let view = stage.all_up(&mut client);
+    let load = Load::start(&stage, &view, 150.0);
+    assert!(client.intent(Change::Note("before".into()), "anna", "test", None, false).unwrap().is_done());
+    let journal = stage.state().join("intents.log");
+    let length = || std::fs::metadata(&journal).unwrap().len();
+    let whole = length();
+    let supervisor = stage.supervisor.as_ref().unwrap().id();
+    // Room for a part of the next record only: it is torn, and cut off again.
+    bound_files(supervisor, Some(whole + 20));
+    let drain = || Change::Drain("node1".into());
+    for n in 0..5 {
+        let verdict = client.intent(drain(), "anna", "test", None, true).unwrap();
+        assert!(matches!(verdict, Verdict::NotStored { .. }), "{n}: {verdict:?}");
+        assert_eq!(length(), whole, "nothing of it is left behind");
+    }
+    let before = stage.until(&mut client, "the site goes on", |v| v.volumes[0].served > 20);
+    assert!(before.revision == 1 && !is_drained(&before, "node1") && before.nodes[0].drained.is_none());
+    bound_files(supervisor, None);
+    assert!(client.intent(drain(), "anna", "test", None, true).unwrap().is_done());
+    stage.until(&mut client, "the drain is followed", |v| is_drained(v, "node1"));
+    stage.kill_supervisor();
+    stage.start();
+    let mut client = stage.client();
+    let view = stage.until(&mut client, "it still stands", |v| is_drained(v, "node1"));
+    assert_eq!((view.revision, client.log(10).unwrap().len()), (2, 2));
+    load.end();
+    let report = judge(&Day::read(&stage.state()).unwrap());
+    assert!(report.kept() && report.lost == 0 && report.served > 0, "{:#?}", report.rules);
+}
+
+/// Nine gateways: the law's ceiling is 26 attempts for each.
+#[test]
+fn a_node_with_two_hundred_attempts_out_is_drained_and_every_one_is_answered() {
+    // Nodes with many cores and long work: many attempts are out at an L that lets the bound rise.
+    let stage = Stage::with(2, 9, |text| {
+        let text =
+            text.replace("aim_ms = 150", "aim_ms = 4000").replace("patience_ms = 750", "patience_ms = 9000");
+        let text = text.replace("cores = 2 ", "cores = 400 ").replace("base_us = 500", "base_us = 400000");
+        text.replace("rate = 2000 ", "rate = 90000 ").replace("reserve = 1000 ", "reserve = 90000 ")
+    });
+    let mut client = stage.client();
+    let view = stage.all_up(&mut client);
+    let load = Load::start_reads(&stage, &view, 1400.0);
+    let full = |v: &SiteView| v.nodes[0].out >= 200;
+    stage.until(&mut client, "two hundred attempts are out at it", full);
+    let mut terminal = Terminal::open(&stage.state());
+    terminal.until_shown("node1");
+    stage.until(&mut client, "two hundred attempts are out at it", full);
+    let clock = Clock::new();
+    let out = client.view().unwrap().nodes[0].out;
+    let drained = clock.now();
+    terminal.type_in(":drain node1!\r");
+    stage.until(&mut client, "the drain is followed", |v| is_drained(v, "node1"));
+    stage.until(&mut client, "nothing is out there any more", |v| v.nodes[0].out == 0);
+    println!("{out} attempts were out; nothing was {} ms after the drain", (clock.now() - drained) / 1000);
+    load.end();
+    let lines: Vec<NodeLine> = records::read(&stage.state().join("node-node1.jsonl")).unwrap();
+    let late = lines.iter().filter(|l| matches!(l, NodeLine::Arrive { t, .. } if *t > drained + 1_000_000));
+    assert_eq!(late.count(), 0, "new work a second after the drain");
+    let report = judge(&Day::read(&stage.state()).unwrap());
+    assert!(report.kept() && report.lost == 0 && report.failed == 0, "{report:#?}");
+}
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -144,8 +144,11 @@
     points.get(points.len() / 2).copied().unwrap_or_default()
 }
 
-/// Keeps `depth` commands out for a span.
-fn point(
+/// Keeps `depth` commands out on the site's first volume for a span.
+///
+/// # Errors
+/// The address cannot be connected to, or a command is not answered in 5 s.
+pub fn point(
     site: &Site,
     address: SocketAddr,
     op: Op,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -15,7 +15,7 @@
 mod replay;
 mod timeline;
 
-pub use bench::{BenchOptions, BenchRow, bench_path};
+pub use bench::{BenchOptions, BenchPoint, BenchRow, bench_path, point};
 pub use day::{Played, play};
 pub use demo::{Demo, DemoReady, demo_site};
 pub use fleet::{NodeRequest, Ready};
