Gateway: read data goes out in shared pieces; a capsule half written at a broken link

A read's data was copied into its own buffer, then into one growing buffer of the whole batch's answers, which reached megabytes. And the hard case of a capsule cut in its middle was covered only by the reset of whatever was out.

Change: PDUs are written to a sink that may keep a share of large data; answers go out as pieces in one vectored write; a read's data that came in one PDU is kept as it came. A test's proxy passes on 40 bytes of a capsule and breaks the line: the unsafe write is failed and not repeated, the keyed one goes out again and takes effect once.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -6,7 +6,7 @@
 
 use bytes::BytesMut;
 use may::net::{TcpListener, TcpStream};
-use nvme::{Completion, Output, Session, Target};
+use nvme::{Completion, GatherList, Output, PduSink, Session, Target};
 use records::Clock;
 
 use crate::engine::{Inbox, Message};
@@ -116,7 +116,9 @@
             let mut session = connection.session();
             session.receive(bytes, self.clock.now(), &mut self.target(), &mut out, &mut outputs);
         }
-        connection.outlet.push(out);
+        let mut answers = GatherList::new();
+        answers.copy(&out);
+        connection.outlet.push(answers);
         let mut goes_on = true;
         for output in outputs {
             match output {
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -10,7 +10,9 @@
 use decisions::Outcome;
 use may::net::TcpStream;
 use may::sync::Semphore;
-use nvme::{HostEvent, HostFault, Initiator, InitiatorOptions, Reply, Sqe, StatusCode, Submission, admin};
+use nvme::{
+    GatherList, HostEvent, HostFault, Initiator, InitiatorOptions, Reply, Sqe, StatusCode, Submission, admin,
+};
 use storage_core::{AttemptId, End, Opcode, Send};
 
 use crate::engine::{Inbox, Message};
@@ -228,7 +230,7 @@
             }
             return;
         }
-        let mut out = BytesMut::new();
+        let mut out = GatherList::new();
         let sqe = Sqe::new(admin::KEEP_ALIVE);
         initiator.submit(Submission { sqe, data: Bytes::new(), expect: 0, user: 0 }, &mut out);
         outlet.push(out);
@@ -341,7 +343,7 @@
             };
             let mut state = self.state();
             let Some((initiator, outlet)) = &mut state.admin else { return };
-            let mut out = BytesMut::new();
+            let mut out = GatherList::new();
             initiator.receive(&buffer[..n], &mut out, &mut events);
             outlet.push(out);
             if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
@@ -364,7 +366,7 @@
             {
                 let mut state = self.state();
                 let State { queue: Some((initiator, outlet)), flights, .. } = &mut *state else { return };
-                let mut out = BytesMut::new();
+                let mut out = GatherList::new();
                 initiator.receive(&buffer[..n], &mut out, &mut events);
                 outlet.push(out);
                 for event in events.drain(..) {
--- a/crates/gateway/src/outlet.rs
+++ b/crates/gateway/src/outlet.rs
@@ -1,12 +1,15 @@
 //! A connection's way out, which never makes its user wait.
 
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::{Arc, Mutex};
 
-use bytes::{Buf, BytesMut};
 use may::io::CoIo;
+use nvme::GatherList;
+
+/// Pieces handed to the system in one call.
+const PIECES: usize = 64;
 
 /// Writes at once as far as the socket takes it; the rest is written by a coroutine that lives as long as there is a
 /// rest. Danger: a peer that stops reading must hold up nobody else. What is kept for it is bounded; beyond that its
@@ -21,7 +24,7 @@
 
 #[derive(Debug, Default)]
 struct Spill {
-    rest: BytesMut,
+    rest: GatherList,
     /// A coroutine is writing the rest.
     writing: bool,
     closed: bool,
@@ -40,16 +43,16 @@
     }
 
     /// Writes bytes, now or by and by, in the order of the calls.
-    pub(crate) fn push(self: &Arc<Self>, bytes: BytesMut) {
+    pub(crate) fn push(self: &Arc<Self>, bytes: GatherList) {
         if !bytes.is_empty() {
-            self.append(|rest| rest.unsplit(bytes));
+            self.append(|rest| rest.append(bytes));
             self.flush();
         }
     }
 
     /// Appends bytes that go out with the next [`Outlet::flush`]. Whether one is due: many answers of one batch then
     /// cost one call into the system.
-    pub(crate) fn append(&self, write: impl FnOnce(&mut BytesMut)) -> bool {
+    pub(crate) fn append(&self, write: impl FnOnce(&mut GatherList)) -> bool {
         let mut spill = self.spill();
         if spill.closed || spill.last {
             return false;
@@ -99,7 +102,7 @@
 
     fn shut(&self, spill: &mut Spill) {
         spill.closed = true;
-        spill.rest = BytesMut::new();
+        spill.rest = GatherList::new();
         // The peer may have gone already; then there is nothing left to close.
         let _ = self.stream.shutdown(Shutdown::Both);
     }
@@ -132,8 +135,7 @@
                     }
                     return;
                 }
-                let len = spill.rest.len().min(64 * 1024);
-                spill.rest.split_to(len)
+                spill.rest.take(64 * 1024)
             };
             if own.write_all(&chunk).is_err() {
                 self.close();
@@ -166,11 +168,13 @@
 }
 
 /// Writes what the socket takes without waiting.
-fn write_now(mut stream: &TcpStream, bytes: &mut BytesMut) -> io::Result<()> {
-    while !bytes.is_empty() {
-        match stream.write(bytes) {
+fn write_now(mut stream: &TcpStream, rest: &mut GatherList) -> io::Result<()> {
+    while !rest.is_empty() {
+        let mut slices = [IoSlice::new(&[]); PIECES];
+        let count = rest.slices(&mut slices);
+        match stream.write_vectored(&slices[..count]) {
             Ok(0) => return Err(ErrorKind::WriteZero.into()),
-            Ok(n) => bytes.advance(n),
+            Ok(n) => rest.advance(n),
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) => return Err(e),
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -2,6 +2,8 @@
 
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self, Receiver};
 use std::time::{Duration, Instant};
 
@@ -230,6 +232,70 @@
     assert_eq!(stage.status().sent, 1);
 }
 
+/// Stands between the gateway and a node. Armed, it passes on half of the next capsule and breaks the connection.
+struct Cutter {
+    address: std::net::SocketAddr,
+    armed: Arc<AtomicBool>,
+}
+
+impl Cutter {
+    /// Bytes of a capsule that are passed on: less than its header and entry.
+    const HALF: usize = 40;
+
+    fn start(node: std::net::SocketAddr) -> Cutter {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let cutter =
+            Cutter { address: listener.local_addr().unwrap(), armed: Arc::new(AtomicBool::new(false)) };
+        let armed = cutter.armed.clone();
+        std::thread::spawn(move || {
+            for near in listener.incoming().map_while(Result::ok) {
+                let Ok(far) = TcpStream::connect(node) else { continue };
+                let ways =
+                    [(near.try_clone(), far.try_clone(), true), (far.try_clone(), near.try_clone(), false)];
+                for (from, to, towards) in ways {
+                    let (from, to, armed) = (from.unwrap(), to.unwrap(), armed.clone());
+                    std::thread::spawn(move || Cutter::pass(from, to, &armed, towards));
+                }
+            }
+        });
+        cutter
+    }
+
+    fn pass(mut from: TcpStream, mut to: TcpStream, armed: &AtomicBool, towards: bool) {
+        let mut buffer = [0; 65_536];
+        while let Ok(n @ 1..) = from.read(&mut buffer) {
+            let cut = towards && buffer[0] == 4 && armed.swap(false, Ordering::SeqCst);
+            if to.write_all(&buffer[..if cut { Cutter::HALF } else { n }]).is_err() || cut {
+                break;
+            }
+        }
+        let _ = from.shutdown(std::net::Shutdown::Both); // The other way may have closed it already.
+        let _ = to.shutdown(std::net::Shutdown::Both);
+    }
+}
+
+#[test]
+fn a_link_that_breaks_with_a_capsule_half_written_may_have_run_it() {
+    let stage = Stage::new();
+    let cutter = Cutter::start(stage.nodes[0].address());
+    let lines = vec![stage.site.node_line(0, cutter.address, 0)];
+    stage.gateway.ask(ControlRequest::Nodes { whole: false, lines }).expect("it takes the list");
+    let up = |s: &Status| s.nodes[0].link == "up" && s.nodes[0].address == cutter.address.to_string();
+    stage.until("the link through the cutter comes up", up);
+    let host = stage.host(1);
+    // Two blocks are the unsafe class: what is not known is not repeated.
+    cutter.armed.store(true, Ordering::SeqCst);
+    host.write(1, 1, 0, 2, fill(5, 1, 0, 2, 4096), 5).unwrap();
+    assert_eq!(stage.answer().word, Word::Failed);
+    assert_eq!((stage.status().nodes[0].sent, stage.nodes[0].written()), (1, 0));
+    stage.until("the link comes up again", up);
+    // One block is keyed: it goes out again, and takes effect once.
+    cutter.armed.store(true, Ordering::SeqCst);
+    host.write(1, 1, 1, 1, fill(6, 1, 1, 1, 4096), 6).unwrap();
+    served(&stage.answer());
+    assert_eq!((stage.status().nodes[0].sent, stage.nodes[0].written()), (3, 1));
+}
+
 #[test]
 fn a_node_that_accepts_and_never_completes_the_handshake_is_unreachable() {
     let stage = Stage::new();
--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -6,6 +6,7 @@
 
 use crate::command::*;
 use crate::decoder::{Decoder, Side};
+use crate::gather::PduSink;
 use crate::identify::{CONTROLLER_DATA, ControllerLimits};
 use crate::pdu::{Digests, Pdu, TermReason};
 use crate::status::{Status, StatusCode};
@@ -117,11 +118,21 @@
     user: u64,
     /// Data of a write not in the capsule.
     data: Bytes,
-    got: BytesMut,
+    got: Bytes,
     expect: u32,
     intact: bool,
 }
 
+/// Data of a read in one PDU is kept as it came; only more of them are copied together.
+fn joined(first: Bytes, second: Bytes) -> Bytes {
+    if first.is_empty() {
+        return second;
+    }
+    let mut both = first.try_into_mut().unwrap_or_else(|first| BytesMut::from(&first[..]));
+    both.extend_from_slice(&second);
+    both.freeze()
+}
+
 /// The host's side of a connection.
 #[derive(Debug)]
 pub struct Initiator {
@@ -138,7 +149,7 @@
 
 impl Initiator {
     /// A connection just opened; writes its ICReq.
-    pub fn new(options: InitiatorOptions, out: &mut BytesMut) -> Self {
+    pub fn new(options: InitiatorOptions, out: &mut impl PduSink) -> Self {
         let digests = options.digests;
         Pdu::ICReq { version: 0, hpda: 0, digests, max_r2t: 0 }.encode(Digests::default(), out);
         let depth = options.entries.clamp(2, 0x1_0000) as usize - 1;
@@ -177,11 +188,11 @@
     }
 
     /// Sends a command and returns its identifier; `None` where the queue is full or not ready.
-    pub fn submit(&mut self, submission: Submission, out: &mut BytesMut) -> Option<u16> {
+    pub fn submit(&mut self, submission: Submission, out: &mut impl PduSink) -> Option<u16> {
         if !self.is_ready() { None } else { self.send(submission, out) }
     }
 
-    fn send(&mut self, submission: Submission, out: &mut BytesMut) -> Option<u16> {
+    fn send(&mut self, submission: Submission, out: &mut impl PduSink) -> Option<u16> {
         // Identifiers go round, so that a late answer is not soon taken for another command's.
         let cid = self.free.pop_front()?;
         let Submission { mut sqe, data, expect, user } = submission;
@@ -196,13 +207,13 @@
         }
         let (capsule, later) = if inline { (data, Bytes::new()) } else { (Bytes::new(), data) };
         Pdu::CapsuleCmd { sqe: sqe.0, data: capsule, intact: true }.encode(self.digests, out);
-        let flight = Flight { user, data: later, got: BytesMut::new(), expect, intact: true };
+        let flight = Flight { user, data: later, got: Bytes::new(), expect, intact: true };
         self.flights[usize::from(cid)] = Some(flight);
         Some(cid)
     }
 
     /// Takes bytes off the stream; appends what is to be sent to `out` and what happened to `events`.
-    pub fn receive(&mut self, bytes: &[u8], out: &mut BytesMut, events: &mut Vec<HostEvent>) {
+    pub fn receive(&mut self, bytes: &[u8], out: &mut impl PduSink, events: &mut Vec<HostEvent>) {
         self.decoder.push(bytes);
         while self.step != Step::Over {
             let handled = match self.decoder.poll() {
@@ -221,7 +232,12 @@
         }
     }
 
-    fn pdu(&mut self, pdu: Pdu, out: &mut BytesMut, events: &mut Vec<HostEvent>) -> Result<(), HostFault> {
+    fn pdu(
+        &mut self,
+        pdu: Pdu,
+        out: &mut impl PduSink,
+        events: &mut Vec<HostEvent>,
+    ) -> Result<(), HostFault> {
         let broken = |reason| Err(HostFault::Protocol(reason));
         match pdu {
             Pdu::ICResp { version, cpda, digests, max_h2c_data } if self.step == Step::AwaitIcResp => {
@@ -250,7 +266,7 @@
                     return broken(TermReason::DataOutOfRange);
                 }
                 flight.intact &= intact;
-                flight.got.extend_from_slice(&data);
+                flight.got = joined(std::mem::take(&mut flight.got), data);
                 if last && success {
                     let cqe = Cqe { dw0: 0, dw1: 0, sq_head: 0, cid, status: Status::SUCCESS };
                     return self.ended(cqe, out, events);
@@ -267,7 +283,7 @@
         ttag: u16,
         offset: u32,
         length: u32,
-        out: &mut BytesMut,
+        out: &mut impl PduSink,
     ) -> Result<(), HostFault> {
         let Some(Some(flight)) = self.flights.get_mut(usize::from(cid)) else {
             return Err(HostFault::Protocol(TermReason::InvalidHeaderField(8)));
@@ -287,7 +303,12 @@
         Ok(())
     }
 
-    fn ended(&mut self, cqe: Cqe, out: &mut BytesMut, events: &mut Vec<HostEvent>) -> Result<(), HostFault> {
+    fn ended(
+        &mut self,
+        cqe: Cqe,
+        out: &mut impl PduSink,
+        events: &mut Vec<HostEvent>,
+    ) -> Result<(), HostFault> {
         let Some(flight) = self.flights.get_mut(usize::from(cqe.cid)).and_then(Option::take) else {
             return Err(HostFault::Protocol(TermReason::InvalidHeaderField(8)));
         };
@@ -298,7 +319,7 @@
         if status.is_success() && (!flight.intact || short) {
             status = Status::passing(StatusCode::TransientTransportError);
         }
-        let data = if status.is_success() { flight.got.freeze() } else { Bytes::new() };
+        let data = if status.is_success() { flight.got } else { Bytes::new() };
         let reply = Reply { user: flight.user, status, dw0: cqe.dw0, dw1: cqe.dw1, data };
         if self.step == Step::Ready {
             events.push(HostEvent::Reply(reply));
@@ -308,7 +329,7 @@
         }
     }
 
-    fn connect(&mut self, out: &mut BytesMut) {
+    fn connect(&mut self, out: &mut impl PduSink) {
         let o = &self.options;
         let sqe = Sqe::connect(o.qid, (o.entries.clamp(2, 0x1_0000) - 1) as u16, o.kato, true);
         let data = ConnectData {
@@ -325,7 +346,7 @@
     fn way_up(
         &mut self,
         reply: Reply,
-        out: &mut BytesMut,
+        out: &mut impl PduSink,
         events: &mut Vec<HostEvent>,
     ) -> Result<(), HostFault> {
         let steps = ["", "Connect", "enabling the controller", "reading its state", "Identify Controller"];
--- a/crates/nvme/src/lib.rs
+++ b/crates/nvme/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod command;
 mod decoder;
+mod gather;
 mod identify;
 mod initiator;
 mod pdu;
@@ -21,6 +22,7 @@
 
 pub use command::*;
 pub use decoder::{Decoder, Side};
+pub use gather::{GatherList, PduSink};
 pub use identify::{CONTROLLER_DATA, ControllerLimits, DiscoveryEntry, namespace_size};
 pub use initiator::{HostEvent, HostFault, Initiator, InitiatorOptions, Reply, Submission};
 pub use pdu::{Digests, Pdu, PduKind, TermReason};
--- a/crates/nvme/src/pdu.rs
+++ b/crates/nvme/src/pdu.rs
@@ -1,7 +1,8 @@
 //! PDUs of the TCP transport (TCP 3.6) and how they are written.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 
+use crate::gather::PduSink;
 use crate::{le16, le32, put};
 
 /// Type of a PDU (TCP figure "PDU Type").
@@ -241,23 +242,26 @@
         }
     }
 
-    fn data(&self) -> &[u8] {
+    fn data(&self) -> Option<&Bytes> {
         match self {
-            Pdu::CapsuleCmd { data, .. } | Pdu::H2CData { data, .. } | Pdu::C2HData { data, .. } => data,
-            Pdu::TermReq { header, .. } => header,
-            _ => &[],
+            Pdu::CapsuleCmd { data, .. } | Pdu::H2CData { data, .. } | Pdu::C2HData { data, .. } => {
+                Some(data)
+            }
+            Pdu::TermReq { header, .. } => Some(header),
+            _ => None,
         }
     }
 
     /// Appends the PDU's bytes, with the digests in use.
-    pub fn encode(&self, digests: Digests, out: &mut BytesMut) {
+    pub fn encode(&self, digests: Digests, out: &mut impl PduSink) {
         let kind = self.kind();
-        let (hlen, data) = (kind.header_len(), self.data());
+        let none = Bytes::new();
+        let (hlen, data) = (kind.header_len(), self.data().unwrap_or(&none));
         let (hdgst, ddgst) =
             (digests.header && kind.has_digests(), digests.data && kind.has_digests() && !data.is_empty());
         let header_end = hlen + if hdgst { 4 } else { 0 };
         let plen = header_end + data.len() + if ddgst { 4 } else { 0 };
-        out.reserve(plen);
+        out.expect(plen);
         let mut header = [0u8; 128];
         let b = &mut header[..hlen];
         b[0] = kind as u8;
@@ -266,13 +270,13 @@
         b[3] = if data.is_empty() || !kind.has_digests() { 0 } else { header_end as u8 };
         put(b, 4, &(plen as u32).to_le_bytes());
         self.write_fields(b);
-        out.extend_from_slice(b);
+        out.copy(b);
         if hdgst {
-            out.extend_from_slice(&crc32c::crc32c(b).to_le_bytes());
+            out.copy(&crc32c::crc32c(b).to_le_bytes());
         }
-        out.extend_from_slice(data);
+        out.share(data);
         if ddgst {
-            out.extend_from_slice(&crc32c::crc32c(data).to_le_bytes());
+            out.copy(&crc32c::crc32c(data).to_le_bytes());
         }
     }
 
--- a/crates/nvme/src/session.rs
+++ b/crates/nvme/src/session.rs
@@ -7,6 +7,7 @@
 use crate::Micros;
 use crate::command::*;
 use crate::decoder::{Decoder, Side};
+use crate::gather::PduSink;
 use crate::identify::{self, ASYNC_EVENTS, ControllerIdentity};
 use crate::pdu::{Digests, Pdu, TermReason};
 use crate::status::{Retry, Status, StatusCode};
@@ -544,7 +545,7 @@
 
     /// Ends a command that was handed on. One that is not outstanding is passed over: its connection may have
     /// ended meanwhile. Returns whether an answer was written.
-    pub fn complete(&mut self, cid: u16, completion: Completion, out: &mut BytesMut) -> bool {
+    pub fn complete(&mut self, cid: u16, completion: Completion, out: &mut impl PduSink) -> bool {
         let Some(Slot::Running { opcode }) = self.slots.get(&cid) else { return false };
         let opcode = *opcode;
         self.slots.remove(&cid);
@@ -552,7 +553,7 @@
         true
     }
 
-    fn finish(&mut self, cid: u16, opcode: u8, completion: Completion, out: &mut BytesMut) {
+    fn finish(&mut self, cid: u16, opcode: u8, completion: Completion, out: &mut impl PduSink) {
         let Completion { status, dw0, dw1, data } = completion;
         // SUCCESS spares the CapsuleResp where the host does not need SQHD (TCP 3.3.2, Base 6.3 CATTR).
         let spare =
