Judge: data that a node asks for late does not make its command late

The record told only when the command was whole, so the judge saw an attempt after its request's end.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -336,6 +336,7 @@
         if self.recorder.is_on() {
             self.recorder.write(&NodeLine::Arrive {
                 t: now,
+                began: (command.began != now).then_some(command.began),
                 gateway: connection.gateway.clone(),
                 token: command.token,
                 attempt: command.attempt,
--- a/crates/nvme/src/session.rs
+++ b/crates/nvme/src/session.rs
@@ -39,6 +39,8 @@
     pub keyed: bool,
     /// Attempt's number on the node's leg.
     pub attempt: u32,
+    /// When its capsule came; data that an R2T asked for comes later.
+    pub began: Micros,
 }
 
 /// How a command ended.
@@ -98,7 +100,7 @@
 #[derive(Debug)]
 enum Slot {
     /// Waits for the data that an R2T asked for.
-    Receiving { sqe: Sqe, data: BytesMut, length: usize, ttag: u16, intact: bool },
+    Receiving { sqe: Sqe, began: Micros, data: BytesMut, length: usize, ttag: u16, intact: bool },
     /// Handed on.
     Running { opcode: u8 },
 }
@@ -122,6 +124,8 @@
 /// What a session needs of its owner while it handles bytes.
 struct Cx<'a> {
     now: Micros,
+    /// When the capsule of the command that is looked at came.
+    began: Micros,
     target: &'a mut Target,
     out: &'a mut BytesMut,
     outputs: &'a mut Vec<Output>,
@@ -182,7 +186,7 @@
         out: &mut BytesMut,
         outputs: &mut Vec<Output>,
     ) {
-        let cx = &mut Cx { now, target, out, outputs };
+        let cx = &mut Cx { now, began: now, target, out, outputs };
         self.decoder.push(bytes);
         while self.phase != Phase::Over {
             let handled = match self.decoder.poll() {
@@ -201,7 +205,7 @@
     /// The connection is gone. Commands handed on are the owner's to withdraw; nothing more can be sent.
     pub fn closed(&mut self, target: &mut Target, outputs: &mut Vec<Output>) {
         if self.phase != Phase::Over {
-            self.over(&mut Cx { now: 0, target, out: &mut BytesMut::new(), outputs }, None);
+            self.over(&mut Cx { now: 0, began: 0, target, out: &mut BytesMut::new(), outputs }, None);
         }
     }
 
@@ -273,7 +277,8 @@
                 let ttag = self.next_ttag;
                 self.next_ttag = self.next_ttag.wrapping_add(1);
                 // Grown as data comes, so that a host which only announces data holds no memory.
-                let slot = Slot::Receiving { sqe, data: BytesMut::new(), length, ttag, intact: true };
+                let slot =
+                    Slot::Receiving { sqe, began: cx.now, data: BytesMut::new(), length, ttag, intact: true };
                 self.slots.insert(cid, slot);
                 Pdu::R2T { cid, ttag, offset: 0, length: length as u32 }.encode(self.digests, cx.out);
             }
@@ -341,12 +346,14 @@
         if whole != last {
             return Err(TermReason::InvalidHeaderField(1));
         }
-        if whole && let Some(Slot::Receiving { sqe, data, intact, .. }) = self.slots.remove(&cid) {
+        if whole && let Some(Slot::Receiving { sqe, began, data, intact, .. }) = self.slots.remove(&cid) {
+            cx.began = began;
             if intact {
                 self.execute(sqe, data.freeze(), cx);
             } else {
                 self.respond(cid, (Status::passing(StatusCode::TransientTransportError), 0), cx.out);
             }
+            cx.began = cx.now;
         }
         Ok(())
     }
@@ -539,6 +546,7 @@
             token: sqe.token(),
             keyed: sqe.keyed(),
             attempt: sqe.attempt(),
+            began: cx.began,
         }));
         Ok(None)
     }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -126,6 +126,9 @@
     Arrive {
         /// When.
         t: Micros,
+        /// When its capsule came, where its data came later.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        began: Option<Micros>,
         /// Gateway.
         gateway: String,
         /// The command.
