Load generator: open-loop scenarios and traces, latency from the intended time, charts

Latency counts from the intended time over all tries; the generator measures its own lateness and marks a run invalid; every block read is held against what may be there. Table, JSON, CSV and SVG charts. Stand-in nodes may follow a script of times.

--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -42,6 +42,11 @@
         /// The folder that a day was played into
         dir: PathBuf,
     },
+    /// Offer open-loop load to gateways and tell what its clients met
+    ///
+    /// Commands come by the clock, in the phases of the file or as a recorded trace; latency counts from the intended time,
+    /// over all tries. Exit codes: 0 the run is valid and every block read was right; 1 not so; 2 the file is wrong.
+    Load(LoadArgs),
     /// Map the troubles of a bench day to a scripted day, play it and judge it
     ReplayDay(ReplayArgs),
     /// Run a whole site: supervise its gateways and stand-in nodes, keep the operators' intents, serve consoles
@@ -293,6 +298,25 @@
     pub seconds: f64,
 }
 
+/// Arguments of `load`.
+#[derive(Debug, Args)]
+pub struct LoadArgs {
+    /// The scenario; docs/load.md has its keys
+    pub file: PathBuf,
+    /// Folder for results.json, seconds.csv, table.txt and charts (SVG)
+    #[arg(long)]
+    pub out: Option<PathBuf>,
+    /// Talk to these gateways in place of the file's, in its order
+    #[arg(long = "gateway", value_name = "ADDRESS")]
+    pub gateways: Vec<SocketAddr>,
+    /// Print the results as JSON
+    #[arg(long)]
+    pub json: bool,
+    /// Only check the file
+    #[arg(long)]
+    pub check: bool,
+}
+
 /// Arguments of `badday`.
 #[derive(Debug, Args)]
 pub struct BaddayArgs {
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -4,6 +4,7 @@
 
 mod command;
 mod day;
+mod load;
 mod log;
 mod operate;
 mod serve;
@@ -41,6 +42,7 @@
         Command::Node(args) => serve::node(&args),
         Command::Demo(args) => day::demo(&args),
         Command::Badday(args) => day::badday_of(&args),
+        Command::Load(args) => load::load(&args),
         Command::Judge { dir } => day::judge(&dir),
         Command::ReplayDay(args) => day::replay(&args),
         Command::Appliance(args) => serve::appliance(&args),
--- a/crates/emulator/src/model.rs
+++ b/crates/emulator/src/model.rs
@@ -52,6 +52,8 @@
     pub fall_window: Micros,
     /// Units within the window that it bears in any case.
     pub cold_units: f64,
+    /// A script: the jobs take these times in turn, in microseconds, whatever they are; empty: by their work.
+    pub script: Vec<Micros>,
 }
 
 impl ModelOptions {
@@ -82,6 +84,8 @@
     slow: f64,
     waiting: VecDeque<Job>,
     running: Vec<(Micros, Option<Job>)>,
+    /// Jobs begun.
+    begun: u64,
     put_off: f64,
     next_put_off: Micros,
     next_pause: Micros,
@@ -101,6 +105,7 @@
             slow: 1.0,
             waiting: VecDeque::new(),
             running: Vec::new(),
+            begun: 0,
             put_off: 0.0,
             next_put_off: now + options.put_off_every,
             next_pause: now + options.pause_every,
@@ -219,7 +224,10 @@
             let later =
                 if job.write && self.options.put_off_every > 0 { work * self.options.put_off } else { 0.0 };
             self.put_off += later;
-            let end = self.now + ((work - later) * self.slow / self.warmth(self.now)) as Micros;
+            let by_work = ((work - later) * self.slow / self.warmth(self.now)) as Micros;
+            let turn = self.begun as usize % self.options.script.len().max(1);
+            let end = self.now + self.options.script.get(turn).copied().unwrap_or(by_work);
+            self.begun += 1;
             self.running.push((end, Some(job)));
         }
     }
--- a/crates/emulator/tests/model.rs
+++ b/crates/emulator/tests/model.rs
@@ -18,6 +18,7 @@
         fall_multiple: 2.0,
         fall_window: 1_000_000,
         cold_units: 10.0,
+        script: Vec::new(),
     }
 }
 
--- a/crates/load/src/host.rs
+++ b/crates/load/src/host.rs
@@ -85,7 +85,7 @@
 }
 
 /// Reads a reply, by the table in docs/nvme.md. `delays` are the controller's Command Retry Delay Times.
-pub(crate) fn word(reply: Reply, delays: &[u16; 3]) -> Word {
+pub fn word(reply: Reply, delays: &[u16; 3]) -> Word {
     let status = reply.status;
     if status.is_success() {
         return Word::Served(reply.data);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -12,4 +12,4 @@
 
 pub use block::{Found, fill, look};
 pub use client::{Client, ClientOptions, Mix, Phase, Summary};
-pub use host::{Answer, Host, HostError, HostOptions, Word};
+pub use host::{Answer, Host, HostError, HostOptions, Word, word};
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -221,6 +221,7 @@
                 fall_multiple: r.fall_multiple,
                 fall_window: micros(r.cold_window_ms),
                 cold_units: r.cold_units,
+                script: Vec::new(),
             },
             target,
             cold,
