Limits of the gateway in a module of their own; hosts take turns; stuck ways up let go

Need: limits towards clients were one number checked in the front; a connection that never completed its way up held a place for good, and one host with many full queues stood before everybody else.

Change: package `limits`, without I/O. Gate: connections in all, from one address, on their way up; the time of a way up; where all are taken the oldest on its way up gives way, never one that is up; commands and bytes held, by host and in all. Turns: deficit round robin over hosts, by blocks. What is over is refused at once with advice and never becomes a request. The engine's messages and the clients' connections have files of their own, so that front, engine and link name no circle.

--- /dev/null
+++ b/crates/gateway/src/connection.rs
@@ -0,0 +1,37 @@
+//! A client's connection, as the engine and its reader share it.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+
+pub(crate) use limits::ConnectionId;
+use nvme::{Completion, Session, Target};
+
+use crate::outlet::Outlet;
+
+pub(crate) struct Connection {
+    pub(crate) id: ConnectionId,
+    pub(crate) outlet: Arc<Outlet>,
+    session: Mutex<Session>,
+}
+
+impl Connection {
+    pub(crate) fn new(id: ConnectionId, outlet: Arc<Outlet>, session: Session) -> Self {
+        Connection { id, outlet, session: Mutex::new(session) }
+    }
+
+    pub(crate) fn session(&self) -> MutexGuard<'_, Session> {
+        self.session.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
+    /// Answers a command. The status is cut to what the host asked to be told. The answer goes out with the next flush;
+    /// whether one is due.
+    pub(crate) fn complete(&self, cid: u16, mut completion: Completion, target: &Mutex<Target>) -> bool {
+        let mut session = self.session();
+        if !completion.status.is_success() {
+            let mut target = target.lock().unwrap_or_else(|p| p.into_inner());
+            completion.status = session.allowed(completion.status, &mut target);
+        }
+        self.outlet.append(|out| {
+            session.complete(cid, completion, out);
+        })
+    }
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -6,17 +6,19 @@
 use std::sync::mpsc as thread_mpsc;
 
 use decisions::{NodeId, NodeState};
-use may::sync::mpsc::{Receiver, Sender};
+use limits::Turns;
+use may::sync::mpsc::Receiver;
 use nvme::{Admission, Completion, IoCommand, Status as NvmeStatus, StatusCode};
 use records::Clock;
 use storage_core::{
-    Answer, AttemptId, Core, Effect, End, EndedView, ListedNode, Micros, Opcode, OpenView, Operation, Send,
-    Ticket,
+    Answer, Core, Effect, End, EndedView, ListedNode, Micros, Opcode, OpenView, Operation, Send, Ticket,
 };
 
-use crate::front::{Connection, ConnectionId, Front};
+use crate::connection::{Connection, ConnectionId};
+use crate::front::Front;
 use crate::link::Link;
 use crate::mapping::told;
+use crate::message::{Inbox, Message};
 use crate::options::{GatewayOptions, NodeLine};
 use crate::outlet::Outlet;
 use crate::status::{
@@ -25,46 +27,18 @@
 use crate::ticker::Ticker;
 
 /// Messages handled with one reading of the clock.
-const BATCH: usize = 256;
+const MESSAGES: usize = 2048;
+/// Commands taken with one reading of the clock, by turns of the hosts.
+const COMMANDS: usize = 256;
+/// What a host may use in a turn, in blocks of 4 KiB.
+const QUANTUM: u64 = 32;
 /// How often associations and links are held against their time-outs.
 const HOUSEKEEPING: Micros = 50_000;
 
-/// What reaches the engine.
-pub(crate) enum Message {
-    Opened(Arc<Connection>),
-    Bound(ConnectionId, Admission),
-    Command(ConnectionId, IoCommand),
-    Abort {
-        connection: ConnectionId,
-        cid: u16,
-        sqid: u16,
-        victim: u16,
-    },
-    Closed(ConnectionId),
-    AssociationEnded(u16),
-    Ended(AttemptId, End),
-    /// Something is due.
-    Tick,
-    Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
-    /// Stop; told once everything is answered.
-    Stop(thread_mpsc::Sender<()>),
-}
-
-/// The way to the engine. What it holds is bounded by what its senders may have out: the commands of each
-/// connection's queue, and the attempts of each link's.
-#[derive(Clone)]
-pub(crate) struct Inbox(pub(crate) Sender<Message>);
-
-impl Inbox {
-    pub(crate) fn send(&self, message: Message) {
-        // The engine ends last; what comes after it concerns nobody.
-        let _ = self.0.send(message);
-    }
-}
-
 struct Client {
     connection: Arc<Connection>,
     admission: Option<Admission>,
+    host: Arc<str>,
     tickets: HashMap<u16, Ticket>,
 }
 
@@ -75,7 +49,10 @@
     front: Arc<Front>,
     inbox: Inbox,
     clients: HashMap<ConnectionId, Client>,
-    tickets: HashMap<Ticket, (ConnectionId, u16)>,
+    /// Commands taken: their connection, identifier and bytes.
+    tickets: HashMap<Ticket, (ConnectionId, u16, u64)>,
+    /// Commands that wait for their host's turn; none of them is taken yet.
+    turns: Turns<Arc<str>, (ConnectionId, IoCommand)>,
     next_ticket: u64,
     links: HashMap<NodeId, Arc<Link>>,
     effects: Vec<Effect>,
@@ -102,6 +79,7 @@
             inbox,
             clients: HashMap::new(),
             tickets: HashMap::new(),
+            turns: Turns::new(QUANTUM),
             next_ticket: 0,
             links: HashMap::new(),
             effects: Vec::new(),
@@ -140,13 +118,20 @@
                 ticker.due(due);
                 told = due;
             }
-            let Ok(first) = messages.recv() else { return };
+            if self.turns.is_empty() {
+                let Ok(first) = messages.recv() else { return };
+                self.message(clock.now(), first);
+            }
             let now = clock.now();
-            self.message(now, first);
-            for _ in 1..BATCH {
+            for _ in 1..MESSAGES {
                 let Ok(next) = messages.try_recv() else { break };
                 self.message(now, next);
             }
+            for _ in 0..COMMANDS {
+                let Some((id, command)) = self.turns.pop() else { break };
+                self.command(now, id, command);
+                self.settle(now);
+            }
             // Before the module's timers and the rest: what is decided goes out.
             self.dirty.drain(..).for_each(|outlet| outlet.flush());
         }
@@ -155,7 +140,7 @@
     /// Answers a command of a connection, with the batch.
     fn answer(&mut self, id: ConnectionId, cid: u16, completion: Completion) {
         let Some(client) = self.clients.get(&id) else { return };
-        if client.connection.complete(cid, completion, &self.front) {
+        if client.connection.complete(cid, completion, &self.front.target) {
             self.dirty.push(client.connection.outlet.clone());
         }
     }
@@ -164,16 +149,22 @@
         match message {
             Message::Tick => {}
             Message::Opened(connection) => {
-                let client =
-                    Client { admission: None, tickets: HashMap::new(), connection: connection.clone() };
+                let (tickets, host) = (HashMap::new(), Arc::from(""));
+                let client = Client { admission: None, tickets, host, connection: connection.clone() };
                 self.clients.insert(connection.id, client);
             }
-            Message::Bound(id, admission) => {
+            Message::Bound(id, admission, host) => {
                 if let Some(client) = self.clients.get_mut(&id) {
-                    client.admission = Some(admission);
+                    (client.admission, client.host) = (Some(admission), host);
+                }
+            }
+            Message::Evict(id) => self.evict(id, "another connection comes in its place"),
+            Message::Command(id, command) => {
+                if let Some(client) = self.clients.get(&id) {
+                    let cost = 1 + (command.data.len() as u64).max(u64::from(command.blocks) * 4096) / 4096;
+                    self.turns.push(client.host.clone(), cost, (id, command));
                 }
             }
-            Message::Command(id, command) => self.command(now, id, command),
             Message::Abort { connection, cid, sqid, victim } => {
                 self.abort(now, connection, cid, sqid, victim);
             }
@@ -193,9 +184,21 @@
     }
 
     fn command(&mut self, now: Micros, id: ConnectionId, command: IoCommand) {
+        if !self.clients.contains_key(&id) {
+            return;
+        }
+        let bytes = self.bytes_of(&command);
+        let over = self.front.gate().take(id, bytes).err();
+        if let Some(over) = over {
+            tracing::debug!(%over, "a command is not taken");
+        }
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if self.stop_by.is_some() || self.paused || self.held.contains(&command.nsid) {
-            // It is not taken: it never becomes a request, whether this gateway leaves or an operator holds the volume.
+        if over.is_some() || self.stop_by.is_some() || self.paused || self.held.contains(&command.nsid) {
+            // It is not taken: it never becomes a request, whether this gateway leaves, an operator holds the volume, or
+            // the gateway holds as much of this host as it may.
+            if over.is_none() {
+                self.front.gate().done(id, bytes);
+            }
             let come_back = self.options.catalogue.settings.most_advice;
             let refused = told(Answer::Refused { come_back }, &self.options.target.retry_delays);
             return self.answer(id, command.cid, refused);
@@ -203,7 +206,7 @@
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         client.tickets.insert(command.cid, ticket);
-        self.tickets.insert(ticket, (id, command.cid));
+        self.tickets.insert(ticket, (id, command.cid, bytes));
         let opcode = match command.opcode {
             nvme::io::READ => Opcode::Read,
             nvme::io::WRITE => Opcode::Write,
@@ -218,7 +221,16 @@
     fn abort(&mut self, now: Micros, id: ConnectionId, cid: u16, sqid: u16, victim: u16) {
         let cntlid = self.clients.get(&id).and_then(|c| c.admission).map(|a| a.cntlid);
         let wanted = |c: &Client| c.admission.is_some_and(|a| Some(a.cntlid) == cntlid && a.qid == sqid);
-        let ticket = self.clients.values().find(|c| wanted(c)).and_then(|c| c.tickets.get(&victim)).copied();
+        let queue = self.clients.values().find(|c| wanted(c));
+        let ticket = queue.and_then(|c| c.tickets.get(&victim)).copied();
+        // One that waits for its host's turn was not even taken.
+        if let Some((queue, host)) =
+            queue.filter(|_| ticket.is_none()).map(|c| (c.connection.id, c.host.clone()))
+            && self.turns.remove(&host, |(id, command)| (*id, command.cid) == (queue, victim)).is_some()
+        {
+            self.answer(queue, victim, Completion::of(NvmeStatus::passing(StatusCode::AbortRequested)));
+            return self.answer(id, cid, Completion::of(NvmeStatus::SUCCESS));
+        }
         let aborted = ticket.is_some_and(|t| self.core.abort(now, t, &mut self.effects));
         if let (true, Some(ticket)) = (aborted, ticket) {
             self.complete(ticket, Completion::of(NvmeStatus::passing(StatusCode::AbortRequested)));
@@ -226,6 +238,20 @@
         self.answer(id, cid, Completion { dw0: u32::from(!aborted), ..Completion::of(NvmeStatus::SUCCESS) });
     }
 
+    /// Bytes that a command holds here, as data of a write or of a read's answer.
+    fn bytes_of(&self, command: &IoCommand) -> u64 {
+        let size = self.options.catalogue.volume(command.nsid).map_or(0, |v| u64::from(v.block_size));
+        u64::from(command.blocks) * size
+    }
+
+    /// Closes a connection that never completed its way up.
+    fn evict(&mut self, id: ConnectionId, why: &str) {
+        if let Some(client) = self.clients.get(&id) {
+            tracing::info!(why, "a connection that never completed its way up is closed");
+            client.connection.outlet.close();
+        }
+    }
+
     fn closed(&mut self, now: Micros, id: ConnectionId) {
         let Some(client) = self.clients.remove(&id) else { return };
         let mut tickets: Vec<Ticket> = client.tickets.into_values().collect();
@@ -243,6 +269,8 @@
 
     fn housekeeping(&mut self, now: Micros) {
         self.next_housekeeping = now + HOUSEKEEPING;
+        let overdue = self.front.gate().overdue(now);
+        overdue.into_iter().for_each(|id| self.evict(id, "it took longer than limits.way_up_ms"));
         let expired = self.front.target().expire(now);
         for cntlid in expired {
             tracing::info!(cntlid, "a host was silent for its keep alive time-out");
@@ -294,7 +322,8 @@
     }
 
     fn complete(&mut self, ticket: Ticket, completion: Completion) {
-        let Some((id, cid)) = self.tickets.remove(&ticket) else { return };
+        let Some((id, cid, bytes)) = self.tickets.remove(&ticket) else { return };
+        self.front.gate().done(id, bytes);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.tickets.remove(&cid);
         self.answer(id, cid, completion);
@@ -444,6 +473,11 @@
                 units: seen.units,
             }
         });
+        let gate = self.front.gate();
+        let ((kept, rising), (held_commands, held_bytes)) = (gate.connections(), gate.held());
+        let (hosts, away) = (gate.hosts(), gate.turned_away().iter());
+        let turned_away = away.map(|(over, n)| (over.to_string(), *n)).collect();
+        drop(gate);
         Status {
             name: self.options.name.clone(),
             pid: std::process::id(),
@@ -459,7 +493,13 @@
             started: self.started,
             now,
             stopping: self.stop_by.is_some(),
-            connections: self.front.connections.load(Ordering::Relaxed),
+            connections: kept,
+            rising,
+            hosts,
+            held_commands,
+            held_bytes,
+            waiting_turn: self.turns.len(),
+            turned_away,
             open: self.core.open_operations(),
             out: self.core.attempts_out(),
             taken: tally.taken,
@@ -494,7 +534,7 @@
             self.core.end_all(now, &mut self.effects);
             self.settle(now);
         }
-        self.core.open_operations() == 0
+        self.core.open_operations() == 0 && self.turns.is_empty()
     }
 
     fn leave(mut self) {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,38 +1,28 @@
 //! The front: clients' connections.
 
 use std::io::Read;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::BytesMut;
+use limits::{Gate, Opened};
 use may::net::{TcpListener, TcpStream};
-use nvme::{Completion, GatherList, Output, PduSink, Session, Target};
+use nvme::{GatherList, Output, PduSink, Session, Target};
 use records::Clock;
 
-use crate::engine::{Inbox, Message};
+use crate::connection::{Connection, ConnectionId};
+use crate::message::{Inbox, Message};
 use crate::outlet::Outlet;
 
 /// Bytes read at a time.
 const READ: usize = 32 * 1024;
 
-/// A connection's number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub(crate) struct ConnectionId(pub(crate) u64);
-
-/// A client's connection, as the engine and its reader share it.
-pub(crate) struct Connection {
-    pub(crate) id: ConnectionId,
-    pub(crate) outlet: Arc<Outlet>,
-    session: Mutex<Session>,
-}
-
 /// What all connections have in common.
 pub(crate) struct Front {
     pub(crate) target: Mutex<Target>,
     pub(crate) clock: Clock,
     pub(crate) inbox: Inbox,
-    pub(crate) connections: AtomicUsize,
-    pub(crate) most: usize,
+    pub(crate) gate: Mutex<Gate>,
     pub(crate) spill: usize,
     pub(crate) digests: nvme::Digests,
     pub(crate) closing: AtomicBool,
@@ -43,12 +33,16 @@
         self.target.lock().unwrap_or_else(|p| p.into_inner())
     }
 
+    pub(crate) fn gate(&self) -> std::sync::MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(|p| p.into_inner())
+    }
+
     /// Accepts until the front closes.
     pub(crate) fn accept(self: Arc<Self>, listener: &TcpListener) {
         let mut next = 0;
         while !self.closing.load(Ordering::Relaxed) {
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
+            let (stream, from) = match listener.accept() {
+                Ok(accepted) => accepted,
                 Err(error) => {
                     // Out of descriptors, most likely: those that are served go on, and some will close.
                     tracing::warn!(%error, "a connection could not be accepted");
@@ -60,15 +54,18 @@
             if self.closing.load(Ordering::Relaxed) {
                 return;
             }
-            if self.connections.fetch_add(1, Ordering::Relaxed) >= self.most {
-                self.connections.fetch_sub(1, Ordering::Relaxed);
-                tracing::warn!(most = self.most, "a connection over the limit is closed");
-                continue;
-            }
             next += 1;
             let (front, id) = (self.clone(), ConnectionId(next));
+            match self.gate().open(self.clock.now(), id, from.ip()) {
+                Opened::Kept => {}
+                Opened::InPlaceOf(other) => self.inbox.send(Message::Evict(other)),
+                Opened::Closed(over) => {
+                    tracing::warn!(%over, %from, "a connection is closed");
+                    continue;
+                }
+            }
             if let Err(error) = task::spawn("front", move || front.serve(stream, id)) {
-                self.connections.fetch_sub(1, Ordering::Relaxed);
+                self.gate().close(id);
                 tracing::warn!(%error, "no coroutine for a connection");
             }
         }
@@ -80,12 +77,12 @@
             Ok(outlet) => self.converse(&mut stream, id, Arc::new(outlet)),
             Err(error) => tracing::warn!(%error, "a connection could not be set up"),
         }
-        self.connections.fetch_sub(1, Ordering::Relaxed);
+        self.gate().close(id);
     }
 
     fn converse(&self, stream: &mut TcpStream, id: ConnectionId, outlet: Arc<Outlet>) {
-        let session = Mutex::new(Session::new(&self.target(), self.digests));
-        let connection = Arc::new(Connection { id, outlet, session });
+        let session = Session::new(&self.target(), self.digests);
+        let connection = Arc::new(Connection::new(id, outlet, session));
         self.inbox.send(Message::Opened(connection.clone()));
         let mut buffer = vec![0; READ].into_boxed_slice();
         loop {
@@ -126,7 +123,11 @@
                 Output::Abort { cid, sqid, target } => {
                     self.inbox.send(Message::Abort { connection: connection.id, cid, sqid, victim: target });
                 }
-                Output::Bound(admission) => self.inbox.send(Message::Bound(connection.id, admission)),
+                Output::Bound(admission) => {
+                    let host = self.target().host(admission.cntlid).unwrap_or_default().to_owned();
+                    self.gate().risen(connection.id, &host);
+                    self.inbox.send(Message::Bound(connection.id, admission, host.into()));
+                }
                 Output::Ended(cntlid) => self.inbox.send(Message::AssociationEnded(cntlid)),
                 Output::Close(reason) => {
                     if let Some(reason) = reason {
@@ -139,21 +140,3 @@
         goes_on
     }
 }
-
-impl Connection {
-    fn session(&self) -> std::sync::MutexGuard<'_, Session> {
-        self.session.lock().unwrap_or_else(|p| p.into_inner())
-    }
-
-    /// Answers a command. The status is cut to what the host asked to be told. The answer goes out with the next flush;
-    /// whether one is due.
-    pub(crate) fn complete(&self, cid: u16, mut completion: Completion, front: &Front) -> bool {
-        let mut session = self.session();
-        if !completion.status.is_success() {
-            completion.status = session.allowed(completion.status, &mut front.target());
-        }
-        self.outlet.append(|out| {
-            session.complete(cid, completion, out);
-        })
-    }
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,17 +3,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::mpsc as thread_mpsc;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use limits::Gate;
 use may::net::TcpListener;
 use nvme::{DiscoveryEntry, Target};
 use records::Clock;
 
-use crate::engine::{Engine, Inbox, Message};
+use crate::engine::Engine;
 use crate::front::Front;
+use crate::message::{Inbox, Message};
 use crate::options::GatewayOptions;
 use crate::status::{ControlAnswer, ControlRequest};
 use crate::ticker::Ticker;
@@ -66,8 +68,7 @@
             target: Mutex::new(Target::new(options.target.clone())),
             clock: Clock::new(),
             inbox: inbox.clone(),
-            connections: AtomicUsize::new(0),
-            most: options.connections,
+            gate: Mutex::new(Gate::new(options.gate.clone())),
             spill: options.spill,
             digests: options.digests,
             closing: AtomicBool::new(false),
@@ -114,7 +115,7 @@
         let _ = std::net::TcpStream::connect_timeout(&self.address, Duration::from_millis(200));
         // The last answers may still be on their way out of this process.
         for _ in 0..100 {
-            if self.front.connections.load(Ordering::Relaxed) == 0 {
+            if self.front.gate().connections().0 == 0 {
                 break;
             }
             std::thread::sleep(Duration::from_millis(5));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,11 +10,13 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod connection;
 mod engine;
 mod front;
 mod gateway;
 mod link;
 mod mapping;
+mod message;
 mod options;
 mod outlet;
 mod status;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -15,7 +15,7 @@
 };
 use storage_core::{AttemptId, End, Opcode, Send};
 
-use crate::engine::{Inbox, Message};
+use crate::message::{Inbox, Message};
 use crate::options::LinkOptions;
 use crate::outlet::Outlet;
 
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use limits::GateOptions;
 use nvme::{Digests, TargetOptions};
 use serde::{Deserialize, Serialize};
 use storage_core::{Catalogue, Micros, NodeState};
@@ -98,8 +99,8 @@
     pub digests: Digests,
     /// Links.
     pub link: LinkOptions,
-    /// Client connections at most.
-    pub connections: usize,
+    /// What it grants its clients of itself.
+    pub gate: GateOptions,
     /// Bytes that wait for one connection that does not read, at most.
     pub spill: usize,
     /// The node list from before the start.
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -100,6 +100,24 @@
     pub stopping: bool,
     /// Client connections.
     pub connections: usize,
+    /// Of these, on their way up.
+    #[serde(default)]
+    pub rising: usize,
+    /// Hosts that they belong to.
+    #[serde(default)]
+    pub hosts: usize,
+    /// Commands held for them.
+    #[serde(default)]
+    pub held_commands: usize,
+    /// Bytes held for them.
+    #[serde(default)]
+    pub held_bytes: u64,
+    /// Commands that wait for their host's turn.
+    #[serde(default)]
+    pub waiting_turn: usize,
+    /// What the gateway's own limits turned away, by limit.
+    #[serde(default)]
+    pub turned_away: std::collections::BTreeMap<String, u64>,
     /// Operations owed an answer.
     pub open: usize,
     /// Attempts out.
--- a/crates/gateway/tests/path.rs
+++ b/crates/gateway/tests/path.rs
@@ -29,7 +29,11 @@
 
 impl Stage {
     fn new() -> Stage {
-        let site = Site::parse(SITE).expect("the file is well formed");
+        Stage::with(SITE)
+    }
+
+    fn with(text: &str) -> Stage {
+        let site = Site::parse(text).expect("the file is well formed");
         let nodes: Vec<Node> = (0..site.node.len())
             .map(|n| Node::start(site.node_options(n, false), Recorder::none()).expect("a node"))
             .collect();
@@ -574,3 +578,89 @@
         assert_eq!(look(served(&stage.answer()), 1, 0, 4096), vec![Found::Written(n.into()); 32]);
     }
 }
+
+#[test]
+fn a_connection_that_never_completes_its_way_up_is_let_go_and_one_that_did_is_kept() {
+    let stage = Stage::with(&SITE.replace("[log]", "[limits]\nway_up_ms = 300\n\n[log]"));
+    let host = stage.host(1);
+    let mut mute = TcpStream::connect(stage.gateway.address()).unwrap();
+    mute.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut told = Vec::new();
+    mute.read_to_end(&mut told).expect("it is closed, not left open");
+    assert!(told.is_empty());
+    stage.until("only the host's are left", |s| (s.connections, s.rising, s.hosts) == (3, 0, 1));
+    host.read(1, 1, 0, 1, 4096, 1).unwrap();
+    served(&stage.answer());
+}
+
+#[test]
+fn connections_of_one_address_on_their_way_up_are_bounded_and_the_oldest_gives_way_where_all_are_taken() {
+    let limits = "[limits]\nconnections = 6\nrising_from_address = 3\n\n[log]";
+    let stage = Stage::with(&SITE.replace("[log]", limits));
+    let host = stage.host(1);
+    let connect = || TcpStream::connect(stage.gateway.address()).unwrap();
+    let closed = |mut s: &TcpStream| {
+        s.set_read_timeout(Some(PATIENCE)).unwrap();
+        s.read(&mut [0; 8]).expect("closed") == 0
+    };
+    let first = connect();
+    stage.until("it is on its way up", |s| s.rising == 1);
+    let (_second, _third) = (connect(), connect());
+    stage.until("so are these", |s| (s.connections, s.rising) == (6, 3));
+    assert!(closed(&connect()), "a fourth of one address is not kept");
+    assert_eq!(stage.status().turned_away["limits.rising_from_address is reached"], 1);
+    // From another address: all are taken, and the oldest on its way up gives way.
+    let mut another = nvme_connect_from([127, 0, 0, 2], stage.gateway.address());
+    assert!(closed(&first));
+    assert!(!stage.status().turned_away.contains_key("limits.connections is reached"));
+    another.write_all(&[0; 1]).unwrap();
+    host.read(1, 1, 0, 1, 4096, 1).unwrap();
+    served(&stage.answer());
+}
+
+/// Connects from an address of the loopback range.
+fn nvme_connect_from(from: [u8; 4], to: std::net::SocketAddr) -> TcpStream {
+    use nix::sys::socket::{AddressFamily, SockFlag, SockType, SockaddrIn, bind, connect, socket};
+    use std::os::fd::AsRawFd;
+    let fd = socket(AddressFamily::Inet, SockType::Stream, SockFlag::empty(), None).unwrap();
+    bind(fd.as_raw_fd(), &SockaddrIn::new(from[0], from[1], from[2], from[3], 0)).unwrap();
+    let std::net::SocketAddr::V4(to) = to else { panic!("IPv4") };
+    connect(fd.as_raw_fd(), &SockaddrIn::from(to)).unwrap();
+    TcpStream::from(fd)
+}
+
+#[test]
+fn a_host_may_hold_so_many_commands_and_what_is_over_is_refused_at_once() {
+    let stage = Stage::with(&SITE.replace("[log]", "[limits]\nhost_commands = 10\n\n[log]"));
+    let (greedy, modest) = (stage.host(1), stage.host(2));
+    stage.nodes[0].fault(Fault::Stall(true));
+    for n in 0..30u64 {
+        greedy.read(1 + (n % 2) as u16, 1, n % 8, 1, 4096, n + 1).unwrap();
+    }
+    // Twenty of them are over, refused with advice before anything of the ten is answered.
+    let refused = stage.answers(20);
+    assert!(refused.iter().all(|a| matches!(a.word, Word::Refused(advice) if advice > 0)), "{refused:?}");
+    assert_eq!((stage.status().held_commands, stage.status().taken), (10, 10));
+    // Another host is not touched by it.
+    modest.read(1, 1, 8, 1, 4096, 100).unwrap();
+    let answer = stage.answer();
+    assert_eq!(answer.user, 100);
+    served(&answer);
+    stage.nodes[0].fault(Fault::Stall(false));
+    stage.answers(10);
+    stage.until("nothing is held", |s| (s.held_commands, s.held_bytes) == (0, 0));
+}
+
+#[test]
+fn commands_of_a_connection_that_closes_are_held_no_longer() {
+    let stage = Stage::new();
+    let host = stage.host(1);
+    stage.nodes[0].fault(Fault::Stall(true));
+    (0..20u64).for_each(|n| {
+        host.write(1, 1, n % 8, 1, fill(n + 1, 1, n % 8, 1, 4096), n + 1).unwrap();
+    });
+    stage.until("they are held", |s| (s.held_commands, s.held_bytes) == (20, 20 * 4096));
+    host.close();
+    stage.until("none is", |s| (s.held_commands, s.held_bytes, s.hosts, s.waiting_turn) == (0, 0, 0, 0));
+    stage.nodes[0].fault(Fault::Stall(false));
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -207,6 +207,18 @@
         self.within("limits.queue_entries".into(), l.queue_entries.into(), 2.0, 65536.0);
         self.within("limits.io_queues".into(), l.io_queues.into(), 1.0, 1024.0);
         self.within("limits.connections".into(), l.connections as f64, 2.0, 1e6);
+        let whole = [
+            ("connections_from_address", l.connections_from_address, 1e6),
+            ("rising_from_address", l.rising_from_address, 1e6),
+            ("host_commands", l.host_commands, 1e7),
+            ("commands", l.commands, 1e7),
+            ("host_held_mib", l.host_held_mib as usize, 1e6),
+            ("held_mib", l.held_mib as usize, 1e6),
+            ("way_up_ms", l.way_up_ms as usize, 3.6e6),
+        ];
+        whole
+            .into_iter()
+            .for_each(|(key, n, most)| self.within(format!("limits.{key}"), n as f64, 1.0, most));
         self.within("limits.associations".into(), l.associations as f64, 1.0, 60000.0);
         self.within("limits.in_capsule_kib".into(), l.in_capsule_kib.into(), 1.0, 128.0);
         if !(l.transfer_kib.is_power_of_two() && (4..=1024).contains(&l.transfer_kib)) {
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -107,6 +107,20 @@
 pub struct Limits {
     /// Connections of a gateway.
     pub connections: usize,
+    /// Connections from one address.
+    pub connections_from_address: usize,
+    /// Of these, on their way up at one time.
+    pub rising_from_address: usize,
+    /// How long a connection's way up may take.
+    pub way_up_ms: u32,
+    /// Commands held for one host.
+    pub host_commands: usize,
+    /// Commands held for all.
+    pub commands: usize,
+    /// Data held for one host.
+    pub host_held_mib: u32,
+    /// Data held for all.
+    pub held_mib: u32,
     /// Associations of a gateway.
     pub associations: usize,
     /// Entries of a queue; one fewer commands are out.
@@ -133,6 +147,13 @@
     fn default() -> Self {
         Limits {
             connections: 10_000,
+            connections_from_address: 10_000,
+            rising_from_address: 256,
+            way_up_ms: 5000,
+            host_commands: 8192,
+            commands: 65_536,
+            host_held_mib: 256,
+            held_mib: 1024,
             associations: 1024,
             queue_entries: 129,
             io_queues: 16,
