--- a/crates/loadgen/benches/proof.rs
+++ b/crates/loadgen/benches/proof.rs
@@ -12,7 +12,7 @@
 
 use common::{phase, scenario, sleeper};
 use emulator::Fault;
-use loadgen::{Latency, Micros, Shape, run};
+use loadgen::{Micros, Results, Shape, run};
 use records::{NodeLine, Recorder};
 
 const MS: Micros = 1000;
@@ -39,12 +39,8 @@
     let scenario = scenario(&node, vec![phase(Shape::Steady, seconds, rate)]);
     let results = run(&scenario, &AtomicBool::new(false), &mut |_| {}).expect("it runs");
     assert!(results.valid, "the generator was late: {:?}", results.lateness);
-    println!(
-        "{name:12} the generator itself was late by p99 {} us, at most {} us",
-        results.lateness.p99, results.lateness.max
-    );
     let all = (0..results.wanted as usize).map(|n| script[n % script.len()]).collect();
-    compare(name, &results.latency, expected(all))
+    compare(name, &results, expected(all))
 }
 
 /// A stall of 5 s in a load of 20 s.
@@ -82,7 +78,7 @@
             t => to - t + work,
         }
     };
-    compare("stall of 5 s", &results.latency, expected((0..results.wanted).map(told).collect()))
+    compare("stall of 5 s", &results, expected((0..results.wanted).map(told).collect()))
 }
 
 fn main() {
