--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -5,6 +5,11 @@
 
 use clap::{Args, Parser, Subcommand};
 
+/// The site file that every command takes unless it is told another.
+const CONFIG: &str = "site.toml";
+/// The folder of a site's state that every command takes unless it is told another.
+const STATE: &str = "site.state";
+
 /// A storage gateway: schedules reads and writes over NVMe/TCP across storage nodes.
 ///
 /// Exit codes: 0 all is well; 1 something failed, or a rule was broken; 2 a file or argument is wrong.
@@ -122,10 +127,10 @@
     /// Check a site before its start: file, ports, limits, rights, space, clock
     Doctor {
         /// Site file
-        #[arg(long)]
+        #[arg(long, default_value = CONFIG)]
         config: PathBuf,
         /// Folder of the state
-        #[arg(long)]
+        #[arg(long, default_value = STATE)]
         state: PathBuf,
     },
     /// Print the completion script of a shell
@@ -147,10 +152,10 @@
 #[group(skip)]
 pub struct At {
     /// Folder of the site's state
-    #[arg(long, required_unless_present = "control", conflicts_with = "control")]
-    pub state: Option<PathBuf>,
-    /// Control socket of one gateway
-    #[arg(long)]
+    #[arg(long, default_value = STATE)]
+    pub state: PathBuf,
+    /// Control socket of one gateway, in place of a site
+    #[arg(long, conflicts_with = "state")]
     pub control: Option<PathBuf>,
     /// Print JSON
     #[arg(long)]
@@ -161,7 +166,7 @@
 #[derive(Debug, Args)]
 pub struct SiteAt {
     /// Folder of the site's state
-    #[arg(long)]
+    #[arg(long, default_value = STATE)]
     pub state: PathBuf,
     /// Print JSON
     #[arg(long)]
@@ -185,10 +190,10 @@
 #[derive(Debug, Args)]
 pub struct ApplianceArgs {
     /// Site file
-    #[arg(long)]
+    #[arg(long, default_value = CONFIG)]
     pub config: PathBuf,
     /// Folder of the state: journal, sockets, locks, logs
-    #[arg(long)]
+    #[arg(long, default_value = STATE)]
     pub state: PathBuf,
 }
 
@@ -196,7 +201,7 @@
 #[derive(Debug, Args)]
 pub struct ConsoleArgs {
     /// Folder of the site's state
-    #[arg(long)]
+    #[arg(long, default_value = STATE)]
     pub state: PathBuf,
     /// Print the view once, as text, and end
     #[arg(long)]
@@ -232,7 +237,7 @@
 #[derive(Debug, Args)]
 pub struct GatewayArgs {
     /// Site file
-    #[arg(long)]
+    #[arg(long, default_value = CONFIG)]
     pub config: PathBuf,
     /// Name of the gateway in the file
     #[arg(long)]
@@ -264,7 +269,7 @@
 #[derive(Debug, Args)]
 pub struct NodeArgs {
     /// Site file
-    #[arg(long)]
+    #[arg(long, default_value = CONFIG)]
     pub config: PathBuf,
     /// Name of the node in the file
     #[arg(long)]
@@ -386,4 +391,7 @@
     /// Sizes in KiB
     #[arg(long, value_delimiter = ',', default_value = "4,64")]
     pub sizes: Vec<u32>,
+    /// Print the rows as JSON; how it goes is told on standard error
+    #[arg(long)]
+    pub json: bool,
 }
--- a/crates/crowbay/src/day.rs
+++ b/crates/crowbay/src/day.rs
@@ -180,6 +180,11 @@
         sizes: args.sizes.clone(),
         rounds: args.rounds,
     };
+    if args.json {
+        let rows = lab::bench_path(&options, &mut |line| eprintln!("{line}"))?;
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+        return Ok(ExitCode::SUCCESS);
+    }
     println!("one process holds host, gateway and stand-in node; medians of {} rounds", args.rounds.max(1));
     println!("{}", BenchRow::head());
     lab::bench_path(&options, &mut |line| println!("{line}"))?;
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -30,8 +30,7 @@
 }
 
 fn site_at(at: &At) -> SiteAt {
-    // The arguments ask for one of the two.
-    SiteAt { state: at.state.clone().unwrap_or_default(), json: at.json }
+    SiteAt { state: at.state.clone(), json: at.json }
 }
 
 fn unexpected() -> Failure {
--- a/crates/crowbay/tests/program.rs
+++ b/crates/crowbay/tests/program.rs
@@ -145,3 +145,20 @@
     }
     assert!(report.served > report.commands / 4, "{report:#?}");
 }
+
+#[test]
+fn verbs_and_appliance_take_the_same_defaults_and_say_so() {
+    let dir = tempfile::tempdir().unwrap();
+    let here =
+        |args: &[&str]| Command::new(EXE).args(args).current_dir(dir.path()).output().expect("it runs");
+    for verb in ["appliance", "doctor", "status", "nodes", "console", "stop"] {
+        let help = text(&here(&[verb, "--help"]).stdout);
+        assert!(help.contains("[default: site.state]"), "{verb}: {help}");
+    }
+    let told = text(&here(&["doctor"]).stdout);
+    assert!(told.contains("site.toml"), "{told}");
+    let done = here(&["status"]);
+    assert_eq!(done.status.code(), Some(1));
+    assert!(text(&done.stderr).contains("site.state/appliance.sock"), "{}", text(&done.stderr));
+    assert_eq!(here(&["status", "--state", "a", "--control", "b"]).status.code(), Some(2));
+}
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -10,6 +10,7 @@
 use load::{Host, HostOptions, Word, fill};
 use nvme::Digests;
 use records::{Op, Recorder};
+use serde::Serialize;
 use settings::Site;
 
 use crate::LabError;
@@ -28,7 +29,7 @@
 }
 
 /// A point: one depth, size and operation, straight and through.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 pub struct BenchRow {
     /// Queue depth.
     pub depth: u32,
@@ -43,7 +44,7 @@
 }
 
 /// A measurement.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct BenchPoint {
     /// Commands a second.
     pub rate: f64,
