Compare, Write Zeroes and Dataset Management at the gateway

Need: hosts use these three where a controller offers them, and ask at each mount whether it does.

Change: Compare becomes a read of its class, held in the engine against the data that came; Write Zeroes a write of zeroes of its class; Dataset Management's ranges are checked and its hints not acted upon, which the command allows. Identify says so (ONCS). Stand-in nodes do not serve them: gateways ask reads and writes.

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc as thread_mpsc;
 
+use bytes::Bytes;
 use decisions::{NodeId, NodeState};
 use limits::Turns;
 use may::sync::mpsc::Receiver;
@@ -42,6 +43,15 @@
     tickets: HashMap<u16, Ticket>,
 }
 
+/// A command that was taken.
+struct Taken {
+    connection: ConnectionId,
+    cid: u16,
+    bytes: u64,
+    /// What a Compare holds the data that was read against.
+    expected: Option<Bytes>,
+}
+
 pub(crate) struct Engine {
     options: GatewayOptions,
     address: String,
@@ -49,8 +59,7 @@
     front: Arc<Front>,
     inbox: Inbox,
     clients: HashMap<ConnectionId, Client>,
-    /// Commands taken: their connection, identifier and bytes.
-    tickets: HashMap<Ticket, (ConnectionId, u16, u64)>,
+    tickets: HashMap<Ticket, Taken>,
     /// Commands that wait for their host's turn; none of them is taken yet.
     turns: Turns<Arc<str>, (ConnectionId, IoCommand)>,
     next_ticket: u64,
@@ -206,13 +215,15 @@
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
         client.tickets.insert(command.cid, ticket);
-        self.tickets.insert(ticket, (id, command.cid, bytes));
+        let (cid, compares) = (command.cid, command.opcode == nvme::io::COMPARE);
         let opcode = match command.opcode {
-            nvme::io::READ => Opcode::Read,
+            nvme::io::READ | nvme::io::COMPARE => Opcode::Read,
             nvme::io::WRITE => Opcode::Write,
             _ => Opcode::Flush,
         };
-        let IoCommand { nsid, slba, blocks, data, token, .. } = command;
+        let IoCommand { nsid, slba, blocks, mut data, token, .. } = command;
+        let expected = compares.then(|| std::mem::take(&mut data));
+        self.tickets.insert(ticket, Taken { connection: id, cid, bytes, expected });
         let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token };
         self.core.submit(now, operation, &mut self.effects);
     }
@@ -300,7 +311,11 @@
                         }
                     }
                     Effect::Answer(ticket, answer) => {
-                        let completion = told(answer, &self.options.target.retry_delays);
+                        let expected = self.tickets.get(&ticket).and_then(|t| t.expected.as_ref());
+                        let completion = match (&answer, expected) {
+                            (Answer::Served(data), Some(expected)) => compared(data, expected),
+                            _ => told(answer, &self.options.target.retry_delays),
+                        };
                         self.complete(ticket, completion);
                     }
                     Effect::Subscribe => {}
@@ -322,7 +337,7 @@
     }
 
     fn complete(&mut self, ticket: Ticket, completion: Completion) {
-        let Some((id, cid, bytes)) = self.tickets.remove(&ticket) else { return };
+        let Some(Taken { connection: id, cid, bytes, .. }) = self.tickets.remove(&ticket) else { return };
         self.front.gate().done(id, bytes);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.tickets.remove(&cid);
@@ -547,3 +562,13 @@
         }
     }
 }
+
+/// The end of a Compare (NVM 3.2.1): the blocks that were read against the data that came with it.
+fn compared(data: &Bytes, expected: &Bytes) -> Completion {
+    let status = if data == expected {
+        NvmeStatus::SUCCESS
+    } else {
+        NvmeStatus::permanent(StatusCode::CompareFailure)
+    };
+    Completion::of(status)
+}
--- a/crates/nvme/src/command.rs
+++ b/crates/nvme/src/command.rs
@@ -23,6 +23,9 @@
     pub const FLUSH: u8 = 0x00;
     pub const WRITE: u8 = 0x01;
     pub const READ: u8 = 0x02;
+    pub const COMPARE: u8 = 0x05;
+    pub const WRITE_ZEROES: u8 = 0x08;
+    pub const DATASET_MANAGEMENT: u8 = 0x09;
 }
 
 /// Fabrics command types (Base 6).
--- a/crates/nvme/src/identify.rs
+++ b/crates/nvme/src/identify.rs
@@ -51,6 +51,7 @@
     pub(crate) namespaces: u32,
     pub(crate) in_capsule: u32,
     pub(crate) max_commands: u16,
+    pub(crate) optional: bool,
 }
 
 impl ControllerIdentity<'_> {
@@ -77,6 +78,9 @@
         b[513] = 0x44;
         put(&mut b, 514, &self.max_commands.to_le_bytes());
         put(&mut b, 516, &self.namespaces.to_le_bytes());
+        if self.optional && !self.discovery {
+            put(&mut b, 520, &0b1101u16.to_le_bytes()); // ONCS: Compare, Dataset Management, Write Zeroes.
+        }
         b[525] = 0b001; // VWC: a volatile write cache is present, so hosts flush.
         put(&mut b, 536, &(1u32 | 1 << 20).to_le_bytes()); // SGLS: SGLs, offsets into the capsule.
         text(&mut b, 768, 256, "");
--- a/crates/nvme/src/session.rs
+++ b/crates/nvme/src/session.rs
@@ -23,7 +23,7 @@
 pub struct IoCommand {
     /// Names the command in [`Session::complete`].
     pub cid: u16,
-    /// [`io::READ`], [`io::WRITE`] or [`io::FLUSH`].
+    /// [`io::READ`], [`io::WRITE`], [`io::FLUSH`] or [`io::COMPARE`]; Write Zeroes comes as a write of zeroes.
     pub opcode: u8,
     /// Namespace.
     pub nsid: u32,
@@ -31,7 +31,7 @@
     pub slba: u64,
     /// Blocks; 0 for Flush.
     pub blocks: u32,
-    /// Data of a write.
+    /// Data of a write, or what a read is to be compared with.
     pub data: Bytes,
     /// Token of a keyed write; 0: none.
     pub token: u64,
@@ -314,7 +314,7 @@
             Sgl::Transport { .. } if !data.is_empty() => Err(refuse(StatusCode::DataSglLengthInvalid)),
             Sgl::Transport { length } => {
                 // Checked before the data is asked for, so that a bad range moves none.
-                if on_io_queue && sqe.opcode() == io::WRITE {
+                if on_io_queue && matches!(sqe.opcode(), io::WRITE | io::COMPARE) {
                     self.check_range(sqe, length, target)?;
                 }
                 Ok(length as usize)
@@ -479,6 +479,7 @@
                 retry_delays: o.retry_delays,
                 namespaces: o.namespaces.last().map_or(0, |ns| ns.nsid),
                 in_capsule: o.in_capsule,
+                optional: o.optional,
                 max_commands: o.queue_entries.min(0xffff) as u16,
             }
             .to_bytes(),
@@ -513,9 +514,11 @@
         Ok(())
     }
 
-    fn io(&mut self, sqe: &Sqe, data: Bytes, cx: &mut Cx<'_>) -> Result<Option<Completion>, Refusal> {
+    fn io(&mut self, sqe: &Sqe, mut data: Bytes, cx: &mut Cx<'_>) -> Result<Option<Completion>, Refusal> {
         let target = &*cx.target;
-        let blocks = match sqe.opcode() {
+        let mut opcode = sqe.opcode();
+        let optional = target.options.optional;
+        let blocks = match opcode {
             io::FLUSH => {
                 if sqe.nsid() != u32::MAX && target.namespace(sqe.nsid()).is_none() {
                     return Err(refuse(StatusCode::InvalidNamespace));
@@ -533,12 +536,29 @@
                 self.check_range(sqe, length, target)?;
                 sqe.block_count()
             }
+            io::COMPARE if optional => {
+                self.check_range(sqe, data.len() as u32, target)?;
+                sqe.block_count()
+            }
+            io::WRITE_ZEROES if optional => {
+                let ns = target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace))?;
+                let length = sqe.block_count().saturating_mul(ns.block_size);
+                // No data is transferred, yet the write that it becomes is as large as a transfer may be.
+                self.check_range(sqe, length, target)?;
+                data = Bytes::from(vec![0; length as usize]);
+                opcode = io::WRITE;
+                sqe.block_count()
+            }
+            io::DATASET_MANAGEMENT if optional => {
+                dataset_management(sqe, &data, target)?;
+                return Ok(Some(Completion::of(Status::SUCCESS)));
+            }
             _ => return Err(refuse(StatusCode::InvalidOpcode)),
         };
-        self.slots.insert(sqe.cid(), Slot::Running { opcode: sqe.opcode() });
+        self.slots.insert(sqe.cid(), Slot::Running { opcode });
         cx.outputs.push(Output::Command(IoCommand {
             cid: sqe.cid(),
-            opcode: sqe.opcode(),
+            opcode,
             nsid: sqe.nsid(),
             slba: if blocks > 0 { sqe.slba() } else { 0 },
             blocks,
@@ -618,6 +638,21 @@
     }
 }
 
+/// Dataset Management (NVM 3.2.3): hints, checked and not acted upon. Deallocation is the host's offer, not its demand: the
+/// blocks keep their data, which the command allows.
+fn dataset_management(sqe: &Sqe, data: &[u8], target: &Target) -> Result<(), Refusal> {
+    let ns = target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace))?;
+    let ranges = (sqe.cdw(10) & 0xff) as usize + 1;
+    let Some(data) = data.get(..ranges * 16) else { return Err(refuse(StatusCode::DataSglLengthInvalid)) };
+    for range in data.chunks_exact(16) {
+        let (blocks, slba) = (u64::from(crate::le32(range, 4)), crate::le64(range, 8));
+        if slba.checked_add(blocks).is_none_or(|end| end > ns.blocks) {
+            return Err(refuse(StatusCode::LbaOutOfRange));
+        }
+    }
+    Ok(())
+}
+
 /// Completion with data for a command that reads, cut to what its descriptor takes.
 fn read_back(sqe: &Sqe, mut data: Vec<u8>) -> Result<Completion, Refusal> {
     let Sgl::Transport { length } = sqe.sgl() else {
--- a/crates/nvme/src/status.rs
+++ b/crates/nvme/src/status.rs
@@ -30,6 +30,7 @@
     ConnectControllerBusy = 0x181,
     ConnectInvalidParameters = 0x182,
     ConnectInvalidHost = 0x184,
+    CompareFailure = 0x285,
     /// Vendor specific, on the node's leg: turned away unseen, never ran (docs/nvme.md).
     VendorFull = 0x7c0,
 }
--- a/crates/nvme/src/target.rs
+++ b/crates/nvme/src/target.rs
@@ -45,6 +45,8 @@
     pub max_h2c_data: u32,
     /// Command Retry Delay Times 1 to 3, in 100 ms.
     pub retry_delays: [u16; 3],
+    /// Compare, Write Zeroes and Dataset Management are served (NVM 3.2.1, 3.2.8, 3.2.3); else they are no commands here.
+    pub optional: bool,
     /// What the discovery subsystem lists; it exists only where there are entries.
     pub discovery: Vec<DiscoveryEntry>,
 }
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -147,6 +147,7 @@
             in_capsule: l.in_capsule_kib * 1024,
             max_h2c_data: 128 * 1024,
             retry_delays: l.retry_delays_ms.map(|ms| (ms / 100) as u16),
+            optional: true,
             discovery: Vec::new(),
         }
     }
@@ -209,6 +210,8 @@
         let (n, r) = (&self.node[index], &self.rules);
         let mut target = self.target(&n.name, "crowbay stand-in node", self.namespaces(|_| true));
         // Every gateway, and clients that measure the straight way, with queues as long as theirs.
+        // Gateways make reads and writes of what clients ask beyond these.
+        target.optional = false;
         target.queue_entries = target.queue_entries.max(self.link.queue_entries);
         let keyed = self.class.iter().filter_map(|c| c.window_ms).max().unwrap_or(0);
         NodeOptions {
