Load generator: a test without a race; one type for operations; a comment says what is known

Cause: a test stalled its node while hosts were still on their way up, and failed now and then; the operations' type stood twice; a comment called the timed connect the cause of the aborts, which went on without it.

Result: the test asserts more (all ten give up), with the node's script in place of a race.

--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -299,9 +299,9 @@
         cntlid: u16,
         in_capsule: u32,
     ) -> Result<(TcpStream, Initiator, HostEvent), LinkError> {
-        // Danger: a timed connect takes its timer off the poller's list on a worker's thread while the poller walks it, which
-        // corrupts the heap (`may` 0.3.51, EventData::fast_schedule; seen as an abort in malloc). The runtime is built
-        // without timed I/O. Harm: where a node's packets are swallowed the system's own time-out ends the try; what waits
+        // Danger: a timed connect takes its timer off the poller's list on a worker's thread while the poller walks it (`may`
+        // 0.3.51, EventData::fast_schedule), by its source; not shown to have done harm here: test processes were aborted
+        // with a damaged heap before and after it was taken out (docs/architecture.md). Harm: where a node's packets are swallowed the system's own time-out ends the try; what waits
         // for the link is ended in time by the watch all the same.
         let mut stream = TcpStream::connect(self.address)?;
         stream.set_nodelay(true)?;
--- a/crates/loadgen/src/scenario.rs
+++ b/crates/loadgen/src/scenario.rs
@@ -4,23 +4,12 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
+pub use records::Op;
 use serde::{Deserialize, Serialize};
 
 /// Time or a span, in microseconds.
 pub type Micros = i64;
 
-/// What a command does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
-pub enum Op {
-    /// Reads blocks.
-    Read,
-    /// Writes blocks.
-    Write,
-    /// Flushes a volume.
-    Flush,
-}
-
 /// A whole scenario.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/loadgen/tests/run.rs
+++ b/crates/loadgen/tests/run.rs
@@ -90,26 +90,14 @@
 
 #[test]
 fn a_client_whose_patience_is_over_gives_up_in_time() {
-    let node = sleeper(Vec::new(), Recorder::none());
-    node.fault(Fault::Silent(true));
+    // Every command takes far longer than its client waits.
+    let node = sleeper(vec![60_000_000], Recorder::none());
     let mut s = scenario(&node, vec![phase(Shape::Steady, 0.5, 20.0)]);
     s.class[0].aim_ms = 50.0;
     s.class[0].patience_ms = 200.0;
-    // The way up needs answers.
-    node.fault(Fault::Silent(false));
-    let results = std::thread::scope(|scope| {
-        let runs = scope.spawn(|| play(&s));
-        let end = std::time::Instant::now() + Duration::from_secs(10);
-        while node.status().connections < 6 && std::time::Instant::now() < end {
-            std::thread::sleep(Duration::from_millis(1));
-        }
-        node.fault(Fault::Stall(true));
-        let results = runs.join().unwrap();
-        node.fault(Fault::Stall(false));
-        results
-    });
-    assert_eq!(ends(&results), results.wanted);
-    assert!(of(&results, End::GaveUp) > 0 && results.worth_part < 1.0, "{:?}", results.ends);
+    let results = play(&s);
+    assert_eq!((results.wanted, of(&results, End::GaveUp)), (10, 10), "{:?}", results.ends);
+    assert_eq!(results.worth_part, 0.0);
 }
 
 #[test]
