Cold nodes: turns are also drawn among those who share a node; answers before half of the time

Ruled out: node time, latencies (p50 50 ms), limits.

Lines: Scheduler::cold dealt turns over settings.hosts. Change: the even deal stays; beyond it a turn is drawn by chance, so that those who share the node, as this host's spread over the shards tells, have together what the node bears less one deviation; what a host has not seen yet counts in full (Good-Turing), so that one that has just started keeps to the even deal. Turns grow with the node's age.

--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -53,6 +53,8 @@
 const TURN: Micros = 4;
 /// Least units of a host's turn in a window, in mean requests.
 const TURN_UNITS: f64 = 1.0;
+/// Deviations of the number of turns drawn by chance that are kept free.
+const SPREAD: f64 = 1.0;
 /// Deals the turns evenly: the golden ratio.
 const GOLDEN: f64 = 0.618_033_988_749;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
@@ -364,8 +366,9 @@
             open.step = SHARE;
         }
         // Danger: a client with little time is held for most of it and then turned away, when it could have
-        // gone elsewhere. What is not sent by half of its time is answered then. Harm: a late place is lost.
-        open.unsent = due.min(now + open.ask.patience / 2);
+        // gone elsewhere. What is not sent in time for its answer to be there by half of its time is answered
+        // then: an eighth of that half is for the way back. Harm: a late place is lost.
+        open.unsent = due.min(now + open.ask.patience * 7 / 16);
         let (key, patience, unsent) = (open.ask.key, open.ask.patience, open.unsent);
         self.mem.requests.insert(id, open);
         if patience <= 0 {
@@ -412,9 +415,14 @@
         };
         let shard = self.mem.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
-        if open.ask.shard.is_some() && !shard.used {
-            shard.used = true;
-            self.mem.used += 1;
+        if open.ask.shard.is_some() {
+            shard.asks += 1;
+            self.mem.asks += 1;
+            match shard.asks {
+                1 => (self.mem.used, self.mem.once) = (self.mem.used + 1, self.mem.once + 1),
+                2 => self.mem.once -= 1,
+                _ => {}
+            }
         }
         let plan = &self.set.plans[open.ask.plan];
         if open.attempts.is_empty() {
@@ -456,6 +464,22 @@
         shard.remove(place, open.ask.key);
     }
 
+    /// The chance of a turn beyond the even deal of `many` turns to all hosts.
+    ///
+    /// Danger: most hosts of a crowd have no work for a given node, and turns dealt to them all are lost: cold nodes stayed
+    /// nearly idle. As many hosts share a node as this host's own spread over the shards tells; what it has not seen yet
+    /// counts in full (Good and Turing: the part of its requests that were a shard's first). Drawn by each for itself, turns
+    /// spread as chance has it, and `SPREAD` deviations of that are kept free. Harm: by bad luck a node gets more than it
+    /// always bears, once in some hundred turns, and then what it truly bears, which is more, is what is left.
+    fn chance(&self, many: f64) -> f64 {
+        let (asks, hosts) = (self.mem.asks as f64, f64::from(self.set.hosts));
+        let (used, shards) = (self.mem.used as f64, self.mem.shards.len().max(1) as f64);
+        let seen = (asks - self.mem.once as f64) / asks.max(1.0);
+        let sharers = (hosts * used / shards / seen.max(1e-9)).clamp(1.0, hosts);
+        let root = ((SPREAD * SPREAD + 4.0 * many).sqrt() - SPREAD) / 2.0;
+        (root * root / sharers - many / hosts).max(0.0)
+    }
+
     /// When a cold node may take `units`, if not now. Danger: a node that has just started falls over for
     /// good when all hosts together push it. What it bears, grown with the slowest warming that is promised,
     /// is dealt out evenly; where a part would be too small for a request, hosts take turns by the node's
@@ -477,15 +501,20 @@
             base * (1.0 + (1.0 / self.set.cold_from.clamp(0.01, 1.0) - 1.0) * warm.min(1.0))
         };
         let (hosts, turn) = (f64::from(self.set.hosts), window * (TURN + 1));
-        let begun = age - age % turn;
         let least = (TURN_UNITS * self.set.mean_units).clamp(1.0, self.set.most_units.max(1.0));
-        let many = (bears(begun) / least).floor().clamp(1.0, hosts);
+        let many = (bears(age) / least).floor().clamp(1.0, hosts);
         if many < hosts {
-            let first = ((begun / turn) as f64 + f64::from(node.shard.0)) * GOLDEN % 1.0 * hosts;
+            let number = age / turn;
+            let first = (number as f64 + f64::from(node.shard.0)) * GOLDEN % 1.0 * hosts;
             let place = (f64::from(self.set.index) - first.floor()).rem_euclid(hosts);
-            if age % turn >= window * TURN || place >= many {
+            let mut draw = u64::from(self.set.index) << 32 ^ u64::from(node.shard.0) << 16 ^ number as u64;
+            let drawn = (next_random(&mut draw) as f64) < self.chance(many) * u64::MAX as f64;
+            if age % turn >= window * TURN {
                 return Some(now + turn - age % turn);
             }
+            if place >= many && !drawn {
+                return Some(now + window / 8);
+            }
         }
         let recent = node.sends.iter().filter(|s| s.0 > now - window);
         let sent: f64 = recent.clone().map(|s| s.1).sum();
@@ -737,7 +766,8 @@
             volume.used = used;
         }
         attempt.fate = match a.outcome {
-            Outcome::Full | Outcome::Unreachable => Fate::NeverRan,
+            Outcome::Full => Fate::NeverRan,
+            Outcome::Unreachable => Fate::Unreached,
             Outcome::NotSent => Fate::NotSent,
             _ => Fate::MayHaveRun,
         };
@@ -758,7 +788,10 @@
         }
         if a.settled || open.finished {
             self.close(a.request);
-        } else if a.outcome == Outcome::NotSent || now >= open.deadline {
+        } else if a.outcome == Outcome::NotSent
+            || now >= open.deadline
+            || now >= open.unsent && open.unwritten()
+        {
             self.finish(a.request, 0);
         } else if !open.out() && open.place.is_none() {
             self.enqueue(a.request);
@@ -839,7 +872,7 @@
                     if !open.out() {
                         self.finish(id, 0);
                     }
-                } else if open.attempts.is_empty() {
+                } else if open.unwritten() {
                     self.finish(id, 0);
                 }
             }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -18,6 +18,8 @@
     Out,
     MayHaveRun,
     NeverRan,
+    /// Nothing of it was written to a node.
+    Unreached,
     NotSent,
 }
 
@@ -71,6 +73,10 @@
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
+    /// Nothing of it has been written to a node, nor may be.
+    pub(crate) fn unwritten(&self) -> bool {
+        self.attempts.iter().all(|a| matches!(a.fate, Fate::Unreached | Fate::NotSent))
+    }
     pub(crate) fn doubt(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| matches!(a.fate, Fate::Out | Fate::MayHaveRun))
     }
@@ -214,8 +220,8 @@
 
 pub(crate) struct Shard {
     pub(crate) nodes: Vec<NodeId>,
-    /// A volume that this host serves lies here.
-    pub(crate) used: bool,
+    /// Requests taken for it.
+    pub(crate) asks: u64,
     pub(crate) waiting: BTreeSet<Place>,
     pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
     pub(crate) last_key: Option<KeyId>,
@@ -233,7 +239,7 @@
     pub(crate) fn new(span: f64) -> Self {
         Shard {
             nodes: Vec::new(),
-            used: false,
+            asks: 0,
             waiting: BTreeSet::new(),
             by_key: BTreeMap::new(),
             last_key: None,
@@ -291,8 +297,10 @@
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) nodes: BTreeMap<NodeId, Node>,
     pub(crate) shards: BTreeMap<ShardId, Shard>,
-    /// Shards with a volume that this host serves.
+    /// Shards with a volume that this host serves, those asked for once, and all such requests.
     pub(crate) used: usize,
+    pub(crate) once: usize,
+    pub(crate) asks: u64,
     pub(crate) volumes: BTreeMap<VolumeId, Volume>,
     pub(crate) turns: BTreeMap<KeyId, Turn>,
     /// Of requests that ended unserved: the end of the aim, and when they ended.
--- a/crates/decisions/tests/waiting.rs
+++ b/crates/decisions/tests/waiting.rs
@@ -160,14 +160,39 @@
         short.patience = 100_000;
         h.ask(short);
     }
-    h.wait(49_000);
+    h.wait(43_000);
     assert!(h.refused(4).is_none());
     h.wait(2_000);
-    assert!(h.refused(4).is_some_and(|advice| advice > 0));
+    assert!(
+        h.refused(4).is_some_and(|advice| advice > 0),
+        "its answer is there before half of its time is over"
+    );
     assert!((0..4).all(|id| h.refused(id).is_none()));
     h.checker.assert_clean();
 }
 
+#[test]
+fn what_reached_no_node_by_half_of_its_clients_time_is_refused_then() {
+    let mut h = Host::with_nodes(settings(), &[entry(0, 0)]);
+    let mut short = request(0);
+    short.patience = 100_000;
+    h.ask(short);
+    h.wait(20_000);
+    h.answer(0, 0, Outcome::Unreachable);
+    // It waits out the node's pause, and would be sent again after that; nothing of it is at a node.
+    h.wait(24_000);
+    assert!(h.refused(0).is_some());
+    let mut late = request(1);
+    late.patience = 100_000;
+    h.wait(SECOND);
+    h.ask(late);
+    h.wait(60_000);
+    assert!(h.refused(1).is_none(), "it is on its way");
+    h.answer(1, 0, Outcome::Unreachable);
+    assert!(h.refused(1).is_some(), "it is not, and half of its time is over");
+    h.checker.assert_clean();
+}
+
 #[test]
 fn one_broken_connection_brings_no_pause_and_two_in_a_row_do() {
     let mut h = Host::with_nodes(settings(), &[entry(0, 0)]);
