--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -111,6 +111,7 @@
     /// The watch in force, and the one before it until the new one has told something.
     watches: Vec<(u64, Watch)>,
     next_watch: u64,
+    seed: u64,
     sweep: Micros,
     /// One more connection may be accepted, once there is room.
     accepts: bool,
@@ -149,8 +150,9 @@
             nodes: HashMap::new(),
             zones: Zones::default(),
             revision: 0,
-            watches: vec![(0, Watch::new(now, config.discovery))],
+            watches: vec![(0, Watch::new(now, config.discovery, config.seed))],
             next_watch: 1,
+            seed: config.seed,
             sweep: now + SWEEP,
             accepts: true,
             leaving: None,
@@ -360,7 +362,7 @@
             let (id, _) = self.watches.remove(0);
             self.outputs.push(Output::Close(SocketId::Discovery(id)));
         }
-        self.watches.push((self.next_watch, Watch::new(now, discovery)));
+        self.watches.push((self.next_watch, Watch::new(now, discovery, self.seed ^ self.next_watch)));
         self.next_watch += 1;
         self.tick(now);
     }
--- a/crates/platform/src/watch.rs
+++ b/crates/platform/src/watch.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use decisions::Micros;
 use http1::{Limits, LineDecoder};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 use crate::endpoint::EndpointList;
 
@@ -12,10 +14,10 @@
 const SILENCE: Micros = 5_000_000;
 /// A connection to the agent on the same machine that is not up by then never comes.
 const RISE: Micros = 1_000_000;
-/// First pause before the next try; doubled each time.
-const PAUSE: Micros = 100_000;
+/// First pause before the next try; doubled each time, and drawn between none and twice that.
+const PAUSE: Micros = 200_000;
 /// Doublings of the pause at most.
-const PAUSES: u32 = 4;
+const PAUSES: u32 = 3;
 /// Bytes of a list at most.
 const LIST: usize = 8 << 20;
 /// Bytes of the answer's head at most.
@@ -52,12 +54,14 @@
     told: u64,
     /// Lines that were no list.
     malformed: u64,
+    random: SmallRng,
 }
 
 impl Watch {
-    /// A watch that connects at once.
-    pub fn new(now: Micros, address: SocketAddr) -> Self {
-        Watch { address, phase: Phase::Resting, until: now, tries: 0, told: 0, malformed: 0 }
+    /// A watch that connects at once. `seed` feeds its pauses.
+    pub fn new(now: Micros, address: SocketAddr, seed: u64) -> Self {
+        let random = SmallRng::seed_from_u64(seed);
+        Watch { address, phase: Phase::Resting, until: now, tries: 0, told: 0, malformed: 0, random }
     }
 
     /// When [`Watch::tick`] is due.
@@ -140,9 +144,12 @@
         self.rest(now);
     }
 
+    /// Danger: when discovery goes away, all gateways lose their watches in one moment, and pauses of one length bring all
+    /// of them back in one moment too, again and again. Harm: none.
     fn rest(&mut self, now: Micros) {
         self.phase = Phase::Resting;
-        self.until = now + (PAUSE << self.tries.min(PAUSES));
+        let pause = PAUSE << self.tries.min(PAUSES);
+        self.until = now + self.random.random_range(1..=2 * pause);
         self.tries += 1;
     }
 }
--- /dev/null
+++ b/crates/world/src/agent.rs
@@ -0,0 +1,91 @@
+//! Discovery: the list, and an agent on each gateway's machine that is told of changes late.
+
+use std::collections::BTreeMap;
+
+use serde_json::{Value, json};
+
+use crate::Micros;
+use crate::config::address;
+
+/// Whether a face takes work, in discovery's words.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Listed {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+struct Line {
+    revision: u64,
+    member: Value,
+}
+
+/// The list over time.
+#[derive(Default)]
+pub(crate) struct Register {
+    revision: u64,
+    changes: Vec<Line>,
+}
+
+impl Register {
+    pub(crate) fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// An entry is new or has changed.
+    pub(crate) fn set(
+        &mut self,
+        face: usize,
+        zone: usize,
+        shard: usize,
+        state: Listed,
+        started: Option<Micros>,
+    ) {
+        self.revision += 1;
+        let phase = match state {
+            Listed::InService => "in_service",
+            Listed::Terminating => "terminating",
+            Listed::Terminated => "terminated",
+        };
+        let member = json!({
+            "id": format!("n{face}"), "host_port": address(face).to_string(), "locality": format!("z{zone}"),
+            "flavor": "k", "cell": shard, "phase": phase, "size": 1.0,
+            "up_since_ms": started.map_or(0, |s| s / 1000)
+        });
+        self.changes.push(Line { revision: self.revision, member });
+    }
+
+    /// What changed after one version up to another, as discovery writes it.
+    pub(crate) fn changes(&self, after: u64, until: u64) -> Value {
+        let lines = self.changes.iter().filter(|l| l.revision > after && l.revision <= until);
+        let members: Vec<&Value> = lines.map(|l| &l.member).collect();
+        json!({"revision": until, "complete": false, "members": members})
+    }
+
+    /// The whole list as of a version.
+    pub(crate) fn whole(&self, until: u64) -> Value {
+        let mut last: BTreeMap<&str, &Value> = BTreeMap::new();
+        for line in self.changes.iter().filter(|l| l.revision <= until) {
+            last.insert(line.member["id"].as_str().unwrap_or_default(), &line.member);
+        }
+        let members: Vec<&Value> = last.into_values().filter(|m| m["phase"] != "terminated").collect();
+        json!({"revision": until, "complete": true, "members": members})
+    }
+}
+
+/// The agent of one gateway.
+#[derive(Default)]
+pub(crate) struct Agent {
+    /// What it has been sent.
+    pub(crate) knows: u64,
+    /// What it has told over the watch that is open.
+    pub(crate) told: u64,
+}
+
+/// A line of a watch as a chunk.
+pub(crate) fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+}
+
+/// The head of a watch's answer.
+pub(crate) const WATCHED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
