--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -467,7 +467,7 @@
     /// The chance of a turn beyond the even deal of `many` turns to all hosts.
     ///
     /// Danger: most hosts of a crowd have no work for a given node, and turns dealt to them all are lost;
-    /// cold nodes stayed nearly idle. As many hosts share a node as this host's own spread over the shards tells;
+    /// cold nodes stayed nearly idle. As many hosts share a node as this host's own spread over them tells;
     /// what it has not seen yet counts in full (Good and Turing: the part of its requests whose shard it met
     /// only once). Drawn by each for itself, turns vary as chance has it, and `SPREAD` deviations of that are
     /// kept free. Harm: by bad luck a node gets more than the least that it bears; it bears a multiple of
