--- a/crates/decisions/src/brain.rs
+++ b/crates/decisions/src/brain.rs
@@ -53,8 +53,6 @@
 const TURN: Micros = 4;
 /// Least units of a host's turn in a window, in mean requests.
 const TURN_UNITS: f64 = 1.0;
-/// Deviations of the number of turns drawn by chance that are kept free.
-const SPREAD: f64 = 1.0;
 /// Deals the turns evenly: the golden ratio.
 const GOLDEN: f64 = 0.618_033_988_749;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
@@ -467,18 +465,17 @@
     /// The chance of a turn beyond the even deal of `many` turns to all hosts.
     ///
     /// Danger: most hosts of a crowd have no work for a given node, and turns dealt to them all are lost;
-    /// cold nodes stayed nearly idle. As many hosts share a node as this host's own spread over them tells;
-    /// what it has not seen yet counts in full (Good and Turing: the part of its requests whose shard it met
-    /// only once). Drawn by each for itself, turns vary as chance has it, and `SPREAD` deviations of that are
-    /// kept free. Harm: by bad luck a node gets more than the least that it bears; it bears a multiple of
+    /// cold nodes stayed nearly idle. As many hosts share a node as this host's own spread over the shards
+    /// tells; what it has not seen yet counts in full (Good and Turing: the part of its requests whose shard
+    /// it met only once). Drawn by each for itself, turns of those who share a node are `many` in the mean.
+    /// Harm: by bad luck a node gets more than the least that it bears. What pushes it over is a multiple of
     /// what it can do, and the least is that of the slowest node at its coldest.
     fn chance(&self, many: f64) -> f64 {
         let (asks, hosts) = (self.mem.asks as f64, f64::from(self.set.hosts));
         let (used, shards) = (self.mem.used as f64, self.mem.shards.len().max(1) as f64);
         let seen = (asks - self.mem.once as f64) / asks.max(1.0);
         let sharers = (hosts * used / shards / seen.max(1e-9)).clamp(1.0, hosts);
-        let root = ((SPREAD * SPREAD + 4.0 * many).sqrt() - SPREAD) / 2.0;
-        (root * root / sharers - many / hosts).max(0.0)
+        (many / sharers - many / hosts).max(0.0)
     }
 
     /// When a cold node may take `units`, if not now. Danger: a node that has just started falls over for
