--- a/crates/decisions/tests/crowd.rs
+++ b/crates/decisions/tests/crowd.rs
@@ -121,6 +121,44 @@
     }
 }
 
+/// Of 200 hosts, those that sent to a cold node in its first two seconds. Each has asked `rounds` times for four shards of a
+/// hundred before.
+fn on_turn(rounds: u64) -> usize {
+    let mut senders = 0;
+    for index in 0..200 {
+        let mut set = settings();
+        (set.hosts, set.index, set.cold_units, set.plans[0].reserve) = (200, index, 8.0, 1e6);
+        let shards: Vec<NodeEntry> = (0..100).map(|n| entry(n, n)).collect();
+        let mut h = Host::with_nodes(set, &shards);
+        for id in 0..4 * rounds {
+            let mut r = request(id);
+            r.shard = Some(ShardId((id % 4) as u32));
+            h.ask(r);
+            h.wait(10_000);
+            h.answer(id, 0, Outcome::Served);
+        }
+        h.until(10 * SECOND);
+        let mut node = entry(0, 0);
+        node.started = Some(10 * SECOND);
+        h.nodes(false, &[node]);
+        h.ask(request(1000));
+        h.wait(SECOND);
+        // The checker knows even parts only; what turns add up to is counted here.
+        senders += usize::from(h.sent().contains(&1000));
+    }
+    senders
+}
+
+#[test]
+fn turns_at_a_cold_node_are_drawn_so_that_those_who_share_it_fill_it() {
+    // It bears four turns. Eight of the 200 hosts share a node where each uses four shards of a hundred, so half of them are
+    // to be on turn: 100 of these 200, who all use it here.
+    let known = on_turn(5);
+    assert!((75..125).contains(&known), "{known} of 200");
+    // One that has met no shard twice knows nothing of its spread: the even deal of four among all.
+    assert_eq!(on_turn(0), 4);
+}
+
 #[test]
 fn absurd_numbers_do_no_harm() {
     let mut set = settings();
