crowbay relay: cuts, delays, holds and breaks on connections between processes, by order

Need: 'Power comes back' and 'Work in hand' are proven with faults between processes of the program: one-way cuts, an old send that arrives late, an end in the middle of a frame. Faults inside stand-in nodes cannot show these.

--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -43,6 +43,17 @@
     ///
     /// It keeps its blocks in memory. Prints one JSON line, {"name", "address"}, once it listens.
     Node(NodeArgs),
+    /// Stand on connections between processes on this machine and cut, delay, throttle, hold or break them
+    ///
+    /// Prints one JSON line with where each link listens, and carries until SIGTERM, SIGINT or its standard input closes.
+    /// Orders come from the plan, by time, and over its control socket. docs/relay.md has the keys.
+    Relay {
+        /// The plan: links, orders, control socket, records
+        file: PathBuf,
+        /// End when standard input closes
+        #[arg(long, hide = true)]
+        with_parent: bool,
+    },
     /// Show it: one gateway, six stand-in nodes, clients and some troubles, in one process for 30 s
     Demo(DemoArgs),
     /// Play a scripted day through real gateway and node processes, and judge it
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -42,6 +42,7 @@
         Command::Gateway(args) => serve::gateway(&args),
         Command::Platform => platform::run(),
         Command::Node(args) => serve::node(&args),
+        Command::Relay { file, with_parent } => serve::relay(&file, with_parent),
         Command::Demo(args) => day::demo(&args),
         Command::Badday(args) => day::badday_of(&args),
         Command::Soak(args) => day::soak(&args),
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -1,4 +1,4 @@
-//! `gateway` and `node`: run until told to stop.
+//! `gateway`, `node`, `relay` and `appliance`: run until told to stop.
 
 use std::io::{Read, Write};
 use std::path::Path;
@@ -127,6 +127,30 @@
     Ok(ExitCode::SUCCESS)
 }
 
+pub fn relay(file: &Path, with_parent: bool) -> Ended {
+    let wrong = |what: String| Failure { code: USAGE, what };
+    let plan = relay::Plan::load(file).map_err(|e| wrong(e.to_string()))?;
+    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let mut relay = relay::Relay::open(&plan)?;
+    if with_parent {
+        end_with_parent();
+    }
+    let mut out = std::io::stdout();
+    writeln!(out, "{}", serde_json::to_string(&relay.listening())?)?;
+    out.flush()?;
+    // It holds nothing that would have to be ended in order: a cut is what it is for.
+    let carries = std::thread::spawn(move || relay.run());
+    std::thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            std::process::exit(0);
+        }
+    });
+    match carries.join() {
+        Ok(ended) => ended.map(|()| ExitCode::SUCCESS).map_err(Failure::from),
+        Err(_) => Err(Failure { code: 1, what: "the relay's thread ended".into() }),
+    }
+}
+
 pub fn appliance(args: &ApplianceArgs) -> Ended {
     let site = load(&args.config)?;
     log::start(&site.log);
