Stand-in nodes on a disk, and a judge that knows what a cut took back

Change: a node may have a disk (package filelog): a write is answered once it is durable, one sync for all that was done since the last; after a start it tells its life and since when it remembers tokens, and may be told to forget them. A failing disk takes the node down before it answers. Runs and starts in the records carry the writes' numbers, so that the judge takes back what a cut took back. New in the judge, 'durable': no read finds a block older than a write answered before it was asked for; nothing answered as served was taken back.

--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Micros;
+use crate::disk::{Disk, DiskOptions, Found};
 use crate::fault::Fault;
 use crate::model::{Arrival, Job, JobId, Model, ModelOptions};
 use crate::store::Store;
@@ -43,6 +44,19 @@
     pub unit_bytes: u64,
     /// The most units of a command.
     pub most_units: f64,
+    /// Where it keeps its blocks; without it they are gone with its process.
+    pub disk: Option<DiskOptions>,
+}
+
+/// Why a node cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum NodeError {
+    /// It cannot listen, or have its threads.
+    #[error("node {0} cannot listen on {1}: {2}")]
+    Listen(String, SocketAddr, io::Error),
+    /// Its disk cannot be used.
+    #[error("node {0}: {1}")]
+    Disk(String, filelog::LogError),
 }
 
 /// What a node says of itself.
@@ -64,6 +78,12 @@
     pub held: usize,
     /// Connections.
     pub connections: usize,
+    /// Its life by its disk's count; 0: it has none.
+    #[serde(default)]
+    pub life: u64,
+    /// Since when it remembers every token, by its clock; 0: since its disk was new.
+    #[serde(default)]
+    pub memory_since: Micros,
 }
 
 #[derive(Default)]
@@ -113,6 +133,7 @@
     model: Model,
     target: Target,
     store: Store,
+    disk: Option<Disk>,
     faults: Faults,
     started: Micros,
     connections: HashMap<u64, Connection>,
@@ -143,15 +164,23 @@
     ///
     /// # Errors
     /// The address cannot be listened on.
-    pub fn start(options: NodeOptions, recorder: Recorder) -> io::Result<Node> {
+    pub fn start(options: NodeOptions, recorder: Recorder) -> Result<Node, NodeError> {
         let clock = Clock::new();
-        let listener = TcpListener::bind(options.listen)?;
-        let address = listener.local_addr()?;
+        let failed = |e| NodeError::Listen(options.name.clone(), options.listen, e);
+        let listener = TcpListener::bind(options.listen).map_err(failed)?;
+        let address = listener.local_addr().map_err(failed)?;
         let now = clock.now();
+        let (mut store, mut disk, mut kept) = (Store::default(), None, None);
+        if let Some(disk_options) = &options.disk {
+            let found = Disk::open(disk_options, now, draw(&clock));
+            let found = found.map_err(|e| NodeError::Disk(options.name.clone(), e))?;
+            (store, disk, kept) = (found.store, Some(found.disk), Some(found.kept));
+        }
         let state = State {
             model: Model::new(options.model.clone(), now, options.cold),
             target: Target::new(options.target.clone()),
-            store: Store::default(),
+            store,
+            disk,
             faults: Faults::default(),
             started: if options.cold { now } else { 0 },
             connections: HashMap::new(),
@@ -166,10 +195,12 @@
             wake: Condvar::new(),
             closing: AtomicBool::new(false),
         });
-        shared.record_start(now, shared.options.cold);
+        shared.record_start(now, shared.options.cold, kept);
         let (accepts, works) = (shared.clone(), shared.clone());
-        std::thread::Builder::new().name("node-accept".into()).spawn(move || accepts.accept(&listener))?;
-        std::thread::Builder::new().name("node-work".into()).spawn(move || works.work())?;
+        let named = |name: &str| std::thread::Builder::new().name(name.to_owned());
+        let failed = |e| NodeError::Listen(shared.options.name.clone(), address, e);
+        named("node-accept").spawn(move || accepts.accept(&listener)).map_err(failed)?;
+        named("node-work").spawn(move || works.work()).map_err(failed)?;
         Ok(Node { shared, address })
     }
 
@@ -190,6 +221,8 @@
             fallen: state.model.has_fallen(),
             held: state.model.held(),
             connections: state.connections.len(),
+            life: state.disk.as_ref().map_or(0, |d| d.life),
+            memory_since: state.disk.as_ref().map_or(state.started, |d| d.memory_since),
         }
     }
 
@@ -219,11 +252,11 @@
         self.state.lock().unwrap_or_else(|p| p.into_inner())
     }
 
-    fn record_start(&self, t: Micros, cold: bool) {
+    fn record_start(&self, t: Micros, cold: bool, kept: Option<u64>) {
         let (o, mean) = (&self.options, self.options.unit_bytes as u32);
         let units_per_s = f64::from(o.model.cores) * 1e6 / o.model.work(false, mean).max(1.0);
         let (node, shard) = (o.name.clone(), o.shard);
-        self.recorder.write(&NodeLine::Start { t, node, shard, cold, units_per_s });
+        self.recorder.write(&NodeLine::Start { t, node, shard, cold, units_per_s, kept });
     }
 
     fn accept(self: Arc<Self>, listener: &TcpListener) {
@@ -394,7 +427,7 @@
         let block_size = state.target.namespace(command.nsid).map_or(4096, |ns| ns.block_size);
         let (nsid, slba) = (command.nsid, command.slba);
         let mut data = Bytes::new();
-        let mut applied = true;
+        let (mut applied, mut number) = (true, 0);
         match command.opcode {
             nvme::io::READ => data = state.store.read(nsid, slba, command.blocks, block_size),
             nvme::io::WRITE => {
@@ -403,6 +436,13 @@
                     || state.store.first(now, self.options.memory, command.token, nsid, slba);
                 if applied {
                     state.store.write(nsid, slba, block_size, &command.data);
+                    let token = if command.keyed { command.token } else { 0 };
+                    if let Some(disk) = &mut state.disk {
+                        match disk.write(token, nsid, slba, block_size, &command.data) {
+                            Ok(n) => number = n,
+                            Err(error) => return self.disk_failed(state, &error),
+                        }
+                    }
                 }
             }
             _ => {}
@@ -410,7 +450,7 @@
         if self.recorder.is_on() {
             let (token, attempt) = (command.token, command.attempt);
             let op = op(&command);
-            self.recorder.write(&NodeLine::Run { t: now, token, attempt, nsid, slba, op, applied });
+            self.recorder.write(&NodeLine::Run { t: now, token, attempt, nsid, slba, op, applied, number });
         }
         if !state.faults.silent {
             self.record_answer(&command, false);
@@ -422,6 +462,15 @@
 
     /// Writes what is to be written, damaged or cut as the faults say, with the state unlocked.
     fn write(&self, mut state: MutexGuard<'_, State>, writes: Writes) {
+        // Danger: an answer that goes out before its write is durable promises what a cut takes back; so does a read that
+        // shows such a write. One sync covers all that was done since the last. Harm: the batch waits for the disk.
+        let State { disk, store, target, .. } = &mut *state;
+        if let Some(disk) = disk {
+            let size = |nsid| target.namespace(nsid).map_or(4096, |ns| ns.block_size);
+            if let Err(error) = disk.sync().and_then(|()| disk.tidy(store, size, draw(&self.clock))) {
+                return self.disk_failed(&mut state, &error);
+            }
+        }
         let (silent, corrupt) = (state.faults.silent || state.faults.down, state.faults.corrupt);
         let half = state.faults.half && writes.iter().any(|w| w.1.len() > 24);
         state.faults.half &= !half;
@@ -478,6 +527,13 @@
         }
     }
 
+    /// Danger: a node whose disk has failed must not answer from what it only remembers. It goes down; revived, it reads its
+    /// disk again.
+    fn disk_failed(&self, state: &mut State, error: &filelog::LogError) {
+        tracing::error!(node = self.options.name, %error, "the disk failed; the node goes down");
+        self.down(state);
+    }
+
     fn down(&self, state: &mut State) {
         state.faults.down = true;
         state.jobs.clear();
@@ -509,16 +565,31 @@
             Fault::Half => state.faults.half = true,
             Fault::Die => self.down(&mut state),
             Fault::Revive => {
+                let mut kept = None;
+                if let Some(options) = &self.options.disk {
+                    state.disk = None;
+                    match Disk::open(options, now, draw(&self.clock)) {
+                        Ok(Found { disk, store, kept: last }) => {
+                            (state.disk, state.store, kept) = (Some(disk), store, Some(last));
+                        }
+                        Err(error) => return self.disk_failed(&mut state, &error),
+                    }
+                }
                 state.model = Model::new(self.options.model.clone(), now, true);
                 state.faults = Faults::default();
                 state.started = now;
-                self.record_start(now, true);
+                self.record_start(now, true, kept);
             }
         }
         self.wake.notify_all();
     }
 }
 
+/// A number for a file that has to be made: no two of one node are the same.
+fn draw(clock: &Clock) -> u64 {
+    (clock.now() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(std::process::id())
+}
+
 fn op(command: &IoCommand) -> Op {
     match command.opcode {
         nvme::io::READ => Op::Read,
--- a/crates/emulator/src/store.rs
+++ b/crates/emulator/src/store.rs
@@ -52,6 +52,24 @@
         true
     }
 
+    /// Remembers a token as seen now.
+    pub(crate) fn remember(&mut self, now: Micros, token: u64, nsid: u32, slba: u64) {
+        let key = (token, nsid, slba);
+        if self.tokens.insert(key, now).is_none() {
+            self.order.push_back((now, key));
+        }
+    }
+
+    /// All blocks.
+    pub(crate) fn blocks(&self) -> impl Iterator<Item = ((u32, u64), &Bytes)> {
+        self.blocks.iter().map(|(at, data)| (*at, data))
+    }
+
+    /// All tokens that are remembered, with volume and first block.
+    pub(crate) fn tokens(&self) -> impl Iterator<Item = (u64, u32, u64)> {
+        self.tokens.keys().copied()
+    }
+
     /// Blocks that were ever written.
     pub fn written(&self) -> usize {
         self.blocks.len()
--- a/crates/judge/src/day.rs
+++ b/crates/judge/src/day.rs
@@ -79,6 +79,8 @@
     pub blocks: u32,
     /// When it ran, and whether it took effect.
     pub ran: Option<(Micros, bool)>,
+    /// It ran, and a cut of power took that back.
+    pub undone: Option<Micros>,
     /// When it was answered, and whether with *full*.
     pub answered: Option<(Micros, bool)>,
 }
@@ -250,12 +252,20 @@
             Life { name: String::new(), shard: 0, starts: Vec::new(), units_per_s: 0.0, falls: Vec::new() };
         // By token, attempt and first block: what a node may run at one time is named apart by these.
         let mut open: BTreeMap<(u64, u32, u64), usize> = BTreeMap::new();
+        // Writes on its disk, by their numbers there.
+        let mut numbers: BTreeMap<u64, usize> = BTreeMap::new();
         // The last time that the node stood still, or was down with its connections open.
         let (mut still, mut since) = ((Micros::MIN, Micros::MIN), None);
         let slack = self.terms.clock_slack;
         for line in lines {
             match line {
-                NodeLine::Start { t, node, shard, cold, units_per_s } => {
+                NodeLine::Start { t, node, shard, cold, units_per_s, kept } => {
+                    // What was not durable when its power went has not happened.
+                    let lost = numbers.split_off(&kept.map_or(u64::MAX, |k| k + 1));
+                    for index in lost.into_values() {
+                        let a: &mut Attempt = &mut self.attempts[index];
+                        a.undone = a.ran.take().map(|_| t);
+                    }
                     (life.name, life.shard, life.units_per_s) = (node, shard, units_per_s);
                     life.starts.push((t, cold));
                 }
@@ -275,12 +285,16 @@
                         slba,
                         blocks,
                         ran: None,
+                        undone: None,
                         answered: None,
                     });
                 }
-                NodeLine::Run { t, token, attempt, slba, applied, .. } => {
+                NodeLine::Run { t, token, attempt, slba, applied, number, .. } => {
                     if let Some(&index) = open.get(&(token, attempt, slba)) {
                         self.attempts[index].ran = Some((t, applied));
+                        if number > 0 {
+                            numbers.insert(number, index);
+                        }
                     }
                 }
                 NodeLine::Answer { t, token, attempt, slba, full } => {
@@ -314,6 +328,12 @@
         self.terms.volumes.iter().find(|v| v.nsid == nsid)
     }
 
+    /// Whether each shard was held by one node at a time: else what one wrote the other does not have.
+    pub fn one_node_a_shard(&self) -> bool {
+        let shards: BTreeSet<u32> = self.lives.iter().map(|l| l.shard).collect();
+        shards.len() == self.lives.len()
+    }
+
     /// Units of blocks of a volume.
     pub fn units(&self, nsid: u32, blocks: u32) -> f64 {
         let size = self.volume(nsid).map_or(0, |v| u64::from(v.block_size));
--- a/crates/judge/src/report.rs
+++ b/crates/judge/src/report.rs
@@ -86,6 +86,7 @@
         ("6 budget", rules::budget(day)),
         ("7 limits", rules::limits(day)),
         ("data", rules::data(day)),
+        ("durable", rules::durable(day)),
     ];
     Report {
         commands: day.commands.len() as u64,
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -68,8 +68,7 @@
 pub fn bench_path(options: &BenchOptions, tell: &mut dyn FnMut(&str)) -> Result<Vec<BenchRow>, LabError> {
     let built_in = |problems| settings::LoadError::Problems("the built-in bench".into(), problems);
     let site = Site::parse(include_str!("bench.toml")).map_err(built_in)?;
-    let node = Node::start(site.node_options(0, false), Recorder::none())
-        .map_err(|e| LabError::Io("the stand-in node".into(), e))?;
+    let node = Node::start(site.node_options(0, false), Recorder::none())?;
     let lines = vec![site.node_line(0, node.address(), 0)];
     let gateway = Gateway::start(site.gateway_options(0, 1, lines, None)?)?;
     let mut rows = Vec::new();
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -79,7 +79,7 @@
             let options = site.node_options(index, false);
             let path = dir.join(format!("node-{}.jsonl", options.name));
             let recorder = Recorder::append(&path).map_err(|e| LabError::Io(path, e))?;
-            let node = Node::start(options, recorder).map_err(failed)?;
+            let node = Node::start(options, recorder)?;
             lines.push(site.node_line(index, node.address(), 0));
             nodes.push(node);
         }
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -37,6 +37,9 @@
     /// A process did not come up.
     #[error("{0} did not come up: {1}")]
     NotUp(String, String),
+    /// A stand-in node.
+    #[error(transparent)]
+    Node(#[from] emulator::NodeError),
     /// A file has problems.
     #[error(transparent)]
     Site(#[from] settings::LoadError),
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -16,6 +16,10 @@
 
 use serde::{Deserialize, Serialize};
 
+fn is_none(number: &u64) -> bool {
+    *number == 0
+}
+
 /// Time, in microseconds since the Unix epoch, or a span.
 pub type Micros = i64;
 
@@ -121,6 +125,9 @@
         cold: bool,
         /// Units a second that it carries when warm.
         units_per_s: f64,
+        /// On a disk: the number of the last write that is there. Later ones of earlier lives have not happened.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        kept: Option<u64>,
     },
     /// A command arrived whole.
     Arrive {
@@ -160,6 +167,9 @@
         op: Op,
         /// It took effect; a repeat that was discarded did not.
         applied: bool,
+        /// On a disk: the write's number there; 0: none.
+        #[serde(default, skip_serializing_if = "is_none")]
+        number: u64,
     },
     /// An answer was written to the socket.
     Answer {
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -241,6 +241,7 @@
             memory: micros(keyed) * 2,
             unit_bytes: u64::from(self.site.unit_kib) * 1024,
             most_units: self.site.most_units,
+            disk: None,
         }
     }
 
