--- a/crates/appliance/src/site.rs
+++ b/crates/appliance/src/site.rs
@@ -165,7 +165,10 @@
                 add(Kind::Node, "node", &n.name, more);
             }
         }
-        site.gateway.iter().for_each(|g| add(Kind::Gateway, "gateway", &g.name, &["--await-orders"]));
+        for g in &site.gateway {
+            let state = paths.state.join(format!("gateway-{}", g.name)).display().to_string();
+            add(Kind::Gateway, "gateway", &g.name, &["--await-orders", "--state", &state]);
+        }
         let named = processes.iter().zip(&kinds).map(|(p, k)| (p.name.clone(), *k));
         let supervision = Supervision::new(Limits::default(), named, clock.now());
         let count = processes.len();
--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -8,7 +8,7 @@
 /// The site file that every command takes unless it is told another.
 const CONFIG: &str = "site.toml";
 /// The folder of a site's state that every command takes unless it is told another.
-const STATE: &str = "site.state";
+pub const STATE: &str = "site.state";
 
 /// A storage gateway: schedules reads and writes over NVMe/TCP across storage nodes.
 ///
@@ -41,7 +41,7 @@
     Platform,
     /// Run a stand-in storage node in the foreground
     ///
-    /// It keeps its blocks in memory. Prints one JSON line, {"name", "address"}, once it listens.
+    /// It keeps its blocks in memory, or with --disk in a file. Prints one JSON line, {"name", "address"}, once it listens.
     Node(NodeArgs),
     /// Stand on connections between processes on this machine and cut, delay, throttle, hold or break them
     ///
@@ -270,6 +270,12 @@
     /// Seed of the module's randomness; left out: from the clock
     #[arg(long)]
     pub seed: Option<u64>,
+    /// Folder of what it has to know after a loss of power; for a site with [recovery]. Left out: site.state/NAME
+    #[arg(long)]
+    pub state: Option<PathBuf>,
+    /// JSON file with addresses of peers, {"NAME": "ADDRESS"}, in place of the site file's
+    #[arg(long)]
+    pub peers: Option<PathBuf>,
     /// Lock file that stands for the identity: a second gateway on it is not started
     #[arg(long)]
     pub lock: Option<PathBuf>,
@@ -302,6 +308,12 @@
     /// Start cold
     #[arg(long)]
     pub cold: bool,
+    /// Keep the blocks in this file, and answer a write once it is durable; left out: in memory
+    #[arg(long)]
+    pub disk: Option<PathBuf>,
+    /// Forget the tokens of earlier lives
+    #[arg(long, requires = "disk")]
+    pub forget_tokens: bool,
     /// Lock file that stands for the identity: a second node on it is not started
     #[arg(long)]
     pub lock: Option<PathBuf>,
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -1,13 +1,15 @@
 //! `gateway`, `node`, `relay` and `appliance`: run until told to stop.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 
 use appliance::{Identity, Paths};
-use emulator::{Node, NodeStatus};
+use emulator::{DiskOptions, Node, NodeStatus};
 use gateway::{Gateway, NodeLine};
 use lab::{NodeRequest, Ready};
 use records::{Clock, Recorder};
@@ -15,7 +17,7 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
-use crate::command::{ApplianceArgs, GatewayArgs, NodeArgs};
+use crate::command::{ApplianceArgs, GatewayArgs, NodeArgs, STATE};
 use crate::{Ended, Failure, USAGE, log};
 
 /// Reads a site file; its problems are the caller's mistake.
@@ -27,8 +29,8 @@
     Failure { code: USAGE, what: format!("{}: no [[{kind}]] is named '{name}'", config.display()) }
 }
 
-fn say_ready(name: &str, address: std::net::SocketAddr) -> Result<(), Failure> {
-    let line = serde_json::to_string(&Ready { name: name.to_owned(), address })?;
+fn say_ready(name: &str, address: SocketAddr, peer: Option<SocketAddr>) -> Result<(), Failure> {
+    let line = serde_json::to_string(&Ready { name: name.to_owned(), address, peer })?;
     let mut out = std::io::stdout();
     writeln!(out, "{line}")?;
     out.flush()?;
@@ -44,7 +46,7 @@
     });
 }
 
-fn node_list(path: &Path) -> Result<Vec<NodeLine>, Failure> {
+fn json_file<T: serde::de::DeserializeOwned>(path: &Path) -> Result<T, Failure> {
     let wrong = |what: String| Failure { code: USAGE, what: format!("{}: {what}", path.display()) };
     let text = std::fs::read(path).map_err(|e| wrong(e.to_string()))?;
     serde_json::from_slice(&text).map_err(|e| wrong(e.to_string()))
@@ -58,19 +60,25 @@
         site.gateway[index].listen = listen;
     }
     let nodes = match &args.nodes {
-        Some(path) => node_list(path)?,
+        Some(path) => json_file::<Vec<NodeLine>>(path)?,
         None => site.node_lines(),
     };
     let seed = args.seed.unwrap_or_else(|| Clock::new().now() as u64 ^ u64::from(std::process::id()) << 40);
     let _identity = args.lock.as_deref().map(Identity::take).transpose()?;
     let mut options = site.gateway_options(index, seed, nodes, args.control.clone())?;
     options.await_orders = args.await_orders;
+    let folder = args.state.clone().unwrap_or_else(|| Path::new(STATE).join(&args.name));
+    let told = match &args.peers {
+        Some(path) => json_file(path)?,
+        None => BTreeMap::new(),
+    };
+    options.returning = site.return_options(index, folder, &told);
     let gateway = Gateway::start(options)?;
     if args.with_parent {
         end_with_parent();
     }
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    say_ready(&args.name, gateway.address())?;
+    say_ready(&args.name, gateway.address(), gateway.peer_address())?;
     let (handle, gateway) = (signals.handle(), std::sync::Arc::new(gateway));
     let stops = gateway.clone();
     let waiter = std::thread::spawn(move || {
@@ -103,7 +111,13 @@
     };
     let _identity = args.lock.as_deref().map(Identity::take).transpose()?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
-    let node = std::sync::Arc::new(Node::start(site.node_options(index, args.cold), recorder)?);
+    let mut options = site.node_options(index, args.cold);
+    options.disk = args.disk.as_ref().map(|path| DiskOptions {
+        path: path.clone(),
+        forget_tokens: args.forget_tokens,
+        mark: true,
+    });
+    let node = std::sync::Arc::new(Node::start(options, recorder)?);
     if let Some(path) = &args.control {
         let node = node.clone();
         control::serve(path, move |request: NodeRequest| -> Result<Option<NodeStatus>, String> {
@@ -119,7 +133,7 @@
     if args.with_parent {
         end_with_parent();
     }
-    say_ready(&args.name, node.address())?;
+    say_ready(&args.name, node.address(), None)?;
     signals.forever().next();
     if let Some(path) = &args.control {
         let _ = std::fs::remove_file(path); // Made by this process.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -11,6 +11,7 @@
 use may::sync::mpsc::Receiver;
 use nvme::{Admission, Completion, IoCommand, Status as NvmeStatus, StatusCode};
 use records::Clock;
+use recovery::{NodeWord, Word};
 use storage_core::{
     Answer, Core, Effect, End, EndedView, ListedNode, Micros, Opcode, OpenView, Operation, Send, Ticket,
 };
@@ -20,7 +21,8 @@
 use crate::link::Link;
 use crate::mapping::told;
 use crate::message::{Inbox, Message};
-use crate::options::{GatewayOptions, NodeLine};
+use crate::options::{GatewayOptions, NodeLine, NodeLineState};
+use crate::returning::{Order, Returning};
 use crate::status::{
     ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
 };
@@ -74,11 +76,18 @@
     started: Micros,
     next_housekeeping: Micros,
     stop_by: Option<Micros>,
+    returning: Option<Returning>,
     stopped: Vec<thread_mpsc::Sender<()>>,
 }
 
 impl Engine {
-    pub(crate) fn new(options: GatewayOptions, address: String, front: Arc<Front>, inbox: Inbox) -> Self {
+    pub(crate) fn new(
+        options: GatewayOptions,
+        address: String,
+        front: Arc<Front>,
+        inbox: Inbox,
+        returning: Option<Returning>,
+    ) -> Self {
         let core = Core::new(options.catalogue.clone(), options.seed);
         Engine {
             core,
@@ -98,6 +107,7 @@
             dirty: Vec::new(),
             next_housekeeping: 0,
             stop_by: None,
+            returning,
             stopped: Vec::new(),
             options,
         }
@@ -109,6 +119,10 @@
         let now = clock.now();
         let lines = std::mem::take(&mut self.options.nodes);
         self.list(now, true, true, &lines);
+        // Orders from before are in force until later ones come.
+        if let Some(word) = self.returning.as_ref().map(|r| r.word().clone()) {
+            self.adopt(now, &word);
+        }
         self.settle(now);
         let mut told = Micros::MIN;
         loop {
@@ -118,11 +132,15 @@
             if now >= self.next_housekeeping {
                 self.housekeeping(now);
             }
+            if self.returning.as_ref().is_some_and(|r| now >= r.next_due()) {
+                self.return_with(now, |r, orders| r.tick(now, orders));
+            }
             self.dirty.drain(..).for_each(|outlet| outlet.flush());
             if self.may_leave(now) {
                 return self.leave();
             }
             let due = self.core.next_due().unwrap_or(Micros::MAX).min(self.next_housekeeping);
+            let due = due.min(self.returning.as_ref().map_or(Micros::MAX, Returning::next_due));
             if due != told {
                 ticker.due(due);
                 told = due;
@@ -157,6 +175,7 @@
     fn message(&mut self, now: Micros, message: Message) {
         match message {
             Message::Tick => {}
+            Message::Peer(told) => self.return_with(now, |r, orders| r.told(now, told, orders)),
             Message::Opened(connection) => {
                 let (tickets, host) = (HashMap::new(), Arc::from(""));
                 let client = Client { admission: None, tickets, host, connection: connection.clone() };
@@ -196,6 +215,13 @@
         if !self.clients.contains_key(&id) {
             return;
         }
+        if let Some(come_back) =
+            self.returning.as_mut().and_then(|r| r.closed(now, &self.options.catalogue, &command))
+        {
+            // It is not taken: what it asks for is not open yet.
+            let refused = told(Answer::Refused { come_back }, &self.options.target.retry_delays);
+            return self.answer(id, command.cid, refused);
+        }
         let bytes = self.bytes_of(&command);
         let over = self.front.gate().take(id, bytes).err();
         if let Some(over) = over {
@@ -292,6 +318,15 @@
                 link.end();
             }
         }
+        if self.returning.is_some() {
+            let views = self.core.node_views();
+            let up = |(id, link): (&NodeId, &Arc<Link>)| {
+                let view = views.get(id).filter(|_| link.phase() == "up")?;
+                Some((*id, (view.name.clone(), view.shard, view.started.unwrap_or(0))))
+            };
+            let up = self.links.iter().filter_map(up).collect();
+            self.return_with(now, |r, orders| r.nodes(now, up, orders));
+        }
         let views = self.core.node_views();
         self.links.retain(|id, link| {
             link.watch();
@@ -361,12 +396,62 @@
                 zone: line.zone,
                 shard: line.shard,
                 state,
-                started: (line.started > 0).then_some(line.started),
+                started: {
+                    let listed = (line.started > 0).then_some(line.started);
+                    self.returning.as_ref().map_or(listed, |r| r.started(listed))
+                },
             });
         }
         self.core.nodes(now, whole, remembered, &listed, &mut self.effects);
     }
 
+    fn return_with(&mut self, now: Micros, what: impl FnOnce(&mut Returning, &mut Vec<Order>)) {
+        let Some(returning) = &mut self.returning else { return };
+        let mut orders = Vec::new();
+        what(returning, &mut orders);
+        for order in orders {
+            match order {
+                Order::Adopt(word) => self.adopt(now, &word),
+                Order::HoldCold => self.restate(now, |_| None),
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Takes orders that came by a peer, or from this gateway's own disk, as facts: what drains, what is held.
+    fn adopt(&mut self, now: Micros, word: &Word) {
+        let volume = |name: &String| {
+            let mut volumes = self.options.catalogue.volumes();
+            volumes.find(|v| &v.name == name).map(|v| v.nsid)
+        };
+        (self.revision, self.paused) = (word.orders, self.options.await_orders || word.paused);
+        self.held = word.held.iter().filter_map(volume).collect();
+        let drained: HashMap<&str, bool> = word.nodes.iter().map(|n| (n.name.as_str(), n.drained)).collect();
+        self.restate(now, |name| drained.get(name).copied());
+    }
+
+    /// States the list again, with nodes drained or not as told; of the others nothing changes but what holds for all starts.
+    fn restate(&mut self, now: Micros, drained: impl Fn(&str) -> Option<bool>) {
+        let listed: Vec<ListedNode> = self
+            .core
+            .node_views()
+            .values()
+            .filter(|n| n.state != NodeState::Gone)
+            .map(|n| ListedNode {
+                name: n.name.clone(),
+                zone: n.zone,
+                shard: n.shard,
+                state: match drained(&n.name) {
+                    Some(true) => NodeState::Draining,
+                    Some(false) => NodeState::On,
+                    None => n.state,
+                },
+                started: self.returning.as_ref().map_or(n.started, |r| r.started(n.started)),
+            })
+            .collect();
+        self.core.nodes(now, false, false, &listed, &mut self.effects);
+    }
+
     fn link_to(&mut self, node: NodeId, line: &NodeLine) {
         if let Some(link) = self.links.get(&node) {
             if link.address == line.address {
@@ -402,6 +487,21 @@
                 Ok(ControlAnswer::Done(now))
             }
             ControlRequest::Orders { revision, lines, held, paused } => {
+                if let Some(returning) = &mut self.returning {
+                    let node = |l: &NodeLine| NodeWord {
+                        name: l.name.clone(),
+                        shard: l.shard,
+                        drained: l.state == NodeLineState::Draining,
+                    };
+                    let word = Word {
+                        orders: revision,
+                        nodes: lines.iter().map(node).collect(),
+                        held: held.clone(),
+                        paused,
+                        ..returning.word().clone()
+                    };
+                    returning.ordered(word)?;
+                }
                 let volume = |name: &String| {
                     let mut volumes = self.options.catalogue.volumes();
                     volumes.find(|v| &v.name == name).map(|v| v.nsid)
@@ -531,6 +631,7 @@
             further: tally.further,
             late: tally.late,
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
+            recovery: self.returning.as_ref().map(Returning::show),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use crate::front::Front;
 use crate::message::{Inbox, Message};
 use crate::options::GatewayOptions;
+use crate::returning::Returning;
 use crate::status::{ControlAnswer, ControlRequest};
 use transport::Ticker;
 
@@ -32,6 +33,15 @@
     /// No coroutine could be started.
     #[error("cannot start a coroutine: {0}")]
     Start(io::Error),
+    /// Its peers.
+    #[error(transparent)]
+    Peers(#[from] peerlink::StartError),
+    /// What it held before.
+    #[error(transparent)]
+    File(#[from] filelog::ReplaceError),
+    /// The file of orders from before holds something else.
+    #[error("{0} is whole but holds no orders; move it away to begin without them")]
+    Word(PathBuf),
     /// The engine has ended.
     #[error("the gateway has stopped")]
     Stopped,
@@ -43,6 +53,7 @@
 /// A running gateway.
 pub struct Gateway {
     address: SocketAddr,
+    peer_address: Option<SocketAddr>,
     inbox: Inbox,
     front: Arc<Front>,
     stop_within: Duration,
@@ -80,7 +91,15 @@
         let ticks = inbox.clone();
         let ticker =
             Ticker::start(front.clock, move || ticks.send(Message::Tick)).map_err(GatewayError::Start)?;
-        let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone());
+        let returning = match options.returning.take() {
+            Some(r) => {
+                let (catalogue, seed) = (&options.catalogue, options.seed);
+                Some(Returning::start(r, catalogue, seed, front.clock.now(), inbox.clone())?)
+            }
+            None => None,
+        };
+        let peer_address = returning.as_ref().map(Returning::address);
+        let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone(), returning);
         let (over, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
@@ -90,7 +109,7 @@
         let accepts = front.clone();
         task::spawn("accept", move || accepts.accept(&listener)).map_err(GatewayError::Start)?;
         tracing::info!(name, %address, "gateway up");
-        Ok(Gateway { address, inbox, front, stop_within, ended: Mutex::new(Some(ended)) })
+        Ok(Gateway { address, peer_address, inbox, front, stop_within, ended: Mutex::new(Some(ended)) })
     }
 
     /// Where it listens.
@@ -98,6 +117,11 @@
         self.address
     }
 
+    /// Where its peers connect, if it has any.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peer_address
+    }
+
     /// Asks the engine, as the control socket does.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,11 +18,13 @@
 mod mapping;
 mod message;
 mod options;
+mod returning;
 mod status;
 
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
+pub use returning::ReturnOptions;
 pub use status::{
     ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
 };
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -29,6 +29,8 @@
     Ended(AttemptId, End),
     /// Something is due.
     Tick,
+    /// What a peer said or did.
+    Peer(peer::Told),
     Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
     /// Stop; told once everything is answered.
     Stop(thread_mpsc::Sender<()>),
--- /dev/null
+++ b/crates/gateway/src/returning.rs
@@ -0,0 +1,334 @@
+//! A gateway that comes back after a loss: the recovery's rules, fed with what the engine sees, and carried out by it.
+//!
+//! Nothing here chooses a node, a time or an attempt. What is not open yet is refused with the recovery's advice; what
+//! is, goes to the module. Off unless the site has a `[recovery]` table.
+
+use std::collections::HashMap;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use decisions::NodeId;
+use nvme::IoCommand;
+use peer::{Kind, Told, wire};
+use peerlink::{PeerOptions, Peers};
+use recovery::{
+    Act, Admission, AdmissionOptions, Closed, Entry, Fact, Phase, Place, Plant, Recovery, RecoveryOptions,
+    Shown, Word,
+};
+use storage_core::{Catalogue, Micros};
+
+use crate::gateway::GatewayError;
+use crate::message::{Inbox, Message};
+
+/// A question for a peer's word, and the note of one's own.
+const WORD: Kind = Kind(1);
+
+/// Settings of a gateway that asks its peers when it comes back.
+#[derive(Clone, Debug)]
+pub struct ReturnOptions {
+    /// Its peers, and the folder of its lives.
+    pub peers: PeerOptions,
+    /// Peers are waited for so long at most.
+    pub ask_for: Duration,
+    /// The longest that anything sent before a loss may still run at a node.
+    pub rest: Duration,
+}
+
+/// What the engine has to do.
+pub(crate) enum Order {
+    /// Later orders than its own are in force.
+    Adopt(Word),
+    /// The list is to be stated again: every node counts as just started.
+    HoldCold,
+}
+
+pub(crate) struct Returning {
+    recovery: Recovery,
+    admission: Admission,
+    peers: Peers,
+    file: PathBuf,
+    born: Micros,
+    /// Since when it takes requests.
+    serves: Option<Micros>,
+    /// A peer that has served for longer than nodes take to warm has seen their starts.
+    witnessed: bool,
+    cold: bool,
+    ask_for: Micros,
+    warm_after: Micros,
+    most_advice: Micros,
+    /// Nodes told as there, with the start told then.
+    nodes: HashMap<NodeId, (String, u32, i64)>,
+    acts: Vec<Act>,
+}
+
+impl Returning {
+    /// Begins the next life, reads what the last one held, and starts to ask.
+    pub(crate) fn start(
+        options: ReturnOptions,
+        catalogue: &Catalogue,
+        seed: u64,
+        now: Micros,
+        inbox: Inbox,
+    ) -> Result<Returning, GatewayError> {
+        let s = &catalogue.settings;
+        let names = options.peers.peers.iter().map(|p| p.0.clone()).collect();
+        let file = options.peers.folder.join("word");
+        let before: Option<Word> = match filelog::read(&file)? {
+            Some(bytes) => Some(wire::decode(&bytes).ok_or_else(|| GatewayError::Word(file.clone()))?),
+            None => None,
+        };
+        let peers = Peers::start(options.peers, move |told| inbox.send(Message::Peer(told)))?;
+        let fresh = Word {
+            life: peers.life(),
+            orders: 0,
+            nodes: Vec::new(),
+            held: Vec::new(),
+            paused: false,
+            serves: false,
+            served_for: 0,
+        };
+        let rules = RecoveryOptions {
+            peers: names,
+            ask_for: options.ask_for.as_micros() as Micros,
+            rest: options.rest.as_micros() as Micros,
+            ask_again: 200_000,
+            read_tries: 5,
+            plant: Plant::None,
+        };
+        let ask_for = rules.ask_for;
+        let mut acts = Vec::new();
+        // Without a journal of work in hand any key may have been in hand: writes rest once.
+        let recovery = Recovery::new(rules, peers.life(), before.unwrap_or(fresh), None, now, &mut acts);
+        let admission = Admission::new(
+            AdmissionOptions {
+                cold_units: s.cold_units,
+                cold_window: s.cold_window,
+                cold_from: s.cold_from,
+                warm_after: s.warm_after,
+                gateways: s.hosts,
+                most_advice: s.most_advice.max(1),
+            },
+            seed,
+        );
+        let (warm_after, most_advice) = (s.warm_after, s.most_advice.max(1));
+        Ok(Returning {
+            recovery,
+            admission,
+            peers,
+            file,
+            born: now,
+            serves: None,
+            witnessed: false,
+            cold: false,
+            ask_for,
+            warm_after,
+            most_advice,
+            nodes: HashMap::new(),
+            acts,
+        })
+    }
+
+    /// Where its peers connect.
+    pub(crate) fn address(&self) -> std::net::SocketAddr {
+        self.peers.address()
+    }
+
+    /// The orders from before, which are in force until later ones come.
+    pub(crate) fn word(&self) -> &Word {
+        self.recovery.word()
+    }
+
+    pub(crate) fn show(&self) -> Shown {
+        self.recovery.show()
+    }
+
+    pub(crate) fn next_due(&self) -> Micros {
+        let warm = self.admission.warm_at().filter(|_| self.recovery.phase() == Phase::Admitting);
+        self.recovery.next_due().min(warm.unwrap_or(Micros::MAX))
+    }
+
+    /// The start that a node counts with: after a loss that nobody has witnessed, each is cold from then on.
+    ///
+    /// Danger: what the list says of starts from before was on clocks that are not believed; a node that is taken for warm and is
+    /// cold is pushed over by all gateways at once. Harm: warm nodes are spared for the time of a warming.
+    pub(crate) fn started(&self, listed: Option<Micros>) -> Option<Micros> {
+        if self.cold { Some(listed.map_or(self.born, |t| t.max(self.born))) } else { listed }
+    }
+
+    /// What a peer said or did.
+    pub(crate) fn told(&mut self, now: Micros, told: Told, orders: &mut Vec<Order>) {
+        match told {
+            Told::Up { peer, .. } => self.learn(now, Fact::PeerUp(peer), orders),
+            Told::Down { peer, .. } => self.learn(now, Fact::PeerDown(peer), orders),
+            Told::Asked { conn, id, kind, .. } => {
+                let body = (kind == WORD).then(|| wire::encode(&self.own_word(now)));
+                self.peers.answer(conn, id, body);
+            }
+            Told::Answered { peer, outcome, .. } => match outcome.ok().and_then(|body| wire::decode(&body)) {
+                Some(word) => self.said(now, peer, word, orders),
+                // It is asked again when it is back; nothing follows from its silence.
+                None => self.learn(now, Fact::PeerDown(peer), orders),
+            },
+            Told::Noted { peer, kind: WORD, body, .. } => {
+                if let Some(word) = wire::decode(&body) {
+                    self.said(now, peer, word, orders);
+                }
+            }
+            Told::NewLife { peer, before, now } => tracing::info!(%peer, %before, %now, "a peer lives anew"),
+            Told::Stale { peer, claim, seen } => {
+                tracing::warn!(%peer, %claim, %seen, "a peer came with a life that is over, and was turned away");
+            }
+            Told::Refused { peer, why } => {
+                let peer = peer.map_or_else(String::new, |p| p.0);
+                tracing::error!(peer, why, "a peer cannot be talked to");
+            }
+            Told::Renewed { life } => self.recovery.renewed(life),
+            Told::Quiet { .. } | Told::Heard { .. } | Told::Superseded { .. } | Told::Noted { .. } => {}
+        }
+    }
+
+    fn own_word(&self, now: Micros) -> Word {
+        let served_for = self.serves.map_or(0, |since| now - since);
+        Word { served_for, ..self.recovery.word().clone() }
+    }
+
+    fn said(&mut self, now: Micros, peer: peer::PeerName, word: Word, orders: &mut Vec<Order>) {
+        self.witnessed |= word.served_for >= self.warm_after;
+        self.learn(now, Fact::Said(peer, word), orders);
+    }
+
+    /// The operators' orders came here; an error if later ones are in force.
+    pub(crate) fn ordered(&mut self, word: Word) -> Result<(), String> {
+        let own = self.recovery.word();
+        if word.orders < own.orders {
+            let (old, new) = (word.orders, own.orders);
+            return Err(format!(
+                "orders {old} are older than {new}, which are in force here; state them anew"
+            ));
+        }
+        let later = word.replaces(own);
+        self.recovery.ordered(word);
+        if later {
+            self.keep()?;
+            self.peers.note(WORD, wire::encode(self.recovery.word()));
+        }
+        Ok(())
+    }
+
+    fn keep(&self) -> Result<(), String> {
+        filelog::replace(&self.file, &wire::encode(self.recovery.word())).map_err(|e| e.to_string())
+    }
+
+    /// Which nodes are there, as their links tell.
+    pub(crate) fn nodes(
+        &mut self,
+        now: Micros,
+        up: HashMap<NodeId, (String, u32, i64)>,
+        orders: &mut Vec<Order>,
+    ) {
+        if up == self.nodes {
+            return;
+        }
+        let before = std::mem::replace(&mut self.nodes, up);
+        for (id, (name, shard, _)) in &before {
+            if self.nodes.get(id) != before.get(id) {
+                self.learn(now, Fact::NodeDown(name.clone()), orders);
+                self.admission.lost(*shard);
+            }
+        }
+        for (id, (name, shard, started)) in self.nodes.clone() {
+            self.admission.met(now, shard);
+            if before.get(&id) != self.nodes.get(&id) {
+                self.learn(now, Fact::NodeUp { name, shard, started }, orders);
+            }
+        }
+    }
+
+    fn learn(&mut self, now: Micros, fact: Fact, orders: &mut Vec<Order>) {
+        self.recovery.learn(now, fact, &mut self.acts);
+        self.carry_out(now, orders);
+    }
+
+    /// Takes the time.
+    pub(crate) fn tick(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        self.recovery.tick(now, &mut self.acts);
+        if self.recovery.phase() == Phase::Admitting
+            && (!self.cold || self.admission.warm_at().is_some_and(|t| now >= t))
+        {
+            self.recovery.learn(now, Fact::Warm, &mut self.acts);
+        }
+        self.carry_out(now, orders);
+    }
+
+    fn carry_out(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        while !self.acts.is_empty() {
+            for act in std::mem::take(&mut self.acts) {
+                match act {
+                    Act::Ask(peer) => self.peers.ask(&peer, WORD, Vec::new(), self.ask_for),
+                    Act::Adopt(word) => {
+                        tracing::info!(orders = word.orders, "later orders are in force, as a peer tells");
+                        if let Err(error) = self.keep() {
+                            tracing::error!(
+                                error,
+                                "they could not be kept; they are in force until this process ends"
+                            );
+                        }
+                        orders.push(Order::Adopt(word));
+                    }
+                    Act::Entered(phase) => {
+                        tracing::info!(?phase, "recovery");
+                        if phase == Phase::Settling {
+                            self.serves = Some(now);
+                            self.cold = !self.witnessed;
+                            if self.cold {
+                                orders.push(Order::HoldCold);
+                            }
+                        }
+                    }
+                    // There is no journal of work in hand yet, so that no key is read back.
+                    Act::ReadBack(_) | Act::Settled(..) => {}
+                }
+            }
+        }
+    }
+
+    /// When a command that is not open yet should come again; none if it is open.
+    pub(crate) fn closed(
+        &mut self,
+        now: Micros,
+        catalogue: &Catalogue,
+        command: &IoCommand,
+    ) -> Option<Micros> {
+        if self.recovery.phase() == Phase::Serving {
+            return None;
+        }
+        let volume = catalogue.volume(command.nsid)?;
+        let write = matches!(command.opcode, nvme::io::WRITE);
+        let opcode = match command.opcode {
+            nvme::io::READ | nvme::io::COMPARE => storage_core::Opcode::Read,
+            nvme::io::WRITE => storage_core::Opcode::Write,
+            _ => storage_core::Opcode::Flush,
+        };
+        let size = u64::from(volume.block_size);
+        let class = catalogue.class(opcode, u64::from(command.blocks) * size);
+        let s = &catalogue.settings;
+        let worth =
+            s.classes.get(class).map_or(1.0, |c| c.worth) * s.plans.get(volume.plan).map_or(1.0, |p| p.price);
+        for part in volume.parts(command.slba, command.blocks) {
+            let (nsid, shard) = (command.nsid, part.shard.0);
+            let place = Place { nsid, slba: part.slba, blocks: part.blocks, shard };
+            if let Some(why) = self.recovery.closed(&place, write) {
+                let (Closed::Joining { until } | Closed::Unsettled { until, .. } | Closed::Blind { until }) =
+                    why;
+                return Some((until - now).clamp(1, self.most_advice));
+            }
+            if self.cold {
+                let units = catalogue.units(u64::from(part.blocks) * size);
+                if let Entry::Later { come_back } = self.admission.entry(now, shard, worth, units) {
+                    return Some(come_back);
+                }
+            }
+        }
+        None
+    }
+}
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -142,6 +142,9 @@
     pub late: u64,
     /// What ended unserved, by reason.
     pub reasons: std::collections::BTreeMap<String, u64>,
+    /// How far it has come back; none: it has no peers, and is open at once.
+    #[serde(default)]
+    pub recovery: Option<recovery::Shown>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -26,6 +26,9 @@
     pub name: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where a gateway's peers connect.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
 }
 
 /// A request to a stand-in node's control socket.
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -181,6 +181,11 @@
         /// The life to get above.
         seen: Life,
     },
+    /// This gateway goes on in another life.
+    Renewed {
+        /// That life.
+        life: Life,
+    },
     /// A question came; it is to be answered with [`Mesh::answer`], or passed.
     Asked {
         /// Who asks.
@@ -328,6 +333,7 @@
             self.end(conn, out);
         }
         (self.life, self.over) = (life, false);
+        out.push(Output::Tell(Told::Renewed { life }));
         for peer in self.peers.values_mut() {
             (peer.next, peer.failed) = (now, 0);
         }
--- a/crates/peerlink/tests/sockets.rs
+++ b/crates/peerlink/tests/sockets.rs
@@ -86,6 +86,7 @@
     next(&told_a2, "superseded", |t| matches!(t, Told::Superseded { .. }).then_some(()));
     assert_eq!(up(&told_b), Incarnation(4));
     // With b gone every question has its outcome.
+    up(&told_a2);
     drop(b);
     next(&told_a2, "down", |t| matches!(t, Told::Down { .. }).then_some(()));
     a.ask(&PeerName::from("b"), Kind(3), Vec::new(), 10_000_000);
--- a/crates/recovery/src/machine.rs
+++ b/crates/recovery/src/machine.rs
@@ -149,6 +149,8 @@
 /// A recovery, for operators.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Shown {
+    /// Its life.
+    pub life: Life,
     /// How far it is.
     pub phase: Phase,
     /// Since when.
@@ -331,6 +333,7 @@
         };
         let missing = self.options.peers.iter().filter(|p| !self.said.contains(*p));
         Shown {
+            life: self.word.life,
             phase: self.phase,
             since: self.since,
             waits_for: if self.phase == Phase::Joining {
@@ -378,6 +381,11 @@
         }
     }
 
+    /// It goes on in another life.
+    pub fn renewed(&mut self, life: Life) {
+        self.word.life = life;
+    }
+
     /// The operators' own orders, which came here first.
     pub fn ordered(&mut self, word: Word) {
         if word.replaces(&self.word) {
--- a/crates/recovery/src/word.rs
+++ b/crates/recovery/src/word.rs
@@ -34,6 +34,9 @@
     /// It takes requests.
     #[serde(default)]
     pub serves: bool,
+    /// It has taken them for so long, in microseconds.
+    #[serde(default)]
+    pub served_for: i64,
 }
 
 impl Word {
--- a/crates/recovery/tests/back.rs
+++ b/crates/recovery/tests/back.rs
@@ -17,7 +17,15 @@
 }
 
 fn word(orders: u64) -> Word {
-    Word { life: life(9), orders, nodes: Vec::new(), held: Vec::new(), paused: false, serves: false }
+    Word {
+        life: life(9),
+        orders,
+        nodes: Vec::new(),
+        held: Vec::new(),
+        paused: false,
+        serves: false,
+        served_for: 0,
+    }
 }
 
 fn options(peers: &[&str], plant: Plant) -> RecoveryOptions {
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -1,14 +1,17 @@
 //! What a checked file means to each part of the program.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use decisions::{Group, Micros, RetryBudget, Settings, ShardId};
 use emulator::{ModelOptions, NodeOptions};
-use gateway::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
+use gateway::{GatewayOptions, LinkOptions, NodeLine, NodeLineState, ReturnOptions};
 use load::ClientOptions;
 use nvme::{Digests, Namespace, TargetOptions};
+use peer::PeerName;
+use peerlink::PeerOptions;
 use records::{Budget, ClassTerms, ColdTerms, Kind, Op, PlanTerms, Terms, VolumeTerms};
 use storage_core::{Catalogue, CatalogueError, ClassRule, Opcode};
 
@@ -201,6 +204,35 @@
             await_orders: false,
             control,
             stop_within: millis(l.stop_within_ms),
+            returning: None,
+        })
+    }
+
+    /// How the gateway with this index comes back, with its folder; none without `[recovery]`. Peers that `told` names listen
+    /// there in place of the file's address.
+    pub fn return_options(
+        &self,
+        index: usize,
+        folder: PathBuf,
+        told: &BTreeMap<String, SocketAddr>,
+    ) -> Option<ReturnOptions> {
+        let recovery = self.recovery.as_ref()?;
+        let own = &self.gateway[index];
+        let others = self.gateway.iter().filter(|g| g.name != own.name);
+        let at = |g: &Gateway| told.get(&g.name).copied().or(g.peer);
+        let peers = others.filter_map(|g| at(g).map(|a| (PeerName(g.name.clone()), a))).collect();
+        // The longest that a command may be out, and the rest behind one that may still run.
+        let patience = self.class.iter().map(|c| c.patience_ms).max().unwrap_or(0);
+        Some(ReturnOptions {
+            peers: PeerOptions {
+                name: PeerName(own.name.clone()),
+                listen: own.peer.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
+                peers,
+                site: hash(&format!("{}/{}", self.site.name, self.site.subsystem)),
+                folder,
+            },
+            ask_for: millis(recovery.ask_for_ms),
+            rest: millis(patience + self.rules.order_rest_ms),
         })
     }
 
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -237,6 +237,9 @@
                 self.problem(key, format!("{ms} is not a multiple of 100 from 100 to 6553500"));
             }
         }
+        if let Some(recovery) = &s.recovery {
+            self.within("recovery.ask_for_ms".into(), recovery.ask_for_ms.into(), 10.0, 600_000.0);
+        }
         self.within("link.queue_entries".into(), s.link.queue_entries.into(), 2.0, 65536.0);
         self.within("link.connect_ms".into(), s.link.connect_ms.into(), 1.0, 600_000.0);
         self.within("link.keep_alive_ms".into(), s.link.keep_alive_ms.into(), 100.0, 3_600_000.0);
@@ -286,6 +289,16 @@
             if gateway.listen.port() != 0 && !addresses.insert(gateway.listen) {
                 self.problem(format!("gateway[{n}].listen"), format!("{} is used twice", gateway.listen));
             }
+            match gateway.peer {
+                None if s.recovery.is_some() && s.gateway.len() > 1 => {
+                    let what = "with [recovery] a gateway's peers need an address to connect to";
+                    self.problem(format!("gateway[{n}].peer"), what);
+                }
+                Some(peer) if peer.port() != 0 && !addresses.insert(peer) => {
+                    self.problem(format!("gateway[{n}].peer"), format!("{peer} is used twice"));
+                }
+                _ => {}
+            }
         }
     }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -23,6 +23,8 @@
     /// Logs.
     #[serde(default)]
     pub log: Log,
+    /// Coming back after a loss of power; without it a gateway is open at once and talks to no other.
+    pub recovery: Option<Recovery>,
     /// The appliance.
     #[serde(default)]
     pub appliance: Appliance,
@@ -345,6 +347,20 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Coming back after a loss of power.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Recovery {
+    /// Peers are waited for so long at most.
+    pub ask_for_ms: u32,
+}
+
+impl Default for Recovery {
+    fn default() -> Self {
+        Recovery { ask_for_ms: 2000 }
+    }
+}
+
 /// A gateway.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -354,6 +370,8 @@
     /// Where clients connect; port 0 lets the system choose.
     #[serde(default = "any_port")]
     pub listen: SocketAddr,
+    /// Where its peers connect, for `[recovery]`; port 0 lets the system choose, and peers are then told otherwise.
+    pub peer: Option<SocketAddr>,
 }
 
 /// A node. The power is a stand-in's; for a node that is somewhere else it does not matter.
