--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -279,6 +279,9 @@
     /// Lock file that stands for the identity: a second gateway on it is not started
     #[arg(long)]
     pub lock: Option<PathBuf>,
+    /// Keep the marks that a rig needs to cut the power
+    #[arg(long, hide = true)]
+    pub mark: bool,
     /// Take nothing until the supervisor's first orders
     #[arg(long, hide = true)]
     pub await_orders: bool,
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -72,7 +72,8 @@
         Some(path) => json_file(path)?,
         None => BTreeMap::new(),
     };
-    options.returning = site.return_options(index, folder, &told);
+    options.returning =
+        site.return_options(index, folder, &told).map(|r| gateway::ReturnOptions { mark: args.mark, ..r });
     let gateway = Gateway::start(options)?;
     if args.with_parent {
         end_with_parent();
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -11,7 +11,7 @@
 use may::sync::mpsc::Receiver;
 use nvme::{Admission, Completion, IoCommand, Status as NvmeStatus, StatusCode};
 use records::Clock;
-use recovery::{NodeWord, Word};
+use recovery::{InHand, NodeWord, Place, Word};
 use storage_core::{
     Answer, Core, Effect, End, EndedView, ListedNode, Micros, Opcode, OpenView, Operation, Send, Ticket,
 };
@@ -77,6 +77,10 @@
     next_housekeeping: Micros,
     stop_by: Option<Micros>,
     returning: Option<Returning>,
+    /// Reads of places whose writes from before are to be settled.
+    settling: HashMap<Ticket, InHand>,
+    /// Starts of nodes as listed.
+    starts: HashMap<NodeId, Micros>,
     stopped: Vec<thread_mpsc::Sender<()>>,
 }
 
@@ -108,6 +112,8 @@
             next_housekeeping: 0,
             stop_by: None,
             returning,
+            settling: HashMap::new(),
+            starts: HashMap::new(),
             stopped: Vec::new(),
             options,
         }
@@ -175,6 +181,7 @@
     fn message(&mut self, now: Micros, message: Message) {
         match message {
             Message::Tick => {}
+            Message::Kept { seqs, error } => self.kept(now, seqs, error),
             Message::Peer(told) => self.return_with(now, |r, orders| r.told(now, told, orders)),
             Message::Opened(connection) => {
                 let (tickets, host) = (HashMap::new(), Arc::from(""));
@@ -198,7 +205,12 @@
             }
             Message::Closed(id) => self.closed(now, id),
             Message::AssociationEnded(cntlid) => self.association_ended(cntlid),
-            Message::Ended(attempt, end) => self.core.ended(now, attempt, end, &mut self.effects),
+            Message::Ended(attempt, end) => {
+                if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
+                    work.ended(now, attempt, end.outcome);
+                }
+                self.core.ended(now, attempt, end, &mut self.effects);
+            }
             Message::Control(request, reply) => {
                 let answer = self.control(now, request);
                 let _ = reply.send(answer); // Its asker may have gone.
@@ -322,10 +334,15 @@
             let views = self.core.node_views();
             let up = |(id, link): (&NodeId, &Arc<Link>)| {
                 let view = views.get(id).filter(|_| link.phase() == "up")?;
-                Some((*id, (view.name.clone(), view.shard, view.started.unwrap_or(0))))
+                Some((*id, (view.name.clone(), view.shard, self.starts.get(id).copied().unwrap_or(0))))
             };
             let up = self.links.iter().filter_map(up).collect();
-            self.return_with(now, |r, orders| r.nodes(now, up, orders));
+            self.return_with(now, |r, orders| {
+                r.nodes(now, up, orders);
+                if let Some(work) = r.work() {
+                    work.tidy(now);
+                }
+            });
         }
         let views = self.core.node_views();
         self.links.retain(|id, link| {
@@ -345,10 +362,20 @@
                 match effect {
                     Effect::Send(send) => self.send(now, send),
                     Effect::Forget(attempt, node) => {
+                        if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
+                            work.forgotten(now, attempt);
+                        }
                         if let Some(link) = self.links.get(&node) {
                             link.forget(attempt);
                         }
                     }
+                    Effect::Answer(ticket, answer) if self.settling.contains_key(&ticket) => {
+                        if let Some(work) = self.settling.remove(&ticket) {
+                            let data =
+                                if let Answer::Served(data) = &answer { Some(&data[..]) } else { None };
+                            self.return_with(now, |r, orders| r.read_back(now, &work, data, orders));
+                        }
+                    }
                     Effect::Answer(ticket, answer) => {
                         let expected = self.tickets.get(&ticket).and_then(|t| t.expected.as_ref());
                         let completion = match (&answer, expected) {
@@ -365,12 +392,50 @@
     }
 
     fn send(&mut self, now: Micros, send: Send) {
+        if send.opcode == Opcode::Write
+            && let Some(work) = self.returning.as_mut().and_then(Returning::work)
+        {
+            // Danger: a write that is sent before its record is durable may run after a loss that nobody knows it from. Harm: each
+            // group of writes waits for the disk.
+            let view = self.core.node_views().get(&send.node);
+            let (name, shard) = view.map_or((String::new(), 0), |v| (v.name.clone(), v.shard));
+            let started = self.starts.get(&send.node).copied().unwrap_or(0);
+            return work.sent(send, shard, &name, started);
+        }
+        self.send_now(now, send);
+    }
+
+    /// Sends what is durable now; what could not be made so was never sent.
+    fn kept(&mut self, now: Micros, seqs: Vec<u64>, error: Option<String>) {
+        if let Some(error) = &error {
+            tracing::error!(
+                error,
+                writes = seqs.len(),
+                "the journal of work in hand cannot be written: writes are turned away"
+            );
+        }
+        for seq in seqs {
+            let Some(work) = self.returning.as_mut().and_then(Returning::work) else { return };
+            let Some(send) = work.kept(seq) else { continue };
+            if error.is_none() {
+                self.send_now(now, send);
+            } else {
+                work.ended(now, send.attempt, decisions::Outcome::NotSent);
+                self.core.ended(now, send.attempt, End::of(decisions::Outcome::NotSent), &mut self.effects);
+            }
+        }
+    }
+
+    fn send_now(&mut self, now: Micros, send: Send) {
         let attempt = send.attempt;
         let end = match self.links.get(&send.node) {
             Some(link) => link.send(send, &mut self.dirty),
             None => Some(End::of(decisions::Outcome::Unreachable)),
         };
         if let Some(end) = end {
+            if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
+                work.ended(now, attempt, end.outcome);
+            }
             self.core.ended(now, attempt, end, &mut self.effects);
         }
     }
@@ -388,6 +453,7 @@
         for line in lines {
             let node = self.core.node_id(&line.name);
             let state = NodeState::from(line.state);
+            self.starts.insert(node, line.started);
             if state != NodeState::Gone {
                 self.link_to(node, line);
             }
@@ -413,6 +479,22 @@
             match order {
                 Order::Adopt(word) => self.adopt(now, &word),
                 Order::HoldCold => self.restate(now, |_| None),
+                Order::ReadBack(work) => {
+                    self.next_ticket += 1;
+                    let ticket = Ticket(self.next_ticket);
+                    let Place { nsid, slba, blocks, .. } = work.place;
+                    self.settling.insert(ticket, work);
+                    let read = Operation {
+                        ticket,
+                        opcode: Opcode::Read,
+                        nsid,
+                        slba,
+                        blocks,
+                        data: Bytes::new(),
+                        token: 0,
+                    };
+                    self.core.submit(now, read, &mut self.effects);
+                }
             }
         }
         self.settle(now);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -36,6 +36,9 @@
     /// Its peers.
     #[error(transparent)]
     Peers(#[from] peerlink::StartError),
+    /// Its journal of work in hand.
+    #[error(transparent)]
+    Journal(#[from] filelog::LogError),
     /// What it held before.
     #[error(transparent)]
     File(#[from] filelog::ReplaceError),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod engine;
 mod front;
 mod gateway;
+mod hand;
 mod link;
 mod mapping;
 mod message;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -29,6 +29,11 @@
     Ended(AttemptId, End),
     /// Something is due.
     Tick,
+    /// Records of writes in hand are durable, or could not be made so.
+    Kept {
+        seqs: Vec<u64>,
+        error: Option<String>,
+    },
     /// What a peer said or did.
     Peer(peer::Told),
     Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
--- a/crates/gateway/src/returning.rs
+++ b/crates/gateway/src/returning.rs
@@ -12,12 +12,13 @@
 use peer::{Kind, Told, wire};
 use peerlink::{PeerOptions, Peers};
 use recovery::{
-    Act, Admission, AdmissionOptions, Closed, Entry, Fact, Phase, Place, Plant, Recovery, RecoveryOptions,
-    Shown, Word,
+    Act, Admission, AdmissionOptions, Closed, Digest, Entry, Fact, InHand, Phase, Place, Plant, Recovery,
+    RecoveryOptions, Shown, Word,
 };
 use storage_core::{Catalogue, Micros};
 
 use crate::gateway::GatewayError;
+use crate::hand::WorkInHand;
 use crate::message::{Inbox, Message};
 
 /// A question for a peer's word, and the note of one's own.
@@ -32,6 +33,10 @@
     pub ask_for: Duration,
     /// The longest that anything sent before a loss may still run at a node.
     pub rest: Duration,
+    /// Writes are in a journal before they are sent, so that only keys that were in hand rest after a loss.
+    pub journal: bool,
+    /// Keep the mark beside the journal that a rig needs to cut the power.
+    pub mark: bool,
 }
 
 /// What the engine has to do.
@@ -40,6 +45,8 @@
     Adopt(Word),
     /// The list is to be stated again: every node counts as just started.
     HoldCold,
+    /// A place is to be read back, and held against this write.
+    ReadBack(InHand),
 }
 
 pub(crate) struct Returning {
@@ -47,6 +54,7 @@
     admission: Admission,
     peers: Peers,
     file: PathBuf,
+    work: Option<WorkInHand>,
     born: Micros,
     /// Since when it takes requests.
     serves: Option<Micros>,
@@ -72,12 +80,21 @@
     ) -> Result<Returning, GatewayError> {
         let s = &catalogue.settings;
         let names = options.peers.peers.iter().map(|p| p.0.clone()).collect();
-        let file = options.peers.folder.join("word");
+        let folder = options.peers.folder.clone();
+        let file = folder.join("word");
         let before: Option<Word> = match filelog::read(&file)? {
             Some(bytes) => Some(wire::decode(&bytes).ok_or_else(|| GatewayError::Word(file.clone()))?),
             None => None,
         };
-        let peers = Peers::start(options.peers, move |told| inbox.send(Message::Peer(told)))?;
+        let tells = inbox.clone();
+        let peers = Peers::start(options.peers, move |told| tells.send(Message::Peer(told)))?;
+        let rest = options.rest.as_micros() as Micros;
+        let work = if options.journal {
+            Some(WorkInHand::open(&folder.join("hand"), seed ^ now as u64, options.mark, rest, inbox)?)
+        } else {
+            None
+        };
+        let (work, known) = work.map_or((None, false), |(work, known)| (Some(work), known));
         let fresh = Word {
             life: peers.life(),
             orders: 0,
@@ -90,15 +107,16 @@
         let rules = RecoveryOptions {
             peers: names,
             ask_for: options.ask_for.as_micros() as Micros,
-            rest: options.rest.as_micros() as Micros,
+            rest,
             ask_again: 200_000,
             read_tries: 5,
             plant: Plant::None,
         };
         let ask_for = rules.ask_for;
         let mut acts = Vec::new();
-        // Without a journal of work in hand any key may have been in hand: writes rest once.
-        let recovery = Recovery::new(rules, peers.life(), before.unwrap_or(fresh), None, now, &mut acts);
+        // Without a journal that is believed any key may have been in hand: writes rest once.
+        let hand = work.as_ref().filter(|_| known).map(WorkInHand::hand);
+        let recovery = Recovery::new(rules, peers.life(), before.unwrap_or(fresh), hand, now, &mut acts);
         let admission = Admission::new(
             AdmissionOptions {
                 cold_units: s.cold_units,
@@ -116,6 +134,7 @@
             admission,
             peers,
             file,
+            work,
             born: now,
             serves: None,
             witnessed: false,
@@ -244,6 +263,23 @@
         }
     }
 
+    /// The writes in hand, if their journal is kept.
+    pub(crate) fn work(&mut self) -> Option<&mut WorkInHand> {
+        self.work.as_mut()
+    }
+
+    /// A place was read back: whether it holds the write's data; none if it could not be read.
+    pub(crate) fn read_back(
+        &mut self,
+        now: Micros,
+        work: &InHand,
+        data: Option<&[u8]>,
+        orders: &mut Vec<Order>,
+    ) {
+        let same = data.map(|data| Digest::of(data) == work.digest);
+        self.learn(now, Fact::ReadBack(work.number, same), orders);
+    }
+
     fn learn(&mut self, now: Micros, fact: Fact, orders: &mut Vec<Order>) {
         self.recovery.learn(now, fact, &mut self.acts);
         self.carry_out(now, orders);
@@ -285,8 +321,13 @@
                             }
                         }
                     }
-                    // There is no journal of work in hand yet, so that no key is read back.
-                    Act::ReadBack(_) | Act::Settled(..) => {}
+                    Act::ReadBack(work) => orders.push(Order::ReadBack(work)),
+                    Act::Settled(number, outcome) => {
+                        tracing::info!(number, ?outcome, "a write from before is settled");
+                        if let Some(work) = &mut self.work {
+                            work.settled(number);
+                        }
+                    }
                 }
             }
         }
--- a/crates/recovery/src/machine.rs
+++ b/crates/recovery/src/machine.rs
@@ -366,7 +366,8 @@
             return true;
         }
         match self.nodes.get(&work.node) {
-            Some((_, started)) => *started != work.started,
+            // 0 stands for a start that nobody knows: it shows nothing.
+            Some((_, started)) => *started != 0 && work.started != 0 && *started != work.started,
             None => false,
         }
     }
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -233,6 +233,8 @@
             },
             ask_for: millis(recovery.ask_for_ms),
             rest: millis(patience + self.rules.order_rest_ms),
+            journal: recovery.journal,
+            mark: false,
         })
     }
 
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -353,11 +353,13 @@
 pub struct Recovery {
     /// Peers are waited for so long at most.
     pub ask_for_ms: u32,
+    /// Writes are in a journal on the disk before they are sent, so that after a loss only what was in hand rests.
+    pub journal: bool,
 }
 
 impl Default for Recovery {
     fn default() -> Self {
-        Recovery { ask_for_ms: 2000 }
+        Recovery { ask_for_ms: 2000, journal: true }
     }
 }
 
