--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,8 +10,8 @@
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use serde::Serialize;
@@ -50,6 +50,38 @@
     Error(String),
 }
 
+/// Requests that were read and whose answers are not written yet.
+#[derive(Default)]
+struct Owed {
+    count: Mutex<usize>,
+    none: Condvar,
+}
+
+impl Owed {
+    fn change(&self, by: isize) {
+        let mut count = self.count.lock().unwrap_or_else(|p| p.into_inner());
+        *count = count.saturating_add_signed(by);
+        if *count == 0 {
+            self.none.notify_all();
+        }
+    }
+}
+
+/// A socket that is served.
+#[derive(Clone, Default)]
+pub struct Served(Arc<Owed>);
+
+impl Served {
+    /// Waits until every request that was read has its answer written; whether it has, within the time.
+    ///
+    /// Danger: a process that leaves because it was asked to is gone before its answer is, and the asker takes that for a failure.
+    pub fn settle(&self, within: Duration) -> bool {
+        let count = self.0.count.lock().unwrap_or_else(|p| p.into_inner());
+        let waited = self.0.none.wait_timeout_while(count, within, |count| *count > 0);
+        !waited.unwrap_or_else(|p| p.into_inner()).1.timed_out()
+    }
+}
+
 /// Serves requests on a socket until the process ends. A file left behind by an earlier process is replaced; a
 /// socket that still answers is not.
 ///
@@ -58,7 +90,7 @@
 pub fn serve<Q, A>(
     path: &Path,
     handle: impl Fn(Q) -> Result<A, String> + Send + Sync + 'static,
-) -> io::Result<()>
+) -> io::Result<Served>
 where
     Q: DeserializeOwned,
     A: Serialize,
@@ -74,16 +106,18 @@
     let listener = UnixListener::bind(path)?;
     std::fs::set_permissions(path, std::fs::Permissions::from_mode(0o600))?;
     let (handle, open) = (Arc::new(handle), Arc::new(AtomicUsize::new(0)));
+    let served = Served::default();
+    let owed = served.0.clone();
     std::thread::Builder::new().name("control".into()).spawn(move || {
         for stream in listener.incoming().flatten() {
             if open.fetch_add(1, Ordering::Relaxed) >= CONNECTIONS {
                 open.fetch_sub(1, Ordering::Relaxed);
                 continue;
             }
-            let (handle, count) = (handle.clone(), open.clone());
+            let (handle, count, owed) = (handle.clone(), open.clone(), owed.clone());
             let served = std::thread::Builder::new().spawn(move || {
                 // A caller that goes away half-way ends its own connection only.
-                let _ = converse(stream, &*handle);
+                let _ = converse(stream, &*handle, &owed);
                 count.fetch_sub(1, Ordering::Relaxed);
             });
             if served.is_err() {
@@ -91,12 +125,13 @@
             }
         }
     })?;
-    Ok(())
+    Ok(served)
 }
 
 fn converse<Q: DeserializeOwned, A: Serialize>(
     stream: UnixStream,
     handle: &impl Fn(Q) -> Result<A, String>,
+    owed: &Owed,
 ) -> io::Result<()> {
     stream.set_write_timeout(Some(Duration::from_secs(5)))?;
     let mut writer = stream.try_clone()?;
@@ -107,16 +142,27 @@
         if io::Read::take(&mut reader, LINE).read_line(&mut line)? == 0 {
             return Ok(());
         }
-        let reply = match serde_json::from_str(&line) {
-            Ok(request) => handle(request).map_or_else(Reply::Error, Reply::Ok),
-            Err(e) => Reply::Error(format!("the request is not understood: {e}")),
-        };
-        let mut bytes = serde_json::to_vec(&reply).map_err(io::Error::other)?;
-        bytes.push(b'\n');
-        writer.write_all(&bytes)?;
+        owed.change(1);
+        let written = answer(&mut writer, &line, handle);
+        owed.change(-1);
+        written?;
     }
 }
 
+fn answer<Q: DeserializeOwned, A: Serialize>(
+    writer: &mut UnixStream,
+    line: &str,
+    handle: &impl Fn(Q) -> Result<A, String>,
+) -> io::Result<()> {
+    let reply = match serde_json::from_str(line) {
+        Ok(request) => handle(request).map_or_else(Reply::Error, Reply::Ok),
+        Err(e) => Reply::Error(format!("the request is not understood: {e}")),
+    };
+    let mut bytes = serde_json::to_vec(&reply).map_err(io::Error::other)?;
+    bytes.push(b'\n');
+    writer.write_all(&bytes)
+}
+
 /// Makes one request and waits for its answer.
 ///
 /// # Errors
@@ -166,6 +212,28 @@
         std::fs::remove_file(&path).unwrap();
     }
 
+    #[test]
+    fn one_that_leaves_waits_until_its_answers_are_written() {
+        let path = path("owed");
+        let (tell, told) = std::sync::mpsc::channel::<()>();
+        let told = Mutex::new(told);
+        let served = serve(&path, move |_: u32| {
+            told.lock().unwrap().recv().unwrap();
+            Ok(1)
+        });
+        let served = served.unwrap();
+        assert!(served.settle(Duration::ZERO), "nothing is owed");
+        let asks = path.clone();
+        let asks = std::thread::spawn(move || call::<_, u32>(&asks, &1, Duration::from_secs(20)).unwrap());
+        while served.settle(Duration::ZERO) {
+            std::thread::yield_now();
+        }
+        tell.send(()).unwrap();
+        assert!(served.settle(Duration::from_secs(20)));
+        assert_eq!(asks.join().unwrap(), 1);
+        std::fs::remove_file(&path).unwrap();
+    }
+
     #[test]
     fn a_socket_left_behind_is_replaced() {
         let path = path("left");
--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -136,6 +136,8 @@
     },
     /// Start again processes that ended too often and were given up
     Revive(SiteAt),
+    /// Show how far a gateway has come back after a loss of power, or force it; docs/recovery.md
+    Recovery(RecoveryArgs),
     /// Stop a site in order, or tell one gateway to answer all and leave
     Stop(At),
     /// Write a commented site file
@@ -325,6 +327,63 @@
     pub with_parent: bool,
 }
 
+/// Arguments of `recovery`.
+#[derive(Debug, Args)]
+pub struct RecoveryArgs {
+    /// What to do
+    #[command(subcommand)]
+    pub verb: RecoveryVerb,
+}
+
+/// What `recovery` does.
+#[derive(Debug, Subcommand)]
+pub enum RecoveryVerb {
+    /// Its life and state, what it waits for, keys not settled, and when all is open at the latest
+    Status {
+        /// Control socket of the gateway
+        #[arg(long)]
+        control: PathBuf,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
+    /// Why reads or writes of a block are not open yet
+    Explain {
+        /// Namespace identifier of the volume
+        nsid: u32,
+        /// The block
+        block: u64,
+        /// Control socket of the gateway
+        #[arg(long)]
+        control: PathBuf,
+    },
+    /// Wait for peers and cold nodes no longer
+    ///
+    /// Costs: orders that only a peer holds come when it does, so that a node they drain may get work until then; cold nodes may be
+    /// pushed over by all that was held back. Keys that are not settled stay closed.
+    Hurry {
+        /// Control socket of the gateway
+        #[arg(long)]
+        control: PathBuf,
+        /// Carry it out
+        #[arg(long)]
+        confirm: bool,
+    },
+    /// Open a key whose write from before is not settled
+    ///
+    /// Costs: that write may still run, and overtake what is written to the key from now on.
+    Release {
+        /// Number of the write, as `recovery status` shows it
+        number: u64,
+        /// Control socket of the gateway
+        #[arg(long)]
+        control: PathBuf,
+        /// Carry it out
+        #[arg(long)]
+        confirm: bool,
+    },
+}
+
 /// Arguments of `demo`.
 #[derive(Debug, Args)]
 pub struct DemoArgs {
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -65,6 +65,7 @@
         Command::Note { text, at } => operate::intent(Change::Note(text), &at, true),
         Command::Log { at, most } => operate::log(&at, most),
         Command::Revive(at) => operate::revive(&at),
+        Command::Recovery(args) => show::recovery(&args.verb),
         Command::Stop(at) => show::stop(&at),
         Command::Init(args) => setup::init(&args),
         Command::Doctor { config, state } => setup::doctor(&config, &state),
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -6,8 +6,8 @@
 
 use gateway::{ControlAnswer, ControlRequest, Status};
 
-use crate::command::{At, SiteAt};
-use crate::{Ended, Failure, operate};
+use crate::command::{At, RecoveryVerb, SiteAt};
+use crate::{Ended, Failure, USAGE, operate};
 
 pub fn check(file: &Path) -> Ended {
     let site = crate::serve::load(file)?;
@@ -92,6 +92,119 @@
     }
 }
 
+/// The recovery of a gateway, and its clock.
+fn recovery_of(control: &Path) -> Result<(recovery::Shown, i64, String), Failure> {
+    let ControlAnswer::Status(status) = ask(control, &ControlRequest::Status)? else {
+        return Err(unexpected());
+    };
+    let none =
+        || Failure { code: USAGE, what: format!("{} has no [recovery]: it is open at once", status.name) };
+    Ok((status.recovery.clone().ok_or_else(none)?, status.now, status.name))
+}
+
+pub fn recovery(verb: &RecoveryVerb) -> Ended {
+    match verb {
+        RecoveryVerb::Status { control, json } => {
+            let (shown, now, name) = recovery_of(control)?;
+            if *json {
+                println!("{}", serde_json::to_string_pretty(&shown)?);
+            } else {
+                print_recovery(&name, &shown, now);
+            }
+            Ok(ExitCode::SUCCESS)
+        }
+        RecoveryVerb::Explain { nsid, block, control } => {
+            let (shown, now, _) = recovery_of(control)?;
+            explain(&shown, now, *nsid, *block);
+            Ok(ExitCode::SUCCESS)
+        }
+        RecoveryVerb::Hurry { control, confirm } => {
+            let costs = "orders that only a peer holds come when it does, and cold nodes may be pushed over";
+            force(control, *confirm, &ControlRequest::Recovery { hurry: true, release: None }, costs)
+        }
+        RecoveryVerb::Release { number, control, confirm } => {
+            let costs = "that write may still run, and overtake what is written to the key from now on";
+            force(
+                control,
+                *confirm,
+                &ControlRequest::Recovery { hurry: false, release: Some(*number) },
+                costs,
+            )
+        }
+    }
+}
+
+/// Carries out what costs something once it was named.
+fn force(control: &Path, confirm: bool, request: &ControlRequest, costs: &str) -> Ended {
+    if !confirm {
+        let what = format!("nothing was done: {costs}; with --confirm it is carried out");
+        return Err(Failure { code: USAGE, what });
+    }
+    ask(control, request)?;
+    println!("carried out, and in the gateway's log: {costs}");
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_recovery(name: &str, r: &recovery::Shown, now: i64) {
+    let ago = |t: i64| (now - t) as f64 / 1e6;
+    println!(
+        "{name} in life {}: {} for {:.1} s",
+        r.life,
+        format!("{:?}", r.phase).to_lowercase(),
+        ago(r.since)
+    );
+    if !r.waits_for.is_empty() {
+        println!("waits for the words of {}", r.waits_for.join(", "));
+    }
+    let of = r.orders_of.as_ref().map_or(String::new(), |peer| format!(", as {peer} told"));
+    println!("orders {}{of}", r.orders);
+    if r.blind {
+        println!("its journal of work in hand was missing or damaged: all writes rest once");
+    }
+    let [ran, not_there, unknown] = r.settled;
+    println!(
+        "writes from before: {ran} ran, {not_there} not there, {unknown} unknown, {} open",
+        r.unsettled.len()
+    );
+    for key in &r.unsettled {
+        let p = key.place;
+        println!(
+            "  {:>8}  volume {} blocks {}+{}, at {}: waits for {}",
+            key.number, p.nsid, p.slba, p.blocks, key.node, key.waits_for
+        );
+    }
+    match r.full_by {
+        Some(t) if t > now => {
+            println!("all is open in {:.1} s at the latest, if every node is there", -ago(t))
+        }
+        Some(_) => println!("all is open once every node is there and answers"),
+        None => println!("all is open"),
+    }
+}
+
+fn explain(r: &recovery::Shown, now: i64, nsid: u32, block: u64) {
+    let left = r.full_by.map_or(0.0, |t| ((t - now) as f64 / 1e6).max(0.0));
+    let holds =
+        |p: &recovery::Place| p.nsid == nsid && (p.slba..p.slba + u64::from(p.blocks)).contains(&block);
+    let key = r.unsettled.iter().find(|k| holds(&k.place));
+    let reads = match r.phase {
+        recovery::Phase::Joining => format!("closed: the words of {} are waited for", r.waits_for.join(", ")),
+        recovery::Phase::Settling | recovery::Phase::Admitting => {
+            format!("open as far as its node is there and warm, for another {left:.1} s at the most")
+        }
+        recovery::Phase::Serving => "open".into(),
+    };
+    let writes = match key {
+        Some(key) => format!("closed: write {} from before waits for {}", key.number, key.waits_for),
+        None if r.blind && r.phase < recovery::Phase::Admitting => {
+            "closed: without a journal any key may have been in hand".into()
+        }
+        None => reads.clone(),
+    };
+    println!("reads   {reads}");
+    println!("writes  {writes}");
+}
+
 pub fn requests(at: &At, most: usize) -> Ended {
     let Some(control) = &at.control else { return operate::requests(&site_at(at), most) };
     let ControlAnswer::Requests(requests) = ask(control, &ControlRequest::Requests { most })? else {
--- a/crates/crowbay/tests/recovery.rs
+++ b/crates/crowbay/tests/recovery.rs
@@ -592,3 +592,44 @@
     stage.write_served(&host, 1);
     stage.until("g1", "it serves", |s| phase(s) == Some(Phase::Serving));
 }
+
+#[test]
+fn operators_see_what_is_waited_for_and_force_it_only_when_they_confirm_what_it_costs() {
+    let mut stage = Stage::lit();
+    let host = stage.host("g1");
+    stage.order("g1", "node0", What::Hold(Side::Back));
+    stage.write_in_hand("g1", &host, 4);
+    drop(host);
+    stage.power_off();
+    // Its node never returns.
+    stage.node("node1", &[]);
+    stage.gateway("g1");
+    let control = stage.path("g1");
+    let run = |args: &[&str]| {
+        let out = Command::new(EXE).arg("recovery").args(args).args(["--control", text(&control)]).output();
+        let out = out.expect("it runs");
+        let said = String::from_utf8_lossy(&out.stdout).into_owned() + &String::from_utf8_lossy(&out.stderr);
+        (out.status.code(), said)
+    };
+    let (code, said) = run(&["hurry"]);
+    assert!(code == Some(2) && said.contains("cold nodes may be pushed over"), "{said}");
+    let (code, said) = run(&["hurry", "--confirm"]);
+    assert_eq!(code, Some(0), "{said}");
+    stage.until("g1", "it waits for its peers no longer", |s| phase(s) == Some(Phase::Settling));
+    let (_, said) = run(&["status"]);
+    assert!(said.contains("settling") && said.contains("blocks 4+1, at node0: waits for"), "{said}");
+    let (_, said) = run(&["explain", "1", "4"]);
+    assert!(said.contains("reads   open") && said.contains("writes  closed: write"), "{said}");
+    let (_, said) = run(&["explain", "1", "8"]);
+    assert!(said.contains("writes  open"), "{said}");
+    let number = stage.status("g1").recovery.map(|r| r.unsettled[0].number.to_string()).expect("a key");
+    let (code, said) = run(&["release", &number]);
+    assert!(code == Some(2) && said.contains("may still run"), "{said}");
+    let (code, said) = run(&["release", &number, "--confirm"]);
+    assert_eq!(code, Some(0), "{said}");
+    stage.until("g1", "it serves", |s| phase(s) == Some(Phase::Serving));
+    let (code, said) = run(&["release", &number, "--confirm"]);
+    assert!(code == Some(1) && said.contains("no write from before"), "{said}");
+    let (_, said) = run(&["status"]);
+    assert!(said.contains("0 ran, 0 not there, 1 unknown, 0 open") && said.contains("all is open"), "{said}");
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -594,6 +594,27 @@
                 self.settle(now);
                 Ok(ControlAnswer::Done(now))
             }
+            ControlRequest::Recovery { hurry, release } => {
+                let Some(returning) = &self.returning else {
+                    return Err("this gateway has no [recovery]: it is open at once".into());
+                };
+                let shown = returning.show();
+                if let Some(number) = release
+                    && !shown.unsettled.iter().any(|k| k.number == number)
+                {
+                    return Err(format!("no write from before has the number {number}, or it is settled"));
+                }
+                tracing::warn!(hurry, ?release, phase = ?shown.phase, "an operator forces the recovery");
+                self.return_with(now, |r, orders| {
+                    if hurry {
+                        r.hurry(now, orders);
+                    }
+                    if let Some(number) = release {
+                        r.release(now, number, orders);
+                    }
+                });
+                Ok(ControlAnswer::Done(now))
+            }
             ControlRequest::Ended => {
                 let ended = self.core.ended_views().map(|e| self.ended(e)).collect();
                 Ok(ControlAnswer::Ended(ended))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping a gateway.
 
+use control::Served;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -59,6 +60,7 @@
     peer_address: Option<SocketAddr>,
     inbox: Inbox,
     front: Arc<Front>,
+    control: Served,
     stop_within: Duration,
     ended: Mutex<Option<thread_mpsc::Receiver<()>>>,
 }
@@ -87,8 +89,9 @@
             digests: options.digests,
             closing: AtomicBool::new(false),
         });
+        let mut control = Served::default();
         if let Some(path) = options.control.clone() {
-            serve_control(&path, inbox.clone()).map_err(|e| GatewayError::Control(path, e))?;
+            control = serve_control(&path, inbox.clone()).map_err(|e| GatewayError::Control(path, e))?;
         }
         let (name, stop_within) = (options.name.clone(), options.stop_within);
         let ticks = inbox.clone();
@@ -112,7 +115,8 @@
         let accepts = front.clone();
         task::spawn("accept", move || accepts.accept(&listener)).map_err(GatewayError::Start)?;
         tracing::info!(name, %address, "gateway up");
-        Ok(Gateway { address, peer_address, inbox, front, stop_within, ended: Mutex::new(Some(ended)) })
+        let ended = Mutex::new(Some(ended));
+        Ok(Gateway { address, peer_address, inbox, front, control, stop_within, ended })
     }
 
     /// Where it listens.
@@ -147,6 +151,7 @@
             }
             std::thread::sleep(Duration::from_millis(5));
         }
+        self.control.settle(Duration::from_secs(1));
         stopped
     }
 
@@ -166,7 +171,7 @@
     answer.map_err(GatewayError::TurnedDown)
 }
 
-fn serve_control(path: &std::path::Path, inbox: Inbox) -> io::Result<()> {
+fn serve_control(path: &std::path::Path, inbox: Inbox) -> io::Result<Served> {
     // A channel's sender may not be shared between threads as it is; each request clones it under the lock.
     let inbox = Mutex::new(inbox);
     control::serve(path, move |request: ControlRequest| {
--- a/crates/gateway/src/returning.rs
+++ b/crates/gateway/src/returning.rs
@@ -158,7 +158,13 @@
     }
 
     pub(crate) fn show(&self) -> Shown {
-        self.recovery.show()
+        let mut shown = self.recovery.show();
+        // What is cold is warm later than all keys are settled, or not.
+        let warm = self.admission.warm_at().unwrap_or(self.born + self.warm_after);
+        if shown.phase < Phase::Serving && (self.cold || self.serves.is_none()) {
+            shown.full_by = shown.full_by.map(|t| t.max(warm));
+        }
+        shown
     }
 
     pub(crate) fn next_due(&self) -> Micros {
@@ -263,6 +269,16 @@
         }
     }
 
+    /// Operators wait for peers and cold nodes no longer.
+    pub(crate) fn hurry(&mut self, now: Micros, orders: &mut Vec<Order>) {
+        self.learn(now, Fact::Hurry, orders);
+    }
+
+    /// Operators release a key unsettled.
+    pub(crate) fn release(&mut self, now: Micros, number: u64, orders: &mut Vec<Order>) {
+        self.learn(now, Fact::Release(number), orders);
+    }
+
     /// The writes in hand, if their journal is kept.
     pub(crate) fn work(&mut self) -> Option<&mut WorkInHand> {
         self.work.as_mut()
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -36,6 +36,15 @@
     },
     /// The last operations that ended unserved.
     Ended,
+    /// Wait for peers and cold nodes no longer, or release a key unsettled, by its number.
+    Recovery {
+        /// Wait no longer.
+        #[serde(default)]
+        hurry: bool,
+        /// The key.
+        #[serde(default)]
+        release: Option<u64>,
+    },
     /// Take nothing new, answer all, and leave.
     Stop,
 }
--- a/crates/recovery/src/machine.rs
+++ b/crates/recovery/src/machine.rs
@@ -93,6 +93,8 @@
     Warm,
     /// An operator releases a key unsettled.
     Release(u64),
+    /// An operator waits for peers and cold nodes no longer.
+    Hurry,
 }
 
 /// What is to be done.
@@ -159,6 +161,8 @@
     pub waits_for: Vec<String>,
     /// Orders in force, and who told of them.
     pub orders: u64,
+    /// All is open by then at the latest if every node is there and answers; none: all is.
+    pub full_by: Option<Micros>,
     /// Who told of those orders; none: its own disk.
     pub orders_of: Option<String>,
     /// The journal of work in hand was lost.
@@ -194,6 +198,7 @@
     /// Nodes that are there, with shard and start.
     nodes: BTreeMap<String, (u32, i64)>,
     warm: bool,
+    hurried: bool,
     settled: [u64; 3],
 }
 
@@ -226,6 +231,7 @@
             keys: hand.into_iter().flat_map(Hand::open).map(key).collect(),
             nodes: BTreeMap::new(),
             warm: false,
+            hurried: false,
             settled: [0; 3],
             options,
         };
@@ -287,6 +293,7 @@
             }
             Fact::ReadBack(number, same) => self.on_read_back(number, same, acts),
             Fact::Warm => self.warm = true,
+            Fact::Hurry => (self.hurried, self.warm) = (true, true),
             Fact::Release(number) => self.settle(number, Outcome::Unknown, acts),
         }
         self.step(acts);
@@ -342,6 +349,7 @@
                 Vec::new()
             },
             orders: self.word.orders,
+            full_by: self.full_by(),
             orders_of: self.orders_of.as_ref().map(|p| p.0.clone()),
             blind: self.blind,
             unsettled: self.keys.values().map(unsettled).collect(),
@@ -349,6 +357,17 @@
         }
     }
 
+    fn full_by(&self) -> Option<Micros> {
+        let joined = self.born + self.options.ask_for;
+        let settled = if self.blind || !self.keys.is_empty() { self.rest_until() } else { self.since };
+        match self.phase {
+            Phase::Joining => Some(joined.max(settled)),
+            Phase::Settling => Some(settled),
+            Phase::Admitting => Some(self.since),
+            Phase::Serving => None,
+        }
+    }
+
     /// Nothing sent before the cut can run any more from then on, wherever it lies.
     fn rest_until(&self) -> Micros {
         self.born + self.options.rest
@@ -438,7 +457,7 @@
             let all = self.options.peers.iter().all(|p| self.said.contains(p));
             let waited =
                 self.now >= self.born + self.options.ask_for && self.options.plant != Plant::WaitForever;
-            if all || waited {
+            if all || waited || self.hurried {
                 self.enter(Phase::Settling, acts);
             }
         }
--- a/crates/recovery/tests/back.rs
+++ b/crates/recovery/tests/back.rs
@@ -178,6 +178,21 @@
     assert_eq!(recovery.phase(), Phase::Admitting);
 }
 
+#[test]
+fn hurried_it_waits_for_no_peer_and_no_warming_but_still_for_keys() {
+    let (mut recovery, _) = two_in_hand(&["a"], Plant::None);
+    let mut acts = Vec::new();
+    assert_eq!(recovery.show().full_by, Some(REST));
+    recovery.learn(1000, Fact::Hurry, &mut acts);
+    assert_eq!(recovery.phase(), Phase::Settling);
+    assert_eq!(recovery.closed(&place(0), false), None);
+    assert!(matches!(recovery.closed(&place(11), true), Some(Closed::Unsettled { .. })));
+    recovery.learn(2000, Fact::Release(0), &mut acts);
+    recovery.learn(2000, Fact::Release(1), &mut acts);
+    assert_eq!((recovery.phase(), recovery.show().full_by), (Phase::Serving, None));
+    assert_eq!(recovery.show().settled, [0, 0, 2]);
+}
+
 #[test]
 fn without_a_journal_every_write_rests_once_and_reads_do_not() {
     let mut acts = Vec::new();
