--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -161,7 +161,7 @@
         /// The folder
         dir: PathBuf,
     },
-    /// Measure the path: straight to one node without work, against through the gateway
+    /// Measure straight to one node without work against through the gateway, or a gateway without its journal against one with it
     Bench(BenchArgs),
 }
 
@@ -466,9 +466,12 @@
 /// Arguments of `bench`.
 #[derive(Debug, Args)]
 pub struct BenchArgs {
-    /// What to measure
-    #[arg(value_parser = ["path"])]
+    /// What to measure: the way through a gateway, or its journal of work in hand
+    #[arg(value_parser = ["path", "journal"])]
     pub what: String,
+    /// Folder for the journal, on the disk that is to be measured; left out: a temporary one
+    #[arg(long)]
+    pub folder: Option<PathBuf>,
     /// Seconds for each point
     #[arg(long, default_value_t = 1.0)]
     pub seconds: f64,
--- a/crates/crowbay/src/day.rs
+++ b/crates/crowbay/src/day.rs
@@ -174,7 +174,16 @@
 }
 
 pub fn bench(args: &BenchArgs) -> Ended {
+    let temporary = std::env::temp_dir().join(format!("crowbay-bench-{}", std::process::id()));
+    let journal = (args.what == "journal").then(|| args.folder.clone().unwrap_or_else(|| temporary.clone()));
+    let done = measure(args, journal);
+    let _ = std::fs::remove_dir_all(temporary); // Made by this process, if at all.
+    done
+}
+
+fn measure(args: &BenchArgs, journal: Option<PathBuf>) -> Ended {
     let options = BenchOptions {
+        journal,
         span: Duration::from_secs_f64(args.seconds.clamp(0.05, 600.0)),
         depths: args.depths.clone(),
         sizes: args.sizes.clone(),
@@ -186,6 +195,9 @@
         return Ok(ExitCode::SUCCESS);
     }
     println!("one process holds host, gateway and stand-in node; medians of {} rounds", args.rounds.max(1));
+    if options.journal.is_some() {
+        println!("'straight' is a gateway without a journal, 'through' one with it");
+    }
     println!("{}", BenchRow::head());
     lab::bench_path(&options, &mut |line| println!("{line}"))?;
     Ok(ExitCode::SUCCESS)
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -1,11 +1,14 @@
-//! What the way through the gateway costs: straight to one node with no work to do, against through the gateway.
+//! What the way through the gateway costs: straight to one node with no work to do, against through the gateway; and what its
+//! journal of work in hand costs: through a gateway without, against through one with it.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::time::{Duration, Instant};
 
 use emulator::Node;
-use gateway::Gateway;
+use gateway::{ControlAnswer, ControlRequest, Gateway, NodeLine};
 use hdrhistogram::Histogram;
 use load::{Host, HostOptions, Word, fill};
 use nvme::Digests;
@@ -26,6 +29,8 @@
     pub sizes: Vec<u32>,
     /// Rounds; straight and through alternate, and the median counts.
     pub rounds: u32,
+    /// Measure the journal of work in hand, kept in this folder, in place of the way itself.
+    pub journal: Option<PathBuf>,
 }
 
 /// A point: one depth, size and operation, straight and through.
@@ -70,15 +75,20 @@
     let site = Site::parse(include_str!("bench.toml")).map_err(built_in)?;
     let node = Node::start(site.node_options(0, false), Recorder::none())?;
     let lines = vec![site.node_line(0, node.address(), 0)];
-    let gateway = Gateway::start(site.gateway_options(0, 1, lines, None)?)?;
+    let gateway = Gateway::start(site.gateway_options(0, 1, lines.clone(), None)?)?;
+    let keeps = options.journal.as_ref().map(|folder| keeping(&site, lines, folder)).transpose()?;
+    let addresses = match &keeps {
+        Some(keeps) => (gateway.address(), keeps.address()),
+        None => (node.address(), gateway.address()),
+    };
     let mut rows = Vec::new();
     for op in [Op::Read, Op::Write] {
         for &kib in &options.sizes {
             for &depth in &options.depths {
                 let (mut straight, mut through) = (Vec::new(), Vec::new());
                 for _ in 0..options.rounds.max(1) {
-                    straight.push(point(&site, node.address(), op, kib, depth, options.span)?);
-                    through.push(point(&site, gateway.address(), op, kib, depth, options.span)?);
+                    straight.push(point(&site, addresses.0, op, kib, depth, options.span)?);
+                    through.push(point(&site, addresses.1, op, kib, depth, options.span)?);
                 }
                 let row = BenchRow { depth, kib, op, straight: median(straight), through: median(through) };
                 tell(&row.line());
@@ -87,9 +97,35 @@
         }
     }
     gateway.stop();
+    if let Some(keeps) = keeps {
+        keeps.stop();
+    }
     Ok(rows)
 }
 
+/// A gateway with the journal of work in hand, once all is open.
+fn keeping(site: &Site, lines: Vec<NodeLine>, folder: &Path) -> Result<Gateway, LabError> {
+    let mut site = site.clone();
+    site.recovery = Some(settings::Recovery { ask_for_ms: 10, journal: true });
+    let mut options = site.gateway_options(0, 2, lines, None)?;
+    options.returning = site.return_options(0, folder.to_owned(), &BTreeMap::new());
+    let gateway = Gateway::start(options)?;
+    let end = Instant::now() + Duration::from_secs(30);
+    loop {
+        let phase = match gateway.ask(ControlRequest::Status)? {
+            ControlAnswer::Status(status) => status.recovery.map(|r| r.phase),
+            _ => None,
+        };
+        if phase == Some(recovery::Phase::Serving) {
+            return Ok(gateway);
+        }
+        if Instant::now() > end {
+            return Err(LabError::NotUp("the gateway with a journal".into(), format!("it is {phase:?}")));
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
 impl BenchRow {
     /// The head of the table.
     pub fn head() -> String {
