A test of lives waits until a peer has seen each: what nobody saw cannot be noticed

Seen: on two cores 1 of 3 runs failed: a life was over before any peer had met it, so that the disk put back was noticed one life lower. The test now waits for the peer's own file.

--- a/crates/crowbay/tests/recovery.rs
+++ b/crates/crowbay/tests/recovery.rs
@@ -13,6 +13,7 @@
 use lab::{NodeRequest, Ready};
 use load::{Answer, Found, Host, HostOptions, Word, fill, look};
 use nvme::Digests;
+use peer::{Lives, wire};
 use records::NodeLine as NodeRecord;
 use recovery::Phase;
 use relay::{Link, Listening, Order, Plan, Side, What};
@@ -268,6 +269,13 @@
         }
     }
 
+    /// The latest life of a gateway that another has seen, as its disk says.
+    fn seen(&self, by: &str, of: &str) -> u64 {
+        let file = filelog::read(&self.path(&format!("{by}.state")).join("lives")).expect("it is whole");
+        let lives: Lives = file.and_then(|bytes| wire::decode(&bytes)).unwrap_or_default();
+        lives.of(&of.into()).map_or(0, |life| life.incarnation.0)
+    }
+
     fn host(&self, gateway: &'static str) -> Host {
         let options = HostOptions {
             address: self.gateways[gateway].ready().address,
@@ -490,11 +498,13 @@
         stage.gateways.remove("g2");
         stage.gateway("g2");
         stage.until("g2", "it lives anew", |s| incarnation(s) == n);
+        until("a peer has seen it", || stage.seen("g1", "g2") == n);
     }
     stage.gateways.remove("g2");
     std::fs::write(&life, last_month).expect("put back");
     stage.gateway("g2");
     stage.until("g2", "it is above what was seen", |s| incarnation(s) == 5);
+    until("a peer has seen it", || stage.seen("g1", "g2") == 5);
     stage.gateways.remove("g2");
     std::fs::remove_dir_all(stage.path("g2.state")).expect("emptied");
     stage.gateway("g2");
