--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -39,9 +39,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod brain;
+mod answers;
+mod cold;
 mod interface;
+mod law;
+mod queue;
+mod scheduler;
 mod state;
+mod verdict;
 
-pub use brain::Scheduler;
 pub use interface::*;
+pub use scheduler::Scheduler;
--- /dev/null
+++ b/crates/decisions/src/queue.rs
@@ -0,0 +1,184 @@
+//! What waits, per shard, by worth and then latest due first; and what goes out.
+
+use crate::cold::GOLDEN;
+use crate::interface::*;
+use crate::law::*;
+use crate::scheduler::Scheduler;
+use crate::state::*;
+use crate::verdict::Verdict;
+
+/// How many waiting requests are looked at for one send.
+const SCAN: usize = 24;
+/// Multiple of a volume's usual rate that counts as within its share in a crowd.
+const OVER: f64 = 2.0;
+
+impl Scheduler {
+    /// The shard that a request is to wait at: its own, that of the nodes which know its key, or, for a
+    /// new object, the one whose node is least loaded under its bound.
+    fn shard_of(&self, open: &Open) -> Option<ShardId> {
+        if let Some(shard) = open.ask.shard.or(open.doubt().next().map(|a| a.shard)) {
+            return Some(shard);
+        }
+        let v = self.view();
+        let fill = |n: &Node| {
+            let waiting = self.mem.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
+            (n.out.len() + waiting + 1) as f64 / n.bound(RESERVE, &v) * n.load(&v).max(0.1)
+        };
+        let usable = |n: &&Node| {
+            n.state == NodeState::On
+                && !n.silent(self.mem.now)
+                && n.failures == 0
+                && self.cold(n, open.ask.units).is_none()
+        };
+        let best = self.mem.nodes.values().filter(usable).min_by(|a, b| fill(a).total_cmp(&fill(b)));
+        best.or(self.mem.nodes.values().find(|n| n.state == NodeState::On)).map(|n| n.shard)
+    }
+
+    pub(crate) fn enqueue(&mut self, id: RequestId) {
+        let (now, v) = (self.mem.now, self.view());
+        let Some(open) = self.mem.requests.get(&id) else { return };
+        let Some(shard_id) = self.shard_of(open) else {
+            return; // No node is listed at all: it waits for the list or its end.
+        };
+        let shard = self.mem.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
+        if open.ask.shard.is_some() {
+            shard.asks += 1;
+            self.mem.asks += 1;
+            match shard.asks {
+                1 => (self.mem.used, self.mem.once) = (self.mem.used + 1, self.mem.once + 1),
+                2 => self.mem.once -= 1,
+                _ => {}
+            }
+        }
+        let plan = &self.set.plans[open.ask.plan];
+        if open.attempts.is_empty() {
+            if open.step == RESERVE {
+                shard.reserved.add(now, open.ask.units);
+            } else {
+                let weight = if plan.weight > 0.0 { plan.weight } else { 1.0 };
+                let asked = shard.asked.entry(open.ask.volume).or_insert((Fading::over(SMOOTHING), weight));
+                asked.0.add(now, open.ask.units);
+                let mut within = asked.0.read(now) / asked.1 <= shard.level(now);
+                // Danger: a host of a crowd sees too little of a node to tell its power. There units also
+                // count as within the share while the volume keeps near its usual rate, as metered or seen
+                // here. Harm: surges of many volumes at once pass for a while.
+                if let (true, Some(volume)) = (v.fresh < 1.0, self.mem.volumes.get_mut(&open.ask.volume)) {
+                    volume.phase = (volume.phase + GOLDEN) % 1.0;
+                    let used = volume.used.max(volume.asked.read(now) / plan.rate.max(1e-3));
+                    within |= volume.phase * used < OVER;
+                }
+                open.step = if within { SHARE } else { SPARE };
+            }
+        }
+        let class = &self.set.classes[open.ask.class];
+        let step = match open.step {
+            RESERVE => 1.0,
+            SHARE => self.set.share_worth,
+            _ => self.set.spare_worth,
+        };
+        let worth = (class.worth * plan.price * step).max(1e-6);
+        let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
+        open.place = Some((shard_id, place));
+        shard.insert(place, open.ask.key);
+        self.mem.dirty.insert(shard_id);
+    }
+
+    pub(crate) fn dequeue(&mut self, id: RequestId) {
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
+        let Some((shard, place)) = open.place.take() else { return };
+        let Some(shard) = self.mem.shards.get_mut(&shard) else { return };
+        shard.remove(place, open.ask.key);
+    }
+
+    pub(crate) fn pump(&mut self, shard_id: ShardId) {
+        let now = self.mem.now;
+        loop {
+            let Some(shard) = self.mem.shards.get(&shard_id) else { return };
+            if shard.waiting.is_empty() {
+                return;
+            }
+            let mut wake: Option<Micros> = None;
+            let mut later =
+                |at: Option<Micros>| wake = at.map_or(wake, |t| Some(wake.map_or(t, |w| w.min(t))));
+            let v = self.view();
+            let mut best: Option<(f64, NodeId)> = None;
+            for &id in &shard.nodes {
+                let node = &self.mem.nodes[&id];
+                match node.ready(&v) {
+                    Err(at) => later(at),
+                    Ok(()) => {
+                        let fill = node.out.len() as f64 / node.bound(RESERVE, &v);
+                        if best.is_none_or(|(f, _)| fill < f) {
+                            best = Some((fill, id));
+                        }
+                    }
+                }
+            }
+            let mut chosen = None;
+            let mut doomed = Vec::new();
+            if let Some((_, node_id)) = best {
+                let node = &self.mem.nodes[&node_id];
+                // A request on the data just sent to the node costs it far less: runs stay together.
+                let run = shard.last_key.and_then(|k| shard.by_key.get(&k)).and_then(|line| line.first());
+                for &(_, _, id) in run.into_iter().chain(shard.waiting.iter()).take(SCAN) {
+                    match self.verdict(id, node) {
+                        Verdict::Go => {
+                            chosen = Some((id, node_id));
+                            break;
+                        }
+                        Verdict::Wait(at) => later(at),
+                        Verdict::Never => doomed.push(id),
+                    }
+                }
+            }
+            if let Some((id, node)) = chosen {
+                self.send(id, node);
+            } else if doomed.is_empty() {
+                if let Some(at) = wake
+                    && let Some(shard) = self.mem.shards.get_mut(&shard_id)
+                    && shard.wake.is_none_or(|w| at < w || w <= now)
+                {
+                    shard.wake = Some(at);
+                    self.mem.wakes.insert((at, Wake::Shard(shard_id)));
+                }
+                return;
+            }
+            for id in doomed {
+                self.finish(id, 0);
+            }
+        }
+    }
+
+    fn send(&mut self, id: RequestId, node_id: NodeId) {
+        let (now, v) = (self.mem.now, self.view());
+        self.dequeue(id);
+        let (Some(open), Some(node)) = (self.mem.requests.get_mut(&id), self.mem.nodes.get_mut(&node_id))
+        else {
+            return;
+        };
+        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
+        if first
+            && let Some(volume) = self.mem.volumes.get_mut(&open.ask.volume)
+            && let Some(store) = &mut volume.limit
+        {
+            store.add(now, -open.ask.units);
+        }
+        if self.set.budget.is_some() && !open.attempts.is_empty() {
+            self.mem.further.push_back(now);
+        }
+        let aim = self.set.classes[open.ask.class].aim.max(1);
+        let part = STEPS.map(|step| node.bound(step, &v).min(1.0));
+        node.paid = STEPS.map(|step| node.paid[step].max(now) + node.gap(step, &v));
+        node.out.insert((id, open.attempts.len() as u32), Flight { sent: now, aim, part, overtaken: 0 });
+        node.sends.push_back((now, open.ask.units));
+        node.unheard.get_or_insert(now);
+        node.last_send = now;
+        let attempt = Attempt { zone: node.zone, shard: node.shard, sent: now, fate: Fate::Out };
+        open.attempts.push(attempt);
+        if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
+            shard.last_key = open.ask.key;
+        }
+        self.mem.actions.push(Action::Send { request: id, node: node_id, patience: 0 });
+    }
+}
--- /dev/null
+++ b/crates/decisions/src/verdict.rs
@@ -0,0 +1,107 @@
+//! Whether a request may go to a node now: the guards that every send passes.
+
+use crate::interface::*;
+use crate::law::*;
+use crate::scheduler::Scheduler;
+use crate::state::*;
+
+/// A request whose due time is nearer than this part of the node's fresh mean latency is late already.
+const FORESIGHT: f64 = 1.0;
+
+pub(crate) enum Verdict {
+    Go,
+    /// Not now; at the given time, or with the next event at the shard.
+    Wait(Option<Micros>),
+    /// Never again: it is to be answered.
+    Never,
+}
+
+impl Scheduler {
+    /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
+    /// else, for first attempts, retries and second copies alike.
+    pub(crate) fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
+        let now = self.mem.now;
+        let Some(open) = self.mem.requests.get(&id) else { return Verdict::Never };
+        let class = &self.set.classes[open.ask.class];
+        let tries = open.attempts.len();
+        if open.finished || open.streaming || now >= open.deadline || tries >= self.set.most_attempts as usize
+        {
+            return Verdict::Never;
+        }
+        if node.state != NodeState::On {
+            return Verdict::Wait(None);
+        }
+        if open.out() && !self.set.second_copies {
+            return Verdict::Never;
+        }
+        let repeatable = |a: &Attempt| match class.repeats {
+            Repeats::Safe => true,
+            Repeats::Unsafe => false,
+            Repeats::Keyed { group, window } => {
+                let known = match group {
+                    Group::All => true,
+                    Group::Zone => a.zone == node.zone,
+                    Group::Shard => a.shard == node.shard,
+                };
+                known && now - a.sent < window - window / 50
+            }
+        };
+        if !open.doubt().all(repeatable) {
+            return Verdict::Never;
+        }
+        if let (true, Some(key)) = (class.in_order, open.ask.key) {
+            let mine =
+                self.mem.turns.get(&key).is_some_and(|t| {
+                    t.line.front() == Some(&id) && (now >= t.rest || !open.attempts.is_empty())
+                });
+            if !mine {
+                return Verdict::Wait(None);
+            }
+        }
+        if tries > 0 && !self.budget_left() {
+            return Verdict::Never;
+        }
+        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
+        let volume = self.mem.volumes.get(&open.ask.volume);
+        if let (true, Some(store)) = (first, volume.and_then(|v| v.limit)) {
+            // An even part of the shared store: sums of even parts never pass the whole.
+            let slack = self.set.plans[open.ask.plan].limit_slack / f64::from(open.ask.hosts.max(1));
+            let short = open.ask.units - slack - store.read(now);
+            if open.ask.units > slack + store.cap {
+                return Verdict::Never;
+            }
+            if short > 0.0 {
+                let at = now + (short / store.rate * 1e6).ceil() as Micros;
+                return if at >= open.deadline { Verdict::Never } else { Verdict::Wait(Some(at)) };
+            }
+        }
+        if let Some(at) = self.cold(node, open.ask.units) {
+            return Verdict::Wait(Some(at));
+        }
+        let v = self.view();
+        // Danger: an answer after the aim takes node time from those in time. What the mean latency of the
+        // last second makes late is answered now. Harm: a request that would have been lucky is turned away.
+        let heard = now - node.last_answer < SMOOTHING as Micros;
+        if heard && now + (FORESIGHT * node.delay(&v)) as Micros > open.due {
+            return Verdict::Never;
+        }
+        let step = open.step;
+        if node.held() >= node.bound(step, &v).floor() && node.working(now, step) > 0.0 {
+            return Verdict::Wait(None);
+        }
+        let pace = node.pace(step, &v);
+        if node.held() < 1.0 && now < pace {
+            return Verdict::Wait(Some(pace));
+        }
+        Verdict::Go
+    }
+
+    /// One more attempt beyond a first keeps the budget.
+    fn budget_left(&self) -> bool {
+        self.set.budget.is_none_or(|b| {
+            let taken = self.mem.taken.iter().filter(|&&t| t > self.mem.now - b.window).count();
+            let further = self.mem.further.iter().filter(|&&t| t >= self.mem.now - b.window).count();
+            (further + 1) as f64 <= b.free + b.share * taken as f64
+        })
+    }
+}
