Event::Allowance: what a shard bears of repeats, heeded by the module; absent, it acts as before

Change: from the event on, each further attempt to the shard, and the first of a request marked as a repeat, takes a right; without any left what needs one, waiting or new, is answered at once through `finish` with the event's advice. Guard `barred` in verdict.rs, used by `verdict` and, for what waits, by `pump`. A request that is first in its key's line leaves it without a walk over the line: 20,000 repeats answered in one event were quadratic.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -2,199 +2,42 @@
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use bytes::{Bytes, BytesMut};
-use decisions::{Group, Micros, NodeId, NodeLook, Outcome, Repeats, Request, RequestId, VolumeId};
-use dispatch::{AttemptId, Dispatcher, ListedNode, NodeView, Step, Verdict};
+use bytes::Bytes;
+use decisions::{Micros, NodeId, NodeLook, Outcome, Repeats, Request, RequestId, ShardId, VolumeId};
+use dispatch::{AttemptId, Dispatcher, ListedNode, NodeView, Step};
 
 use crate::catalogue::{Catalogue, Part};
-use crate::operation::{Answer, Opcode, Operation, Ticket};
-
-/// What the caller has to carry out.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Send an attempt, and report its end once.
-    Send(Send),
-    /// Nobody waits for this attempt any more: it timed out here, or was cancelled. Its end need not be reported.
-    Forget(AttemptId, NodeId),
-    /// The one final answer of an operation.
-    Answer(Ticket, Answer),
-    /// The module wants the node list.
-    Subscribe,
-    /// A line for the operators.
-    Log(String),
-}
-
-/// An attempt to be sent.
-#[derive(Clone, Debug)]
-pub struct Send {
-    /// Names the attempt.
-    pub attempt: AttemptId,
-    /// Where to.
-    pub node: NodeId,
-    /// What to do.
-    pub opcode: Opcode,
-    /// Namespace.
-    pub nsid: u32,
-    /// First block.
-    pub slba: u64,
-    /// Blocks; 0 for a flush.
-    pub blocks: u32,
-    /// Length of the blocks, in bytes.
-    pub bytes: u32,
-    /// Data of a write.
-    pub data: Bytes,
-    /// Token of the operation.
-    pub token: u64,
-    /// Nodes are to discard repeats of it by its token.
-    pub keyed: bool,
-}
-
-/// How an attempt ended, as the link knows it.
-#[derive(Clone, Debug)]
-pub struct End {
-    /// The true outcome: *never ran* only where that is certain.
-    pub outcome: Outcome,
-    /// Data of a read that was served.
-    pub data: Bytes,
-    /// Requests that the node holds, as it reports.
-    pub load: Option<u32>,
-}
-
-impl End {
-    /// An end without data or report.
-    pub fn of(outcome: Outcome) -> Self {
-        End { outcome, data: Bytes::new(), load: None }
-    }
-}
-
-/// Counts since the start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Tally {
-    /// Operations taken.
-    pub taken: u64,
-    /// Served.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Failed.
-    pub failed: u64,
-    /// Aborted before anything of them went out.
-    pub aborted: u64,
-    /// Left by their client.
-    pub withdrawn: u64,
-    /// Attempts sent.
-    pub sent: u64,
-    /// Attempts after a request's first.
-    pub further: u64,
-    /// Ends that came after nobody waited.
-    pub late: u64,
-}
-
-/// What the core has seen of a volume.
-#[derive(Clone, Debug, Default)]
-pub struct VolumeView {
-    /// Operations open now.
-    pub open: u64,
-    /// Operations taken.
-    pub taken: u64,
-    /// Served.
-    pub served: u64,
-    /// Refused.
-    pub refused: u64,
-    /// Failed.
-    pub failed: u64,
-    /// Units asked for.
-    pub units: f64,
-}
-
-/// An open operation.
-#[derive(Clone, Debug)]
-pub struct OpenView {
-    /// Its name.
-    pub ticket: Ticket,
-    /// Namespace.
-    pub nsid: u32,
-    /// What it does.
-    pub opcode: Opcode,
-    /// Index of its class.
-    pub class: usize,
-    /// When it was taken.
-    pub taken: Micros,
-    /// Attempts sent for it so far.
-    pub attempts: u32,
-    /// Nodes at which attempts are out.
-    pub nodes: Vec<NodeId>,
-}
+use crate::effect::{Effect, End, Send};
+use crate::operation::{Answer, Operation, Ticket};
+use crate::views::{EndedView, OpenView, Tally, VolumeView};
 
-/// An operation that ended unserved.
 #[derive(Clone, Debug, PartialEq)]
-pub struct EndedView {
-    /// When.
-    pub at: Micros,
-    /// Its name.
-    pub ticket: Ticket,
-    /// Namespace.
-    pub nsid: u32,
-    /// What it was to do.
-    pub opcode: Opcode,
-    /// Index of its class.
-    pub class: usize,
-    /// Refused with this advice; none: failed.
-    pub refused: Option<Micros>,
-    /// How old it was.
-    pub age: Micros,
-    /// Attempts sent for it.
-    pub attempts: u32,
-    /// How the last of them ended, as far as it did.
-    pub last: Option<Outcome>,
-}
-
-impl EndedView {
-    /// Why, as far as it shows from outside the module.
-    pub fn reason(&self) -> &'static str {
-        match (self.attempts, self.last) {
-            (0, _) => "held until it would have been late, or its limit",
-            (_, None) => "no answer in time",
-            (_, Some(Outcome::Unreachable)) => "node unreachable",
-            (_, Some(Outcome::Full)) => "node full",
-            (_, Some(Outcome::Error)) => "node error",
-            (_, Some(Outcome::Reset)) => "connection broke",
-            (_, Some(Outcome::TimedOut)) => "no answer in time",
-            (_, Some(_)) => "a part of it was not served",
-        }
-    }
-}
-
-/// Operations that ended unserved and are kept for people.
-const ENDED_KEPT: usize = 200;
-
-#[derive(Clone, Debug, PartialEq)]
-enum PieceState {
+pub(crate) enum PieceState {
     Open,
     Served(Bytes),
     Over,
 }
 
-struct Piece {
-    request: RequestId,
-    part: Part,
-    state: PieceState,
+pub(crate) struct Piece {
+    pub(crate) request: RequestId,
+    pub(crate) part: Part,
+    pub(crate) state: PieceState,
     /// Attempts sent.
-    sent: u32,
+    pub(crate) sent: u32,
     /// Attempts that are out, were served, or may have run.
-    doubt: u32,
+    pub(crate) doubt: u32,
 }
 
-struct Open {
-    operation: Operation,
+pub(crate) struct Open {
+    pub(crate) operation: Operation,
     /// The client gave the token: its repeat carries the same.
-    named: bool,
-    class: usize,
-    block_size: u32,
-    taken: Micros,
-    pieces: Vec<Piece>,
+    pub(crate) named: bool,
+    pub(crate) class: usize,
+    pub(crate) block_size: u32,
+    pub(crate) taken: Micros,
+    pub(crate) pieces: Vec<Piece>,
     /// How the last attempt ended that did not serve.
-    last: Option<Outcome>,
+    pub(crate) last: Option<Outcome>,
 }
 
 /// A request of the dispatcher: the operation that it is a part of, and which.
@@ -202,15 +45,15 @@
 
 /// One gateway's core.
 pub struct Core {
-    catalogue: Catalogue,
+    pub(crate) catalogue: Catalogue,
     dispatcher: Dispatcher<Place>,
-    now: Micros,
-    open: HashMap<Ticket, Open>,
+    pub(crate) now: Micros,
+    pub(crate) open: HashMap<Ticket, Open>,
     token_salt: u64,
-    volumes: BTreeMap<u32, VolumeView>,
-    tally: Tally,
-    ended: VecDeque<EndedView>,
-    reasons: BTreeMap<&'static str, u64>,
+    pub(crate) volumes: BTreeMap<u32, VolumeView>,
+    pub(crate) tally: Tally,
+    pub(crate) ended: VecDeque<EndedView>,
+    pub(crate) reasons: BTreeMap<&'static str, u64>,
 }
 
 impl Core {
@@ -261,7 +104,7 @@
                     units: self.catalogue.units(u64::from(part.blocks) * u64::from(volume.block_size)),
                     hosts: volume.hosts,
                     patience,
-                    retry: false,
+                    retry: operation.retry,
                 };
                 (part, request)
             })
@@ -311,7 +154,7 @@
         true
     }
 
-    fn drop_operation(&mut self, ticket: Ticket) {
+    pub(crate) fn drop_operation(&mut self, ticket: Ticket) {
         let Some(open) = self.open.remove(&ticket) else { return };
         if let Some(view) = self.volumes.get_mut(&open.operation.nsid) {
             view.open -= 1;
@@ -384,6 +227,22 @@
         self.settle(effects);
     }
 
+    /// What a shard bears from now on beyond first attempts, in place of what was allowed before: so many further attempts,
+    /// or first ones of operations with `retry`; the rest is refused at once with this advice, in microseconds. A shard
+    /// never named is unlimited.
+    pub fn allow(
+        &mut self,
+        now: Micros,
+        shard: ShardId,
+        further: u32,
+        come_back: Micros,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.advance(now);
+        self.dispatcher.allow(self.now, shard, further, come_back);
+        self.settle(effects);
+    }
+
     /// Forgets the nodes that are gone for good; which they are.
     pub fn forget_gone(&mut self) -> Vec<NodeId> {
         self.dispatcher.forget_gone()
@@ -515,92 +374,10 @@
             blocks: part.blocks,
             bytes,
             data,
+            shard: part.shard,
+            further: attempt.n > 0 || operation.retry,
             token: operation.token,
             keyed: matches!(self.catalogue.settings.classes[open.class].repeats, Repeats::Keyed { .. }),
         }));
     }
-
-    /// The module ended a request unserved: the whole operation ends with it. Danger: a write of several parts of
-    /// which one went through must not be called refused; it is only where repeating all of it is harmless.
-    fn end(&mut self, ticket: Ticket, index: usize, verdict: Verdict, effects: &mut Vec<Effect>) {
-        let Some(open) = self.open.get_mut(&ticket) else { return };
-        open.pieces[index].state = PieceState::Over;
-        let Some(open) = self.open.get(&ticket) else { return };
-        let answer = match verdict {
-            Verdict::Refused { come_back } if self.repeat_is_harmless(open) => Answer::Refused { come_back },
-            _ => Answer::Failed,
-        };
-        self.count_unserved(ticket, &answer);
-        self.drop_operation(ticket);
-        effects.push(Effect::Answer(ticket, answer));
-    }
-
-    /// Whether the client may repeat the whole operation without a second effect: nothing of it can have run, or nodes
-    /// discard the repeat. Danger: a client that sets no token repeats under another one, which no node can recognise;
-    /// once any part of its write may have run it is not told that a repeat is safe, whatever the class's group. Also
-    /// covers hosts of other makers, which know of no tokens. Harm: more failures for them, fewer refusals.
-    fn repeat_is_harmless(&self, open: &Open) -> bool {
-        let repeats = self.catalogue.settings.classes[open.class].repeats;
-        let known = open.named && matches!(repeats, Repeats::Keyed { group: Group::All, .. });
-        let untouched = open.pieces.iter().all(|p| p.doubt == 0);
-        untouched || known || open.operation.opcode != Opcode::Write || repeats == Repeats::Safe
-    }
-
-    fn count_unserved(&mut self, ticket: Ticket, answer: &Answer) {
-        let Some(open) = self.open.get(&ticket) else { return };
-        let failed = u64::from(*answer == Answer::Failed);
-        let ended = EndedView {
-            at: self.now,
-            ticket,
-            nsid: open.operation.nsid,
-            opcode: open.operation.opcode,
-            class: open.class,
-            refused: match answer {
-                Answer::Refused { come_back } => Some(*come_back),
-                _ => None,
-            },
-            age: self.now - open.taken,
-            attempts: open.pieces.iter().map(|p| p.sent).sum(),
-            last: open.last,
-        };
-        if let Some(view) = self.volumes.get_mut(&ended.nsid) {
-            view.failed += failed;
-            view.refused += 1 - failed;
-        }
-        self.tally.failed += failed;
-        self.tally.refused += 1 - failed;
-        *self.reasons.entry(ended.reason()).or_default() += 1;
-        self.ended.push_back(ended);
-        if self.ended.len() > ENDED_KEPT {
-            self.ended.pop_front();
-        }
-    }
-
-    /// Answers an operation of which all parts are served.
-    fn answer_if_whole(&mut self, ticket: Ticket, effects: &mut Vec<Effect>) {
-        let Some(open) = self.open.get(&ticket) else { return };
-        if open.pieces.iter().any(|p| !matches!(p.state, PieceState::Served(_))) {
-            return;
-        }
-        let Some(open) = self.open.remove(&ticket) else { return };
-        let mut parts = open.pieces.into_iter().filter_map(|p| match p.state {
-            PieceState::Served(data) => Some(data),
-            _ => None,
-        });
-        let first = parts.next().unwrap_or_default();
-        let data = match parts.next() {
-            None => first,
-            Some(second) => {
-                let mut whole = BytesMut::from(&first[..]);
-                std::iter::once(second).chain(parts).for_each(|p| whole.extend_from_slice(&p));
-                whole.freeze()
-            }
-        };
-        if let Some(view) = self.volumes.get_mut(&open.operation.nsid) {
-            view.served += 1;
-            view.open -= 1;
-        }
-        self.tally.served += 1;
-        effects.push(Effect::Answer(ticket, Answer::Served(data)));
-    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,11 +9,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod answers;
 mod catalogue;
 mod core;
+mod effect;
 mod operation;
+mod views;
 
 pub use crate::catalogue::{Catalogue, CatalogueError, ClassRule, Part, Volume};
-pub use crate::core::{Core, Effect, End, EndedView, OpenView, Send, Tally, VolumeView};
+pub use crate::core::Core;
+pub use crate::effect::{Effect, End, Send};
 pub use crate::operation::{Answer, Opcode, Operation, Ticket};
+pub use crate::views::{EndedView, OpenView, Tally, VolumeView};
 pub use dispatch::{AttemptId, ListedNode, Micros, NodeLook, NodeState, NodeView, Outcome};
--- a/crates/core/src/operation.rs
+++ b/crates/core/src/operation.rs
@@ -49,6 +49,8 @@
     pub data: Bytes,
     /// Names the operation to the nodes, which discard repeats of a keyed write by it. 0: the core gives one.
     pub token: u64,
+    /// It is known to be a client's repeat of one that ended unserved, here or at another gateway.
+    pub retry: bool,
 }
 
 /// The one final answer.
--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -156,10 +156,11 @@
         let Some(open) = self.mem.requests.remove(&id) else { return };
         let Some(key) = open.ask.key.filter(|_| self.set.classes[open.ask.class].in_order) else { return };
         let Some(turn) = self.mem.turns.get_mut(&key) else { return };
-        let was_first = turn.line.front() == Some(&id);
-        turn.line.retain(|&r| r != id);
-        if was_first {
+        if turn.line.front() == Some(&id) {
+            turn.line.pop_front();
             self.next_turn(key);
+        } else {
+            turn.line.retain(|&r| r != id);
         }
     }
 
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -279,6 +279,16 @@
     Withdrawn(RequestId),
     /// A timer set earlier is due.
     Timer(u64),
+    /// What a shard bears from this host beyond first attempts, in place of what was left of an earlier such event.
+    /// A shard never named is unlimited.
+    Allowance {
+        /// The shard.
+        shard: ShardId,
+        /// So many further attempts, or first ones of requests with [`Request::retry`], may go out.
+        further: u32,
+        /// What is refused for want of them is to come back after this span; no longer than the settings' advice.
+        come_back: Micros,
+    },
 }
 
 /// What the module thinks of a node, for operators.
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -80,7 +80,7 @@
         let worth = (class.worth * plan.price * step).max(1e-6);
         let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
         open.place = Some((shard_id, place));
-        shard.insert(place, open.ask.key);
+        shard.insert(place, open.ask.key, open.needs_right());
         self.mem.dirty.insert(shard_id);
     }
 
@@ -98,6 +98,10 @@
             if shard.waiting.is_empty() {
                 return;
             }
+            if let (Some(come_back), Some(&(_, _, id))) = (self.barred(shard_id), shard.needy.first()) {
+                self.finish(id, come_back);
+                continue;
+            }
             let mut wake: Option<Micros> = None;
             let mut later =
                 |at: Option<Micros>| wake = at.map_or(wake, |t| Some(wake.map_or(t, |w| w.min(t))));
@@ -167,6 +171,9 @@
         if self.set.budget.is_some() && !open.attempts.is_empty() {
             self.mem.further.push_back(now);
         }
+        if let (true, Some(rights)) = (open.needs_right(), self.mem.rights.get_mut(&node.shard)) {
+            rights.left = rights.left.saturating_sub(1);
+        }
         let aim = self.set.classes[open.ask.class].aim.max(1);
         let part = STEPS.map(|step| node.bound(step, &v).min(1.0));
         node.paid = STEPS.map(|step| node.paid[step].max(now) + node.gap(step, &v));
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -62,6 +62,12 @@
                 self.remember(id);
                 self.close(id);
             }
+            Event::Allowance { shard, further, come_back } => {
+                self.mem.rights.insert(shard, Rights { left: further, come_back });
+                if further == 0 {
+                    self.mem.dirty.insert(shard);
+                }
+            }
             Event::Timer(token) => {
                 if token == self.mem.token {
                     self.mem.armed = None;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -218,12 +218,21 @@
     }
 }
 
+/// What is left of what a shard was last said to bear beyond first attempts, and the advice without any left.
+#[derive(Clone, Copy)]
+pub(crate) struct Rights {
+    pub(crate) left: u32,
+    pub(crate) come_back: Micros,
+}
+
 pub(crate) struct Shard {
     pub(crate) nodes: Vec<NodeId>,
     /// Requests taken for it.
     pub(crate) asks: u64,
     pub(crate) waiting: BTreeSet<Place>,
     pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
+    /// Of those that wait, those whose next attempt takes a right.
+    pub(crate) needy: BTreeSet<Place>,
     pub(crate) last_key: Option<KeyId>,
     /// Units beyond the reserve that each volume asked for lately, and the weight of its plan.
     pub(crate) asked: BTreeMap<VolumeId, (Fading, f64)>,
@@ -242,6 +251,7 @@
             asks: 0,
             waiting: BTreeSet::new(),
             by_key: BTreeMap::new(),
+            needy: BTreeSet::new(),
             last_key: None,
             asked: BTreeMap::new(),
             reserved: Fading::over(span),
@@ -254,14 +264,18 @@
 }
 
 impl Shard {
-    pub(crate) fn insert(&mut self, place: Place, key: Option<KeyId>) {
+    pub(crate) fn insert(&mut self, place: Place, key: Option<KeyId>, needy: bool) {
         self.waiting.insert(place);
+        if needy {
+            self.needy.insert(place);
+        }
         if let Some(key) = key {
             self.by_key.entry(key).or_default().insert(place);
         }
     }
     pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) {
         self.waiting.remove(&place);
+        self.needy.remove(&place);
         if let Some(key) = key
             && let Some(line) = self.by_key.get_mut(&key)
         {
@@ -308,6 +322,8 @@
     /// When requests were taken, and when further attempts went out.
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) further: VecDeque<Micros>,
+    /// Of the shards named so far; never forgotten, as one not in it is unlimited.
+    pub(crate) rights: BTreeMap<ShardId, Rights>,
     pub(crate) wakes: BTreeSet<(Micros, Wake)>,
     pub(crate) armed: Option<Micros>,
     pub(crate) token: u64,
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -16,7 +16,24 @@
     Never,
 }
 
+impl Open {
+    /// Its next attempt is one of those that an allowance counts: a further one, or a client's repeat.
+    pub(crate) fn needs_right(&self) -> bool {
+        !self.attempts.is_empty() || self.ask.retry
+    }
+}
+
 impl Scheduler {
+    /// The advice for those that need a right at a shard which has none left.
+    ///
+    /// Danger: every gateway keeps its own budget, and the sum over them, with clients that repeat at the
+    /// next one, holds down a shard that comes back. What it bears of repeats is dealt out from outside;
+    /// what gets none is answered at once, so that its client comes back when told and not when its time is
+    /// up. Harm: a further attempt that would have been served is turned away.
+    pub(crate) fn barred(&self, shard: ShardId) -> Option<Micros> {
+        self.mem.rights.get(&shard).filter(|r| r.left == 0).map(|r| r.come_back)
+    }
+
     /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
     /// else, for first attempts, retries and second copies alike.
     pub(crate) fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
@@ -58,7 +75,7 @@
                 return Verdict::Wait(None);
             }
         }
-        if tries > 0 && !self.budget_left() {
+        if tries > 0 && !self.budget_left() || open.needs_right() && self.barred(node.shard).is_some() {
             return Verdict::Never;
         }
         let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
--- a/crates/decisions/tests/actions.rs
+++ b/crates/decisions/tests/actions.rs
@@ -51,3 +51,18 @@
     let now: Vec<_> = now.iter().map(|(n, s, e, a, d)| (*n, *s, *e, *a, d.as_str())).collect();
     assert_eq!(now, BEFORE);
 }
+
+/// Whoever is told of more rights than it can use acts as one that is told nothing.
+#[test]
+fn rights_in_plenty_change_no_action() {
+    for (name, set) in drawn::shapes() {
+        let untold = drawn::play(set.clone(), 7, 1500, |_, _| {});
+        let told = drawn::play(set, 7, 1500, |h, step| {
+            for shard in 0..if step == 0 { 6 } else { 0 } {
+                assert!(h.allow(shard, u32::MAX, SECOND).is_empty());
+            }
+        });
+        assert!(untold.log.len() > 1000, "{name}: {} actions", untold.log.len());
+        assert!(untold.log == told.log, "{name}: the actions differ");
+    }
+}
--- a/crates/decisions/tests/common/checker.rs
+++ b/crates/decisions/tests/common/checker.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// The request was marked as a client's further try.
+    pub fn is_marked(&self, id: RequestId) -> bool {
+        self.past.get(&id).is_some_and(|p| p.ask.retry)
+    }
+
     fn breach(&mut self, now: Micros, what: &str) {
         self.breaches.push(format!("at {now}: {what}"));
     }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -159,6 +159,10 @@
         self.give(Event::Nodes { whole, remembered: false, entries: nodes.to_vec() })
     }
 
+    pub fn allow(&mut self, shard: u32, further: u32, come_back: Micros) -> Vec<Action> {
+        self.give(Event::Allowance { shard: ShardId(shard), further, come_back })
+    }
+
     pub fn ask(&mut self, request: Request) -> Vec<Action> {
         self.give(Event::Request(request))
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -196,6 +196,13 @@
         self.events.push_back(Event::NodesFailed);
     }
 
+    /// What a shard bears from now on beyond first attempts, in place of what was allowed before: so many further attempts,
+    /// or first ones of requests marked as repeats; the rest is refused with this advice, in microseconds.
+    pub fn allow(&mut self, now: Micros, shard: ShardId, further: u32, come_back: Micros) {
+        self.advance(now);
+        self.events.push_back(Event::Allowance { shard, further, come_back });
+    }
+
     /// The number of a node; a name that is new gets the next one.
     pub fn node_id(&mut self, name: &str) -> NodeId {
         if let Some(&id) = self.names.get(name) {
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -105,6 +105,20 @@
     );
 }
 
+#[test]
+fn an_allowance_reaches_the_module() {
+    let mut d = with_nodes(&["a"]);
+    d.allow(500, ShardId(0), 1, 300_000);
+    d.take(1000, ask(0, 0), 42);
+    let out = sent(&steps(&mut d));
+    d.ended(2000, out[0], Outcome::Error, None);
+    let again = sent(&steps(&mut d));
+    assert_eq!(again.len(), 1);
+    d.ended(3000, again[0], Outcome::Error, None);
+    let refused = Step::Over(out[0].request, 42, Verdict::Refused { come_back: 300_000 });
+    assert!(steps(&mut d).contains(&refused));
+}
+
 #[test]
 fn a_deadline_ends_the_attempt_and_the_request_at_that_moment() {
     let mut d = with_nodes(&["a"]);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -262,7 +262,7 @@
         let IoCommand { nsid, slba, blocks, mut data, token, .. } = command;
         let expected = compares.then(|| std::mem::take(&mut data));
         self.tickets.insert(ticket, Taken { connection: id, cid, bytes, expected });
-        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token };
+        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token, retry: false };
         self.core.submit(now, operation, &mut self.effects);
     }
 
@@ -492,6 +492,7 @@
                         blocks,
                         data: Bytes::new(),
                         token: 0,
+                        retry: false,
                     };
                     self.core.submit(now, read, &mut self.effects);
                 }
