--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -4,10 +4,12 @@
 use decisions::{Group, Repeats};
 use dispatch::Verdict;
 
+use crate::catalogue::Catalogue;
 use crate::core::{Core, Open, PieceState};
 use crate::effect::Effect;
 use crate::operation::{Answer, Opcode, Ticket};
 use crate::views::EndedView;
+use crate::wanted::Wanted;
 
 /// Operations that ended unserved and are kept for people.
 const ENDED_KEPT: usize = 200;
@@ -23,6 +25,16 @@
             Verdict::Refused { come_back } if self.repeat_is_harmless(open) => Answer::Refused { come_back },
             _ => Answer::Failed,
         };
+        let piece = &open.pieces[index];
+        if piece.sent > 0 || open.operation.retry {
+            let Catalogue { settings, rules, .. } = &self.catalogue;
+            let plan = self.catalogue.volume(open.operation.nsid).map_or(0, |v| v.plan);
+            self.wants.ended(Wanted {
+                shard: piece.part.shard,
+                worth: settings.classes[open.class].worth * settings.plans[plan].price,
+                left: open.taken + rules[open.class].patience - self.now,
+            });
+        }
         self.count_unserved(ticket, &answer);
         self.drop_operation(ticket);
         effects.push(Effect::Answer(ticket, answer));
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -10,6 +10,7 @@
 use crate::effect::{Effect, End, Send};
 use crate::operation::{Answer, Operation, Ticket};
 use crate::views::{EndedView, OpenView, Tally, VolumeView};
+use crate::wanted::{Wanted, Wants};
 
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum PieceState {
@@ -54,6 +55,7 @@
     pub(crate) tally: Tally,
     pub(crate) ended: VecDeque<EndedView>,
     pub(crate) reasons: BTreeMap<&'static str, u64>,
+    pub(crate) wants: Wants,
 }
 
 impl Core {
@@ -71,6 +73,7 @@
             tally: Tally::default(),
             ended: VecDeque::new(),
             reasons: BTreeMap::new(),
+            wants: Wants::default(),
         }
     }
 
@@ -239,10 +242,16 @@
         effects: &mut Vec<Effect>,
     ) {
         self.advance(now);
+        self.wants.allow(shard, further);
         self.dispatcher.allow(self.now, shard, further, come_back);
         self.settle(effects);
     }
 
+    /// What was turned away for want of rights since the last call, oldest first; the last few hundred at most.
+    pub fn take_wanted(&mut self) -> VecDeque<Wanted> {
+        self.wants.take()
+    }
+
     /// Forgets the nodes that are gone for good; which they are.
     pub fn forget_gone(&mut self) -> Vec<NodeId> {
         self.dispatcher.forget_gone()
@@ -365,6 +374,10 @@
             let from = (part.slba - operation.slba) as usize * open.block_size as usize;
             operation.data.slice(from..from + bytes as usize)
         };
+        let further = attempt.n > 0 || operation.retry;
+        if further {
+            self.wants.sent(part.shard);
+        }
         effects.push(Effect::Send(Send {
             attempt,
             node,
@@ -375,7 +388,7 @@
             bytes,
             data,
             shard: part.shard,
-            further: attempt.n > 0 || operation.retry,
+            further,
             token: operation.token,
             keyed: matches!(self.catalogue.settings.classes[open.class].repeats, Repeats::Keyed { .. }),
         }));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,10 +15,12 @@
 mod effect;
 mod operation;
 mod views;
+mod wanted;
 
 pub use crate::catalogue::{Catalogue, CatalogueError, ClassRule, Part, Volume};
 pub use crate::core::Core;
 pub use crate::effect::{Effect, End, Send};
 pub use crate::operation::{Answer, Opcode, Operation, Ticket};
 pub use crate::views::{EndedView, OpenView, Tally, VolumeView};
+pub use crate::wanted::Wanted;
 pub use dispatch::{AttemptId, ListedNode, Micros, NodeLook, NodeState, NodeView, Outcome};
--- a/crates/core/tests/allow.rs
+++ b/crates/core/tests/allow.rs
@@ -65,3 +65,31 @@
     assert_eq!(submit(&mut core, read(5, 0, true)).0.len(), 0);
     assert_eq!((core.tally().taken, core.tally().refused, core.open_operations()), (5, 3, 2));
 }
+
+#[test]
+fn what_was_held_back_for_want_of_rights_is_told_once() {
+    let mut core = core();
+    submit(&mut core, read(1, 0, true));
+    core.allow(1000, ShardId(0), 1, ADVICE, &mut Vec::new());
+    submit(&mut core, read(2, 0, true));
+    assert!(core.take_wanted().is_empty(), "nothing was refused yet");
+    submit(&mut core, read(3, 0, true));
+    let (fresh, _) = submit(&mut core, read(4, 0, false));
+    core.ended(301_000, fresh[0].attempt, End::of(Outcome::Error), &mut Vec::new());
+    let wanted = |left| Wanted { shard: ShardId(0), worth: 1.0, left };
+    assert_eq!(core.take_wanted(), [wanted(1_000_000), wanted(700_000)]);
+    assert!(core.take_wanted().is_empty());
+    // What is out when its client's time is up did not lack a right.
+    core.tick(2_000_000, &mut Vec::new());
+    assert_eq!((core.open_operations(), core.take_wanted().len()), (0, 0));
+}
+
+#[test]
+fn wants_that_nobody_fetches_are_bounded() {
+    let mut core = core();
+    core.allow(0, ShardId(0), 0, ADVICE, &mut Vec::new());
+    for ticket in 0..1000 {
+        submit(&mut core, read(ticket, 0, true));
+    }
+    assert_eq!(core.take_wanted().len(), 256);
+}
