--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,8 +9,12 @@
 
 mod assemble;
 mod check;
+mod day;
 mod lines;
+mod process;
 mod schema;
+mod site;
+mod volume;
 
 pub use check::{LoadError, Problem};
 pub use schema::*;
