--- a/crates/judge/src/report.rs
+++ b/crates/judge/src/report.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::day::Day;
-use crate::rules;
+use crate::{cap, rules, view};
 
 /// Breaches told one by one for each rule at most.
 const TOLD: usize = 20;
@@ -88,6 +88,14 @@
         ("data", rules::data(day)),
         ("durable", rules::durable(day)),
     ];
+    // Properties of the fleet are judged where the terms state them.
+    let fleet = [
+        ("fleet view", day.terms.view.map(|terms| view::settled(day, terms))),
+        ("fleet members", day.terms.view.map(|terms| view::nobody_healthy_expelled(day, terms))),
+        ("fleet changes", day.terms.view.map(|terms| view::numbers(day, terms))),
+        ("fleet cap", day.terms.cap.map(|terms| cap::sends(day, terms))),
+    ];
+    let fleet = fleet.into_iter().filter_map(|(name, rule)| rule.map(|rule| (name, rule)));
     Report {
         commands: day.commands.len() as u64,
         served: count(Told::Served),
@@ -96,7 +104,7 @@
         aborted: count(Told::Aborted),
         lost: day.commands.values().filter(|c| c.answers.is_empty()).count() as u64,
         attempts: day.attempts.len() as u64,
-        rules: rules.into_iter().map(|(name, r)| (name.to_owned(), r)).collect(),
+        rules: rules.into_iter().chain(fleet).map(|(name, r)| (name.to_owned(), r)).collect(),
         worth_part: worth_part(day),
     }
 }
--- a/crates/judge/tests/planted.rs
+++ b/crates/judge/tests/planted.rs
@@ -41,6 +41,8 @@
         cold: ColdTerms { from: 0.2, warm_after: 10 * S, multiple: 2.0, window: S, units: 4.0 },
         budget: Some(Budget { window: 5 * S, free: 2.0, share: 0.1 }),
         clock_slack: S / 20,
+        view: None,
+        cap: None,
     }
 }
 
--- /dev/null
+++ b/crates/lab/src/change.rs
@@ -0,0 +1,148 @@
+//! Changes of a day, carried out.
+
+use std::time::Duration;
+
+use emulator::Fault;
+use gateway::NodeLineState;
+use records::DayLine;
+
+use crate::LabError;
+use crate::director::Director;
+use crate::process::{Process, fault, started};
+use crate::timeline::Change;
+use crate::weather::Effect;
+
+impl Director<'_> {
+    /// Carries out one change.
+    pub(crate) fn change(&mut self, change: &Change) -> Result<(), LabError> {
+        let words = change.words();
+        self.recorder.write(&DayLine::Trouble { t: self.clock.now(), what: words.clone() });
+        (self.tell)(&format!("        {words}"));
+        match change {
+            Change::Fault(node, what) => self.fault(node, *what),
+            Change::List(node, state) => self.list_change(node, *state),
+            Change::Kill(name) => {
+                self.down(name, true);
+                if let Some(mut process) = self.take_gateway(name) {
+                    process.kill();
+                }
+            }
+            Change::Stop(name) => self.stop(name),
+            // Two troubles of one gateway may overlap: it is up already.
+            Change::Start(name) if self.gateways.get(name).is_some_and(|g| g.process.is_some()) => {}
+            Change::Start(name) => self.late_starts.push(name.clone()),
+            Change::Stall(name, on) => self.stall(name, *on),
+            Change::Links(number, on, _) => {
+                let effect = on.then(|| Effect::of(self.site, &self.site.trouble[*number]));
+                if let Some(net) = &mut self.net {
+                    net.switch(*number, effect, &self.recorder, self.clock)?;
+                }
+            }
+            Change::PowerOff(names) => self.power_off(names)?,
+            Change::PowerOn(names) => self.power_on(names)?,
+            Change::Leave(name) => {
+                if let Some((_, client)) = self.clients.iter().find(|(n, _)| n == name) {
+                    client.leave();
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn fault(&self, node: &str, what: Fault) {
+        // One without power has no faults.
+        if let Some(Some(process)) = self.nodes.get(node)
+            && let Err(error) = fault(&process.control, what)
+        {
+            tracing::error!(node, %error, "a fault could not be switched");
+        }
+    }
+
+    fn down(&self, gateway: &str, killed: bool) {
+        self.recorder.write(&DayLine::Down { t: self.clock.now(), gateway: gateway.to_owned(), killed });
+    }
+
+    fn take_gateway(&mut self, name: &str) -> Option<Process> {
+        self.gateways.get_mut(name).and_then(|g| g.process.take())
+    }
+
+    /// A gateway is told to leave; it does so while the day goes on.
+    fn stop(&mut self, name: &str) {
+        self.down(name, false);
+        let within = Duration::from_millis(self.site.limits.stop_within_ms.into()) + Duration::from_secs(2);
+        let Some(mut process) = self.take_gateway(name) else { return };
+        let (gateway, recorder, clock) = (name.to_owned(), self.recorder.clone(), self.clock);
+        let leaves = std::thread::spawn(move || {
+            let left = process.leave(within);
+            if !left {
+                let line = DayLine::Down { t: clock.now(), gateway: gateway.clone(), killed: true };
+                recorder.write(&line);
+            }
+            let what = if left { "has left, all answered" } else { "had to be killed" };
+            recorder.write(&DayLine::Trouble { t: clock.now(), what: format!("{gateway} {what}") });
+        });
+        self.leaving.insert(name.to_owned(), leaves);
+    }
+
+    /// A process stands still, or goes on; one that is down cannot.
+    fn stall(&self, name: &str, on: bool) {
+        let gateway = self.gateways.get(name).and_then(|g| g.process.as_ref());
+        let Some(process) = gateway.or(self.nodes.get(name).and_then(|n| n.as_ref())) else { return };
+        let line = DayLine::Stall { t: self.clock.now(), gateway: name.to_owned(), on };
+        if on {
+            self.recorder.write(&line);
+        }
+        process.stall(on);
+        if !on {
+            let t = self.clock.now();
+            self.recorder.write(&DayLine::Stall { t, gateway: name.to_owned(), on });
+        }
+    }
+
+    /// The power goes for all of them before any of them can say so to another.
+    fn power_off(&mut self, names: &[String]) -> Result<(), LabError> {
+        let (mut gateways, mut nodes) = (Vec::new(), Vec::new());
+        for name in names {
+            if let Some(process) = self.take_gateway(name) {
+                self.down(name, true);
+                gateways.push((name, process));
+            } else if let Some(process) = self.nodes.get_mut(name).and_then(Option::take) {
+                // Whether it stood still does not matter any more.
+                let t = self.clock.now();
+                self.recorder.write(&DayLine::Stall { t, gateway: name.clone(), on: false });
+                nodes.push((name, process));
+            }
+        }
+        gateways.iter_mut().chain(&mut nodes).for_each(|(_, process)| process.strike());
+        gateways.iter_mut().chain(&mut nodes).for_each(|(_, process)| process.kill());
+        gateways.iter().try_for_each(|(name, _)| self.ground.cut_gateway(name))?;
+        nodes.iter().try_for_each(|(name, _)| self.ground.cut_node(name))
+    }
+
+    fn power_on(&mut self, names: &[String]) -> Result<(), LabError> {
+        for name in names {
+            if self.nodes.get(name).is_some_and(Option::is_none) {
+                let address = self.start_node(name, true)?;
+                if let Some(line) = self.list.get_mut(name) {
+                    line.address = address;
+                }
+            } else if self.gateways.get(name).is_some_and(|g| g.process.is_none()) {
+                self.late_starts.push(name.clone());
+            }
+        }
+        Ok(())
+    }
+
+    fn list_change(&mut self, node: &str, state: NodeLineState) {
+        let control = self.nodes.get(node).and_then(|n| n.as_ref()).map(|p| p.control.clone());
+        let Some(line) = self.list.get_mut(node) else { return };
+        line.state = state;
+        if let (NodeLineState::On, Some(control)) = (state, control) {
+            line.started = started(&control);
+        }
+        let line = line.clone();
+        for (name, gateway) in &self.gateways {
+            gateway.feed.send(false, vec![self.line_for(name, &line)]);
+        }
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,20 +7,25 @@
 #![warn(missing_docs)]
 
 mod bench;
+mod change;
 mod day;
 mod demo;
+mod director;
 mod feed;
-mod fleet;
+mod ground;
+mod net;
+mod process;
 mod random;
 mod replay;
 mod soak;
 mod timeline;
+mod weather;
 
 pub use bench::{BenchOptions, BenchPoint, BenchRow, bench_path, point};
 pub use day::{Played, play};
 pub use demo::{Demo, DemoReady, demo_site};
-pub use fleet::{NodeRequest, Ready};
 pub use load::Summary;
+pub use process::{NodeRequest, Ready};
 pub use random::{Draw, draw_day};
 pub use replay::{Mapped, map_day};
 pub use soak::{Soak, soak_site};
@@ -58,6 +63,9 @@
     /// A client.
     #[error(transparent)]
     Host(#[from] load::HostError),
+    /// The relay between a day's processes.
+    #[error("the relay did not carry an order out: {0}")]
+    Relay(String),
     /// A bench day that is not one.
     #[error("{0} is not a bench day: {1}")]
     BenchDay(PathBuf, String),
--- a/crates/load/src/client.rs
+++ b/crates/load/src/client.rs
@@ -48,6 +48,8 @@
     pub number: u16,
     /// Gateways.
     pub gateways: Vec<(String, SocketAddr)>,
+    /// Of these, not there at the start: it does not wait for them.
+    pub absent: Vec<String>,
     /// NQN of the subsystem.
     pub subsystem: String,
     /// Volumes: identifier, blocks that it uses, block size.
@@ -277,7 +279,8 @@
 
     fn wait_connected(&self) {
         let end = Instant::now() + Duration::from_secs(3);
-        while Instant::now() < end && self.slots.iter().any(|s| s.host().is_none()) {
+        let awaited = |s: &&Slot| !self.options.absent.contains(&s.name);
+        while Instant::now() < end && self.slots.iter().filter(awaited).any(|s| s.host().is_none()) {
             std::thread::sleep(Duration::from_millis(5));
         }
     }
--- a/crates/records/src/file.rs
+++ b/crates/records/src/file.rs
@@ -1,7 +1,7 @@
 //! Files of JSON lines.
 
 use std::fs::File;
-use std::io::{self, BufRead, BufReader, Write};
+use std::io::{self, BufRead, BufReader, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 
@@ -26,9 +26,20 @@
 }
 
 impl Recorder {
-    /// Appends to a file, which it makes if need be.
+    /// Appends to a file, which it makes if need be. A last line that a kill cut off goes, as a reader would pass it over;
+    /// one that lacks its end alone gets it.
     pub fn append(path: &Path) -> io::Result<Self> {
-        let file = File::options().append(true).create(true).open(path)?;
+        let mut file = File::options().append(true).read(true).create(true).open(path)?;
+        let whole = end_of_lines(&mut file)?;
+        if whole < file.metadata()?.len() {
+            let mut rest = Vec::new();
+            file.seek(SeekFrom::Start(whole))?;
+            file.read_to_end(&mut rest)?;
+            match serde_json::from_slice::<serde::de::IgnoredAny>(&rest) {
+                Ok(_) => file.write_all(b"\n")?,
+                Err(_) => file.set_len(whole)?,
+            }
+        }
         Ok(Recorder { file: Some(Mutex::new(file)) })
     }
 
@@ -57,6 +68,23 @@
     }
 }
 
+/// Where the last whole line ends.
+fn end_of_lines(file: &mut File) -> io::Result<u64> {
+    let mut end = file.metadata()?.len();
+    let mut piece = [0; 4096];
+    while end > 0 {
+        let start = end.saturating_sub(piece.len() as u64);
+        let piece = &mut piece[..(end - start) as usize];
+        file.seek(SeekFrom::Start(start))?;
+        file.read_exact(piece)?;
+        if let Some(at) = piece.iter().rposition(|b| *b == b'\n') {
+            return Ok(start + at as u64 + 1);
+        }
+        end = start;
+    }
+    Ok(0)
+}
+
 /// Reads all lines of a file. A last line that was cut off by a kill is passed over.
 ///
 /// # Errors
@@ -91,6 +119,13 @@
         recorder.write(&NodeLine::Down { t: 5 });
         std::fs::OpenOptions::new().append(true).open(&path).unwrap().write_all(b"{\"ev\":\"do").unwrap();
         assert_eq!(read::<NodeLine>(&path).unwrap(), [NodeLine::Down { t: 5 }]);
+        // Another life of the process goes on in the file.
+        Recorder::append(&path).unwrap().write(&NodeLine::Down { t: 6 });
+        let whole = std::fs::read(&path).unwrap();
+        std::fs::write(&path, &whole[..whole.len() - 1]).unwrap();
+        Recorder::append(&path).unwrap().write(&NodeLine::Down { t: 7 });
+        let downs = [5, 6, 7].map(|t| NodeLine::Down { t });
+        assert_eq!(read::<NodeLine>(&path).unwrap(), downs);
         std::fs::write(&path, "{\"ev\":\"down\",\"t\":1}\n{\"ev\":\"what\"}\n").unwrap();
         let error = read::<NodeLine>(&path).unwrap_err().to_string();
         assert!(error.contains("line 2"), "{error}");
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -9,10 +9,12 @@
 mod clock;
 mod file;
 mod terms;
+mod view;
 
 pub use clock::Clock;
 pub use file::{ReadError, Recorder, read};
-pub use terms::{Budget, ClassTerms, ColdTerms, Kind, PlanTerms, Terms, VolumeTerms};
+pub use terms::{Budget, CapTerms, ClassTerms, ColdTerms, Kind, PlanTerms, Terms, ViewTerms, VolumeTerms};
+pub use view::ViewLine;
 
 use serde::{Deserialize, Serialize};
 
@@ -109,6 +111,18 @@
     },
 }
 
+impl ClientLine {
+    /// When.
+    pub fn at(&self) -> Micros {
+        match self {
+            ClientLine::Issue { t, .. }
+            | ClientLine::Answer { t, .. }
+            | ClientLine::Lost { t, .. }
+            | ClientLine::Abort { t, .. } => *t,
+        }
+    }
+}
+
 /// A line of a node's file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "ev", rename_all = "lowercase")]
@@ -236,11 +250,25 @@
         /// Killed outright, not asked to leave.
         killed: bool,
     },
-    /// A gateway's process stands still, or goes on.
+    /// What holds from then on for what one process sends to another, by the relay between them.
+    Way {
+        /// When: not after it began to be worse, not before it was better.
+        t: Micros,
+        /// Who sends.
+        from: String,
+        /// To whom.
+        to: String,
+        /// It is kept until it is let go.
+        held: bool,
+        /// Else it comes so much later at most, in microseconds.
+        #[serde(default)]
+        late: Micros,
+    },
+    /// A process stands still, or goes on.
     Stall {
         /// When.
         t: Micros,
-        /// The gateway.
+        /// The process: a gateway, or a node.
         gateway: String,
         /// It stands still.
         on: bool,
--- a/crates/records/src/terms.rs
+++ b/crates/records/src/terms.rs
@@ -97,6 +97,32 @@
     pub share: f64,
 }
 
+/// What is promised of the gateways' views of each other.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ViewTerms {
+    /// So long after the last fault all that can reach each other hold the same.
+    pub settle: Micros,
+    /// Changes of one gateway's view in any minute at most.
+    pub changes: u64,
+}
+
+/// The cap on repeats over all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct CapTerms {
+    /// Window.
+    pub window: Micros,
+    /// To a shard, beyond the first send for each command: so many ...
+    pub free: f64,
+    /// ... and this part of what the shard has served.
+    pub share: f64,
+    /// The same over all shards.
+    pub fleet_free: f64,
+    /// Part of all that was served.
+    pub fleet_share: f64,
+    /// Sends more that the records may show, as gateways book by their own clocks.
+    pub slack: f64,
+}
+
 /// All terms of a day.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
@@ -122,4 +148,10 @@
     pub budget: Option<Budget>,
     /// How far two clocks or a busy machine may put a record off its moment.
     pub clock_slack: Micros,
+    /// Gateways' views, where they keep one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub view: Option<ViewTerms>,
+    /// The cap on repeats, where there is one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap: Option<CapTerms>,
 }
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -12,12 +12,12 @@
 use nvme::{Digests, Namespace, TargetOptions};
 use peer::PeerName;
 use peerlink::PeerOptions;
-use records::{Budget, ClassTerms, ColdTerms, Kind, Op, PlanTerms, Terms, VolumeTerms};
+use records::Op;
 use storage_core::{Catalogue, CatalogueError, ClassRule, Opcode};
 
 use crate::schema::*;
 
-fn micros(ms: u32) -> Micros {
+pub(crate) fn micros(ms: u32) -> Micros {
     Micros::from(ms) * 1000
 }
 
@@ -119,7 +119,7 @@
         Catalogue::new(self.module(index), rules, unit_bytes, self.volume.iter().map(volume).collect())
     }
 
-    fn plan_index(&self, v: &Volume) -> usize {
+    pub(crate) fn plan_index(&self, v: &Volume) -> usize {
         self.plan.iter().position(|p| p.name == v.plan).unwrap_or(0)
     }
 
@@ -295,16 +295,15 @@
     pub fn client_options(&self, index: usize, gateways: &[(String, SocketAddr)]) -> ClientOptions {
         let c = &self.client[index];
         let volumes: Vec<&Volume> = self.volume.iter().filter(|v| c.volumes.contains(&v.name)).collect();
-        let through = |name: &str| {
-            volumes.iter().all(|v| v.gateways.as_ref().is_none_or(|g| g.iter().any(|g| g == name)))
-        };
+        let through: Vec<&str> = self.gateways_of(c).collect();
         let day = self.day.as_ref();
         let block = volumes.first().map_or(4096, |v| v.block_size);
         let longest = self.class.iter().map(|c| c.patience_ms).max().unwrap_or(1000);
         ClientOptions {
             name: c.name.clone(),
             number: index as u16 + 1,
-            gateways: gateways.iter().filter(|(name, _)| through(name)).cloned().collect(),
+            gateways: gateways.iter().filter(|(name, _)| through.contains(&name.as_str())).cloned().collect(),
+            absent: self.joins().into_iter().map(str::to_owned).collect(),
             subsystem: self.site.subsystem.clone(),
             volumes: volumes
                 .iter()
@@ -332,64 +331,6 @@
             patience: millis(longest + 1000),
         }
     }
-
-    /// The terms by which the day's records are judged.
-    pub fn terms(&self) -> Terms {
-        let r = &self.rules;
-        let class = |c: &Class| ClassTerms {
-            name: c.name.clone(),
-            op: c.op,
-            max_bytes: c.most_kib.map(|kib| u64::from(kib) * 1024),
-            kind: match c.repeats {
-                Repeats::Safe => Kind::Safe,
-                Repeats::Keyed => Kind::Keyed,
-                Repeats::Unsafe => Kind::Unsafe,
-            },
-            window: micros(c.window_ms.unwrap_or(0)),
-            in_order: c.in_order,
-            aim: micros(c.aim_ms),
-            patience: micros(c.patience_ms),
-            worth: c.worth,
-            late_worth: c.late_worth,
-        };
-        let plan = |p: &Plan| PlanTerms {
-            name: p.name.clone(),
-            limit: p.limit,
-            burst: p.limit_burst,
-            slack: p.limit_slack,
-            price: p.price,
-        };
-        let volume = |v: &Volume| VolumeTerms {
-            nsid: v.nsid,
-            plan: self.plan_index(v),
-            block_size: v.block_size,
-            extent_blocks: v.extent_blocks,
-            shards: v.shards.clone(),
-        };
-        Terms {
-            classes: self.class.iter().map(class).collect(),
-            plans: self.plan.iter().map(plan).collect(),
-            volumes: self.volume.iter().map(volume).collect(),
-            unit_bytes: u64::from(self.site.unit_kib) * 1024,
-            most_units: self.site.most_units,
-            mean_units: self.site.mean_units,
-            drain_grace: micros(r.drain_grace_ms),
-            order_rest: micros(r.order_rest_ms),
-            cold: ColdTerms {
-                from: r.cold_from,
-                warm_after: micros(r.warm_after_ms),
-                multiple: r.fall_multiple,
-                window: micros(r.cold_window_ms),
-                units: r.cold_units,
-            },
-            budget: r.budget_window_ms.map(|ms| Budget {
-                window: micros(ms),
-                free: r.budget_free,
-                share: r.budget_share,
-            }),
-            clock_slack: micros(self.day.as_ref().map_or(150, |d| d.clock_slack_ms)),
-        }
-    }
 }
 
 /// FNV-1a, so that a volume's identifier is the same at every gateway and start.
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -1,9 +1,13 @@
 //! The keys of a day: clients and troubles.
 
+use std::collections::BTreeSet;
+
 use emulator::FaultKind;
 use records::Op;
 use serde::{Deserialize, Serialize};
 
+use crate::schema::{Site, Volume};
+
 /// A day that is played.
 #[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -18,6 +22,13 @@
     /// How far a busy machine may put a record off its moment.
     #[serde(default = "slack")]
     pub clock_slack_ms: u32,
+    /// A relay stands on every link between two processes of the day.
+    #[serde(default, skip_serializing_if = "is_off")]
+    pub relay: bool,
+}
+
+fn is_off(on: &bool) -> bool {
+    !on
 }
 
 fn slack() -> u32 {
@@ -125,8 +136,20 @@
     StopGateway,
     /// A gateway's process stands still.
     StallGateway,
-    /// A client breaks its connections.
+    /// A client breaks its connections; a gateway leaves by its own will, for good.
     Leave,
+    /// Links between processes carry nothing: what is sent is held until the end.
+    Part,
+    /// Links between processes carry everything later.
+    SlowLink,
+    /// Links between processes carry nothing, and carry again, in a rhythm.
+    Flap,
+    /// A gateway's or a node's process stands still, as one that is not scheduled.
+    Freeze,
+    /// The power goes for gateways and nodes, for all of them at once; started again they have what was durable.
+    Power,
+    /// A gateway that is not there at the start comes up.
+    Join,
 }
 
 impl TroubleKind {
@@ -146,6 +169,11 @@
             _ => return None,
         })
     }
+
+    /// Whether it is a trouble of the links between processes, which a relay carries.
+    pub fn is_of_links(self) -> bool {
+        matches!(self, TroubleKind::Part | TroubleKind::SlowLink | TroubleKind::Flap)
+    }
 }
 
 /// A trouble of the day.
@@ -159,13 +187,117 @@
     /// For how long; a trouble of a moment needs none.
     #[serde(default)]
     pub for_s: f64,
-    /// Which nodes, gateways or clients.
+    /// Which nodes, gateways or clients. For links `zone:N` stands for all of a zone.
     pub of: Vec<String>,
+    /// For links: the other side; left out, all others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub to: Vec<String>,
+    /// For links: both ways; else only what `of` sends to `to`.
+    #[serde(default = "yes", skip_serializing_if = "is_on")]
+    pub both: bool,
     /// How much slower.
     #[serde(default = "four")]
     pub factor: f64,
+    /// Of a slow link: each piece comes so much later ...
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub delay_ms: u32,
+    /// ... and up to so much more, drawn.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub jitter_ms: u32,
+    /// Of a link that flaps: it carries so long ...
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub up_ms: u32,
+    /// ... after it carried nothing so long, which comes first.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub down_ms: u32,
+}
+
+impl Trouble {
+    /// A trouble with the usual figures of everything else.
+    pub fn new(what: TroubleKind, at_s: f64, for_s: f64, of: Vec<String>) -> Self {
+        Trouble {
+            what,
+            at_s,
+            for_s,
+            of,
+            to: Vec::new(),
+            both: true,
+            factor: four(),
+            delay_ms: 0,
+            jitter_ms: 0,
+            up_ms: 0,
+            down_ms: 0,
+        }
+    }
 }
 
 fn four() -> f64 {
     4.0
 }
+fn yes() -> bool {
+    true
+}
+fn is_on(on: &bool) -> bool {
+    *on
+}
+fn is_zero(n: &u32) -> bool {
+    *n == 0
+}
+
+impl Site {
+    /// Whether gateways connect to each other.
+    pub fn gateways_talk(&self) -> bool {
+        self.recovery.is_some() && self.gateway.len() > 1
+    }
+
+    /// The links between processes of a day: who connects, and to whom.
+    pub fn links(&self) -> Vec<(String, String)> {
+        let mut links = Vec::new();
+        for client in &self.client {
+            links.extend(self.gateways_of(client).map(|g| (client.name.clone(), g.to_owned())));
+        }
+        for gateway in &self.gateway {
+            links.extend(self.node.iter().map(|n| (gateway.name.clone(), n.name.clone())));
+            let others = self.gateway.iter().filter(|g| self.gateways_talk() && g.name != gateway.name);
+            links.extend(others.map(|g| (gateway.name.clone(), g.name.clone())));
+        }
+        links
+    }
+
+    /// Gateways through which all volumes of a client are reached.
+    pub fn gateways_of<'a>(&'a self, client: &'a Client) -> impl Iterator<Item = &'a str> {
+        let through =
+            |name: &str, v: &Volume| v.gateways.as_ref().is_none_or(|names| names.iter().any(|n| n == name));
+        let used = move |name: &str| {
+            self.volume.iter().filter(|v| client.volumes.contains(&v.name)).all(|v| through(name, v))
+        };
+        self.gateway.iter().map(|g| g.name.as_str()).filter(move |name| used(name))
+    }
+
+    /// The processes that a trouble of links names; `zone:N` stands for all of that zone.
+    pub fn processes(&self, names: &[String]) -> BTreeSet<String> {
+        let mut all = BTreeSet::new();
+        for name in names {
+            match zone(name) {
+                Some(zone) => {
+                    all.extend(self.node.iter().filter(|n| n.zone == zone).map(|n| n.name.clone()));
+                }
+                None => {
+                    all.insert(name.clone());
+                }
+            }
+        }
+        all
+    }
+
+    /// Gateways that join in the course of the day.
+    pub fn joins(&self) -> BTreeSet<&str> {
+        let joins = self.trouble.iter().filter(|t| t.what == TroubleKind::Join);
+        joins.flat_map(|t| t.of.iter().map(String::as_str)).collect()
+    }
+}
+
+/// The zone that a name of a trouble of links stands for.
+pub(crate) fn zone(name: &str) -> Option<u32> {
+    name.strip_prefix("zone:").and_then(|n| n.parse().ok())
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -14,6 +14,7 @@
 mod process;
 mod schema;
 mod site;
+mod terms;
 mod volume;
 
 pub use check::{LoadError, Problem};
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -23,6 +23,67 @@
 fn the_demonstration_is_well_formed_and_so_is_the_bad_day() {
     Site::parse(GOOD).expect("well formed");
     Site::parse(include_str!("../../../days/bad-day.toml")).expect("well formed");
+    Site::parse(include_str!("../../../days/fleet-day.toml")).expect("well formed");
+}
+
+#[test]
+fn each_wrong_trouble_between_processes_is_told_with_its_line_and_key() {
+    let day = include_str!("../../crowbay/tests/short-fleet-day.toml");
+    Site::parse(day).expect("well formed");
+    let cases = [
+        ("relay = true", "relay = false", "trouble[0].what", "what = \"slow_link\""),
+        ("to = [\"node0\", \"node1\"]", "to = [\"node9\"]", "trouble[0].to[0]", ""),
+        (
+            "delay_ms = 20\njitter_ms = 30",
+            "delay_ms = 0\njitter_ms = 0",
+            "trouble[0].delay_ms",
+            "delay_ms = 0",
+        ),
+        ("up_ms = 300", "up_ms = 0", "trouble[2].up_ms", ""),
+        ("down_ms = 200", "down_ms = 3", "trouble[2].down_ms", ""),
+        ("of = [\"gw4\"]", "of = [\"node1\"]", "trouble[3].of[0]", ""),
+        (
+            "of = [\"gw3\"]\nto = [\"node0\"]",
+            "of = [\"node1\"]\nto = [\"node0\"]",
+            "trouble[4].of",
+            "of = [\"node1\"]",
+        ),
+        (
+            "for_s = 0.8\nof = [\"gw1\", \"node1\"]",
+            "for_s = 90\nof = [\"gw1\"]",
+            "trouble[5].for_s",
+            "for_s = 90",
+        ),
+        ("of = [\"node0\", \"gw2\"]", "of = [\"accounts\"]", "trouble[6].of[0]", ""),
+        ("for_s = 0.6\n", "", "trouble[6].for_s", "what = \"power\""),
+        ("of = [\"zone:2\"]", "of = [\"zone:7\"]", "trouble[8].of[0]", ""),
+        (
+            "at_s = 6.5\nof = [\"gw3\"]",
+            "at_s = 6.5\nof = [\"gw3\"]\nto = [\"gw1\"]",
+            "trouble[9].to",
+            "to = [\"gw1\"]",
+        ),
+        ("name = \"accounts\"", "name = \"gw1\"", "trouble[0].of", "of = [\"gw2\"]"),
+    ];
+    for (from, to, key, at) in cases {
+        assert!(day.contains(from), "{from}");
+        let text = day.replacen(from, to, 1);
+        let told = problems(&text);
+        let one = told.iter().find(|p| p.key == key).unwrap_or_else(|| panic!("{to}: {told:?}"));
+        let line = text.lines().nth(one.line - 1).expect("a line");
+        let stands = if at.is_empty() { to } else { at };
+        // A key that is left out is told at what holds it.
+        assert!(line.contains(stands) || line == "[[trouble]]", "{key}: {line}");
+    }
+    // Gateways have links between them only with [recovery].
+    let alone = day.replace("[recovery]\nask_for_ms = 1000\n", "");
+    assert!(problems(&alone).iter().any(|p| p.key == "trouble[1].of"), "{:?}", problems(&alone));
+    // Twice come, and a trouble that is given another side though it has none.
+    let twice = day.replace("what = \"leave\"", "what = \"join\"").replace(
+        "of = [\"gw3\"]\n\n[[trouble]]\nwhat = \"power\"\nat_s = 7",
+        "of = [\"gw4\"]\n\n[[trouble]]\nwhat = \"power\"\nat_s = 7",
+    );
+    assert!(problems(&twice).iter().any(|p| p.key == "trouble[9].of"), "{:?}", problems(&twice));
 }
 
 #[test]
