--- a/crates/judge/src/view.rs
+++ b/crates/judge/src/view.rs
@@ -75,7 +75,10 @@
 fn epochs(day: &Day) -> Vec<Epoch> {
     let mut now = Now::default();
     let mut epochs: Vec<Epoch> = Vec::new();
-    for line in &day.lines {
+    // The director's threads may write a line a moment late.
+    let mut lines: Vec<&DayLine> = day.lines.iter().collect();
+    lines.sort_by_key(|line| line.at());
+    for line in lines {
         let Some(t) = now.take(line) else { continue };
         if let Some(last) = epochs.last_mut() {
             last.to = t.max(last.from);
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -281,3 +281,17 @@
         what: String,
     },
 }
+
+impl DayLine {
+    /// When.
+    pub fn at(&self) -> Micros {
+        match self {
+            DayLine::Listed { t, .. }
+            | DayLine::Up { t, .. }
+            | DayLine::Down { t, .. }
+            | DayLine::Way { t, .. }
+            | DayLine::Stall { t, .. }
+            | DayLine::Trouble { t, .. } => *t,
+        }
+    }
+}
