--- a/crates/fleet/src/detector.rs
+++ b/crates/fleet/src/detector.rs
@@ -14,7 +14,7 @@
 
 use crate::Micros;
 
-/// Probes in a row that must fail before a member is doubted; each doubt in vain adds one, up to the most.
+/// Probes in a row that must fail before a member is doubted; each doubt in vain adds two, up to the most.
 const PROBES: u32 = 2;
 const MOST_PROBES: u32 = 6;
 /// Periods after which one doubt in vain is forgotten.
@@ -51,6 +51,8 @@
     missed: u32,
     vain: u32,
     vain_at: Micros,
+    /// The helper that reached it last.
+    through: Option<PeerName>,
 }
 
 pub(crate) struct Detector {
@@ -62,6 +64,8 @@
     last_heard: Micros,
     health: u32,
     grace: Micros,
+    /// How long the last three answers took, whoever's: if two were late, the ways from here are long.
+    took: [Micros; 3],
     trusts_itself: bool,
 }
 
@@ -81,6 +85,7 @@
             last_heard: now,
             health: 0,
             grace: now,
+            took: [0; 3],
             trusts_itself,
         }
     }
@@ -127,6 +132,8 @@
         if let Some(took) =
             number.map(|n| now.saturating_sub(n)).filter(|t| (0..16 * self.period).contains(t))
         {
+            self.took.rotate_left(1);
+            self.took[2] = took;
             peer.round_trip = if took > peer.round_trip { took } else { (peer.round_trip * 7 + took) / 8 };
         }
     }
@@ -139,13 +146,14 @@
         {
             peer.heard = Some(now);
             peer.missed = 0;
+            peer.through = Some(helper.clone());
         }
     }
 
     /// The member refuted a doubt: the next one takes more.
     pub(crate) fn refuted(&mut self, now: Micros, name: &PeerName) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.vain = peer.vain.saturating_add(1).min(MOST_PROBES - PROBES);
+            peer.vain = (peer.vain + 2).min(MOST_PROBES - PROBES);
             peer.vain_at = now;
         }
     }
@@ -197,7 +205,10 @@
             }
         };
         let times = Micros::from(1 + self.health);
-        let round_trip = self.peers.get(&target).map_or(0, |p| p.round_trip).min(4 * self.period);
+        let mut took = self.took;
+        took.sort_unstable();
+        let known = self.peers.get(&target).map_or(0, |p| p.round_trip);
+        let round_trip = known.max(took[1]).min(4 * self.period);
         let relay = (self.period / 4).max(2 * round_trip).min(4 * self.period) * times;
         let ends = (self.period * times).max(relay + self.period / 2);
         self.probe =
@@ -235,6 +246,8 @@
             peer.vain = peer.vain.saturating_sub(forgotten);
             peer.vain_at = now;
         }
+        // A miss may be this gateway's own slowness: the next probe has longer (Lifeguard).
+        self.health = (self.health + 1).min(MOST_HEALTH);
         peer.missed += 1;
         if peer.missed >= PROBES + peer.vain {
             peer.missed = 0;
@@ -244,19 +257,26 @@
         Some(Judged::Missed)
     }
 
-    /// Draws so many of those offered, those heard of late before others.
-    pub(crate) fn draw(
+    /// Draws helpers for a probe among those offered: the one that reached the target last, then those heard of late, then
+    /// others; so many, and as many again for each probe in a row that failed.
+    pub(crate) fn helpers(
         &self,
         now: Micros,
         rng: &mut SmallRng,
         most: usize,
+        target: &PeerName,
         offered: Vec<PeerName>,
     ) -> Vec<PeerName> {
         let recent = |name: &PeerName| self.heard_at(name).is_some_and(|at| now - at <= 3 * self.period);
         let (mut near, mut far): (Vec<_>, Vec<_>) = offered.into_iter().partition(recent);
         near.shuffle(rng);
         far.shuffle(rng);
-        near.into_iter().chain(far).take(most).collect()
+        let peer = self.peers.get(target);
+        let through =
+            peer.and_then(|p| p.through.clone()).filter(|name| near.contains(name) || far.contains(name));
+        let rest = near.into_iter().chain(far).filter(|name| Some(name) != through.as_ref());
+        let most = most * (1 + peer.map_or(0, |p| p.missed) as usize);
+        through.clone().into_iter().chain(rest).take(most).collect()
     }
 }
 
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -52,6 +52,8 @@
     provoke_at: Micros,
     provoke_gap: u32,
     leave_at: Option<Micros>,
+    /// Something that is not in the roll may have changed.
+    pub(crate) dirty: bool,
 }
 
 impl Fleet {
@@ -92,6 +94,7 @@
             provoke_at: now,
             provoke_gap: 1,
             leave_at: None,
+            dirty: false,
             roll,
             rng,
             options,
@@ -164,7 +167,8 @@
         self.news.add(Item::Member(self.options.name.clone()));
     }
 
-    fn spread(&mut self, news: Vec<Sighted>) {
+    pub(crate) fn spread(&mut self, news: Vec<Sighted>) {
+        self.dirty |= !news.is_empty();
         news.into_iter().for_each(|sighted| self.news.add(Item::Node(sighted)));
     }
 
@@ -270,7 +274,8 @@
             let offered =
                 self.others(|s| matches!(s, Standing::Up | Standing::Leaving | Standing::Suspected));
             let offered = offered.into_iter().filter(|name| *name != probe.target).collect();
-            let helpers = self.detector.draw(self.now, &mut self.rng, self.options.indirect, offered);
+            let most = self.options.indirect;
+            let helpers = self.detector.helpers(self.now, &mut self.rng, most, &probe.target, offered);
             for helper in helpers {
                 let ask =
                     Note { number: probe.began, about: Some(probe.target.clone()), ..Note::new(Sort::Ask) };
@@ -291,6 +296,8 @@
         let period = self.options.period;
         self.period_at = (self.period_at + period).max(self.now + 1);
         (self.answers, self.views) = (MOST_ANSWERS, MOST_VIEWS);
+        // Coldness ends, words run out, who left is forgotten: all by time alone.
+        self.dirty = true;
         let news = self.sights.renew(self.now, &self.options.name, self.life);
         self.spread(news);
         if self.leave_at.take_if(|at| self.now >= *at).is_some() {
@@ -362,6 +369,9 @@
     /// Publishes a snapshot if anything in it is new.
     fn publish(&mut self, out: &mut Vec<Output>) {
         self.restand();
+        if !self.roll.take_changed() && !std::mem::take(&mut self.dirty) {
+            return;
+        }
         let members = self.roll.members(self.now);
         let nodes = self.sights.facts(self.now);
         let digest = self.roll.digest();
--- a/crates/fleet/src/hearing.rs
+++ b/crates/fleet/src/hearing.rs
@@ -5,7 +5,6 @@
 use crate::fleet::Fleet;
 use crate::input::Output;
 use crate::message::{Note, Sort};
-use crate::news::Item;
 use crate::record::{MOST_NUMBER, Record};
 
 impl Fleet {
@@ -32,7 +31,7 @@
         for told in note.nodes {
             let roll = &self.roll;
             let news = self.sights.merge(self.now, &self.options.name, told, |name| roll.knows(name));
-            news.into_iter().for_each(|sighted| self.news.add(Item::Node(sighted)));
+            self.spread(news);
         }
         self.restand();
         match sort {
--- a/crates/fleet/src/options.rs
+++ b/crates/fleet/src/options.rs
@@ -53,6 +53,13 @@
             plant: Plant::None,
         }
     }
+
+    /// Periods within which all that reach each other hold one view after the last fault. Derived in docs/fleet/view.md:
+    /// the longest suspicion twice (that one begins late, and one that is refuted too late is seen anew), the most probes
+    /// in a row while this gateway doubts itself, and two rounds of gossip and of exchange.
+    pub fn settling(&self) -> u32 {
+        2 * self.suspicion.0.max(self.suspicion.1) + 12 + 4 * log2(self.members.len()) + 2 * self.exchange
+    }
 }
 
 /// The logarithm to base 2, rounded up.
--- a/crates/fleet/src/roll.rs
+++ b/crates/fleet/src/roll.rs
@@ -80,6 +80,7 @@
     span: Span,
     digest: u64,
     stale: bool,
+    changed: bool,
     shown_left: Micros,
     plant: Plant,
 }
@@ -103,6 +104,7 @@
             },
             digest: 0,
             stale: true,
+            changed: false,
             shown_left: SHOWN_LEFT * period,
             plant: options.plant,
         };
@@ -233,6 +235,7 @@
         }
         if std::mem::take(&mut self.stale) {
             self.digest = self.digested();
+            self.changed = true;
         }
         changes
     }
@@ -252,6 +255,11 @@
         entries.map(member).collect()
     }
 
+    /// Whether anything changed since this was last asked.
+    pub(crate) fn take_changed(&mut self) -> bool {
+        std::mem::take(&mut self.changed)
+    }
+
     /// The digest of what is agreed, as of the last [`Roll::stand`].
     pub(crate) fn digest(&self) -> u64 {
         self.digest
--- a/crates/fleet/src/sights.rs
+++ b/crates/fleet/src/sights.rs
@@ -243,6 +243,9 @@
 
     /// A digest of starts and words, without their ages and renewals.
     pub(crate) fn digest(&self) -> u64 {
+        if self.nodes.is_empty() {
+            return 0;
+        }
         let mut hasher = blake3::Hasher::new();
         for (name, node) in &self.nodes {
             hasher.update(&(name.len() as u64).to_le_bytes());
--- /dev/null
+++ b/crates/fleet/tests/net/mod.rs
@@ -0,0 +1,349 @@
+//! A little deterministic network in virtual time for fleets: loss, doubles, delays, cuts one way, links that flap,
+//! members that are stopped, killed and begin again. Shared by tests and examples.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+use fleet::{
+    Counts, Fleet, FleetOptions, Input, Life, Micros, NodeSight, Output, PeerName, Plant, Standing, View,
+};
+use peer::{Incarnation, Nonce};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+pub const PERIOD: Micros = 1_000_000;
+pub const MS: Micros = 1_000;
+pub const SITE: u64 = 77;
+
+pub fn name(at: usize) -> PeerName {
+    PeerName(format!("gw-{at:03}"))
+}
+
+pub fn life(number: u64) -> Life {
+    Life { incarnation: Incarnation(number), nonce: Nonce(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)) }
+}
+
+pub fn members(count: usize) -> Vec<(PeerName, u32)> {
+    (0..count).map(|at| (name(at), at as u32 % 3)).collect()
+}
+
+/// A flapping link: up and down for so long, by turns, both ways.
+#[derive(Clone, Copy, Debug)]
+pub struct Flap {
+    pub up: Micros,
+    pub down: Micros,
+}
+
+pub struct Host {
+    /// None while it is not running.
+    pub fleet: Option<Fleet>,
+    pub life: u64,
+    pub frozen_until: Option<Micros>,
+    backlog: Vec<(usize, Life, Vec<u8>)>,
+    /// Counts of lives that are over.
+    past: Vec<Counts>,
+}
+
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Flight {
+    at: Micros,
+    number: u64,
+    from: usize,
+    to: usize,
+    life: u64,
+    body: Vec<u8>,
+}
+
+pub struct Net {
+    pub now: Micros,
+    pub rng: SmallRng,
+    pub hosts: Vec<Host>,
+    flights: BinaryHeap<Reverse<Flight>>,
+    number: u64,
+    /// In thousandths.
+    pub loss: u32,
+    pub double: u32,
+    pub delay: (Micros, Micros),
+    /// Directed links that carry nothing.
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub flaps: BTreeMap<(usize, usize), Flap>,
+    /// What is added to all that comes from or goes to a host.
+    pub slow: BTreeMap<usize, Micros>,
+    /// Hosts that nobody among them may hold for unreachable.
+    pub healthy: BTreeSet<usize>,
+    /// Viewer, member and time.
+    pub expelled: Vec<(usize, usize, Micros)>,
+    pub turned: Vec<(usize, PeerName, &'static str)>,
+    pub adjust: fn(&mut FleetOptions),
+    pub plant: Plant,
+    /// Most notes that a host has sent within one of its periods, and the longest body.
+    pub most_notes: u64,
+    pub most_body: usize,
+    sent: BTreeMap<(usize, Micros), u64>,
+}
+
+impl Net {
+    pub fn new(count: usize, seed: u64) -> Net {
+        let host =
+            || Host { fleet: None, life: 0, frozen_until: None, backlog: Vec::new(), past: Vec::new() };
+        Net {
+            now: 5 * PERIOD,
+            rng: SmallRng::seed_from_u64(seed),
+            hosts: (0..count).map(|_| host()).collect(),
+            flights: BinaryHeap::new(),
+            number: 0,
+            loss: 0,
+            double: 0,
+            delay: (MS / 5, 2 * MS),
+            cuts: BTreeSet::new(),
+            flaps: BTreeMap::new(),
+            slow: BTreeMap::new(),
+            healthy: BTreeSet::new(),
+            expelled: Vec::new(),
+            turned: Vec::new(),
+            adjust: |_| {},
+            plant: Plant::None,
+            most_notes: 0,
+            most_body: 0,
+            sent: BTreeMap::new(),
+        }
+    }
+
+    /// All start at once.
+    pub fn started(count: usize, seed: u64) -> Net {
+        let mut net = Net::new(count, seed);
+        net.start_all();
+        net
+    }
+
+    pub fn start_all(&mut self) {
+        (0..self.hosts.len()).for_each(|at| self.start(at));
+    }
+
+    pub fn options(&self, at: usize) -> FleetOptions {
+        let all = members(self.hosts.len());
+        let mut options = FleetOptions::new(name(at), all[at].1, SITE, all);
+        options.period = PERIOD;
+        options.plant = self.plant;
+        (self.adjust)(&mut options);
+        options
+    }
+
+    pub fn start(&mut self, at: usize) {
+        self.hosts[at].life += 1;
+        let options = self.options(at);
+        let seed = self.rng.random();
+        let fleet = Fleet::new(options, life(self.hosts[at].life), self.now, seed);
+        self.hosts[at].fleet = Some(fleet);
+    }
+
+    pub fn kill(&mut self, at: usize) {
+        let host = &mut self.hosts[at];
+        host.past.extend(host.fleet.take().map(|f| f.counts()));
+        host.frozen_until = None;
+        host.backlog.clear();
+    }
+
+    pub fn freeze(&mut self, at: usize, time: Micros) {
+        self.hosts[at].frozen_until = Some(self.now + time);
+    }
+
+    pub fn cut(&mut self, from: &[usize], to: &[usize]) {
+        for a in from {
+            self.cuts.extend(to.iter().filter(|b| a != *b).map(|b| (*a, *b)));
+        }
+    }
+
+    pub fn part(&mut self, one: &[usize], other: &[usize]) {
+        self.cut(one, other);
+        self.cut(other, one);
+    }
+
+    /// Ends all faults of links and the freezes.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.flaps.clear();
+        self.slow.clear();
+        (self.loss, self.double) = (0, 0);
+        for host in &mut self.hosts {
+            host.frozen_until = host.frozen_until.map(|_| self.now);
+        }
+    }
+
+    fn passes(&self, from: usize, to: usize) -> bool {
+        if self.cuts.contains(&(from, to)) {
+            return false;
+        }
+        let flap = self.flaps.get(&(from.min(to), from.max(to)));
+        flap.is_none_or(|f| self.now % (f.up + f.down) < f.up)
+    }
+
+    fn carry(&mut self, from: usize, to: usize, life: u64, body: Vec<u8>) {
+        if !self.passes(from, to) || self.rng.random_range(0..1000) < self.loss {
+            return;
+        }
+        let copies = if self.rng.random_range(0..1000) < self.double { 2 } else { 1 };
+        for _ in 0..copies {
+            let extra = self.slow.get(&from).unwrap_or(&0) + self.slow.get(&to).unwrap_or(&0);
+            let at = self.now + extra + self.rng.random_range(self.delay.0..=self.delay.1);
+            self.number += 1;
+            self.flights.push(Reverse(Flight {
+                at,
+                number: self.number,
+                from,
+                to,
+                life,
+                body: body.clone(),
+            }));
+        }
+    }
+
+    pub fn input(&mut self, at: usize, input: Input) {
+        let mut out = Vec::new();
+        let Some(fleet) = self.hosts[at].fleet.as_mut() else { return };
+        fleet.handle(self.now, input, &mut out);
+        let life = self.hosts[at].life;
+        for output in out {
+            match output {
+                Output::Send { to, body } => {
+                    self.most_body = self.most_body.max(body.len());
+                    let sent = self.sent.entry((at, self.now / PERIOD)).or_default();
+                    *sent += 1;
+                    self.most_notes = self.most_notes.max(*sent);
+                    let to = to.0[3..].parse().expect("a name of ours");
+                    self.carry(at, to, life, body);
+                }
+                Output::Changed(view) => self.watch(at, &view),
+                Output::TurnedAway { from, why } => self.turned.push((at, from, why)),
+            }
+        }
+    }
+
+    fn watch(&mut self, at: usize, view: &View) {
+        if !self.healthy.contains(&at) {
+            return;
+        }
+        for member in &self.healthy {
+            if view.member(&name(*member)).is_some_and(|m| m.standing == Standing::Unreachable) {
+                self.expelled.push((at, *member, self.now));
+            }
+        }
+    }
+
+    /// Does the next thing that happens, if it is before `until`; whether it did.
+    fn step(&mut self, until: Micros) -> bool {
+        let mut next: Option<(Micros, usize)> = None;
+        for (at, host) in self.hosts.iter().enumerate() {
+            let Some(fleet) = &host.fleet else { continue };
+            let due = host.frozen_until.unwrap_or_else(|| fleet.next_due()).max(self.now);
+            if next.is_none_or(|(least, _)| due < least) {
+                next = Some((due, at));
+            }
+        }
+        let flight = self.flights.peek().map(|f| f.0.at.max(self.now));
+        let due = next.map(|(due, _)| due);
+        let Some(first) = flight.into_iter().chain(due).min().filter(|at| *at < until) else {
+            self.now = until;
+            return false;
+        };
+        self.now = first;
+        if flight == Some(first) {
+            let Some(Reverse(flight)) = self.flights.pop() else { return true };
+            let Flight { from, to, body, .. } = flight;
+            let host = &mut self.hosts[to];
+            if host.frozen_until.is_some() {
+                host.backlog.push((from, life(flight.life), body));
+            } else {
+                self.input(to, Input::Heard { from: name(from), life: life(flight.life), body });
+            }
+        } else if let Some((_, at)) = next {
+            let stopped = self.hosts[at].frozen_until.take().is_some();
+            // The worst order: its own clock is told before what came meanwhile.
+            self.input(at, Input::Tick);
+            if stopped {
+                for (from, life, body) in std::mem::take(&mut self.hosts[at].backlog) {
+                    self.input(at, Input::Heard { from: name(from), life, body });
+                }
+            }
+        }
+        true
+    }
+
+    pub fn run(&mut self, time: Micros) {
+        let until = self.now + time;
+        while self.step(until) {}
+    }
+
+    pub fn view(&self, at: usize) -> Option<std::sync::Arc<View>> {
+        Some(self.hosts[at].fleet.as_ref()?.view())
+    }
+
+    pub fn counts(&self, at: usize) -> Counts {
+        self.hosts[at].fleet.as_ref().map(Fleet::counts).unwrap_or_default()
+    }
+
+    /// Sum of something over all hosts and their lives.
+    pub fn sum(&self, of: fn(&Counts) -> u64) -> u64 {
+        let now = self.hosts.iter().filter_map(|h| h.fleet.as_ref()).map(|f| of(&f.counts()));
+        now.sum::<u64>() + self.hosts.iter().flat_map(|h| &h.past).map(of).sum::<u64>()
+    }
+
+    pub fn running(&self) -> Vec<usize> {
+        (0..self.hosts.len()).filter(|at| self.hosts[*at].fleet.is_some()).collect()
+    }
+
+    /// What is not settled among these: they hold one digest, each other as up in their lives, and nobody else as up.
+    pub fn unsettled(&self, among: &[usize]) -> Option<String> {
+        let mut digest = None;
+        for at in among {
+            let Some(view) = self.view(*at) else { return Some(format!("{at} does not run")) };
+            for member in &view.members {
+                let other: usize = member.name.0[3..].parse().expect("a name of ours");
+                let right = if among.contains(&other) {
+                    member.standing == Standing::Up && member.life == Some(life(self.hosts[other].life))
+                } else {
+                    matches!(member.standing, Standing::Unreachable | Standing::Joining | Standing::Left)
+                };
+                if !right {
+                    return Some(format!(
+                        "{at} holds {other} for {:?} in {:?}",
+                        member.standing, member.life
+                    ));
+                }
+            }
+            if *digest.get_or_insert(view.digest) != view.digest {
+                return Some(format!("{at} holds another digest than {}", among[0]));
+            }
+        }
+        None
+    }
+
+    /// Runs until these have settled; after how many periods, in thousandths. An error says what is not after the most.
+    pub fn settle(&mut self, among: &[usize], most: u32) -> Result<Micros, String> {
+        let began = self.now;
+        for _ in 0..most * 10 {
+            self.run(PERIOD / 10);
+            if self.unsettled(among).is_none() {
+                return Ok((self.now - began) * 1000 / PERIOD);
+            }
+        }
+        let why = self.unsettled(among).unwrap_or_default();
+        Err(format!("not settled after {most} periods: {why}"))
+    }
+
+    /// Periods within which this fleet settles after its last fault.
+    pub fn bound(&self) -> u32 {
+        self.options(0).settling()
+    }
+
+    pub fn all(&self) -> Vec<usize> {
+        (0..self.hosts.len()).collect()
+    }
+
+    pub fn saw(&mut self, at: usize, node: &str, started: i64, cold_for: Micros, silent_for: Micros) {
+        let sight = NodeSight { node: node.to_owned(), started, cold_for, silent_for };
+        self.input(at, Input::Saw(sight));
+    }
+}
