shadow: proofs in virtual time, and copies of a book mend each other

It showed that copies of a dead life's counts could lack what moved between two parts of a book for good; copies that reach equally far and differ now send each other cells from a drawn place until they are equal.

--- a/crates/shadow/src/counts.rs
+++ b/crates/shadow/src/counts.rs
@@ -101,6 +101,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct Key(u8, u32, u64);
 
+impl Key {
+    /// Of a cell with this value; nothing for 0.
+    pub(crate) fn hash(self, value: u64) -> u64 {
+        if value == 0 {
+            return 0;
+        }
+        let words = [u64::from(self.0) << 32 | u64::from(self.1), self.2, value];
+        words.iter().fold(0, |hash: u64, word| {
+            let mixed = (hash ^ word).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            mixed ^ mixed >> 29
+        })
+    }
+}
+
 /// A key that was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cell {
--- a/crates/shadow/src/gossip.rs
+++ b/crates/shadow/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use peer::wire::{decode, encode};
 use peer::{Life, PeerName};
+use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use crate::Micros;
@@ -48,7 +49,7 @@
         let listed: Vec<PeerName> = self.peers.listed().cloned().collect();
         let told: Vec<&PeerName> = listed.choose_multiple(&mut self.rng, self.options.fanout).collect();
         let word = self.note();
-        let have = Note { have: Some(self.books.have()), ..word.clone() };
+        let have = Note { have: Some(self.books.reach()), ..word.clone() };
         let (word, have) = (encode(&word), encode(&have));
         for to in &listed {
             let body = if told.contains(&to) { have.clone() } else { word.clone() };
@@ -99,7 +100,8 @@
                 self.take(now, &from, page, out);
             }
             if let Some(have) = note.have.filter(|_| self.peers.may_answer(now, &from)) {
-                pages = self.books.pages(&have, MOST_PAGES, MOST_CELLS);
+                let draw = self.rng.random();
+                pages = self.books.pages(&have, MOST_PAGES, MOST_CELLS, draw);
             }
         } else if !note.pages.is_empty() || note.have.is_some() {
             self.turn_away(from.clone(), "it holds another candidate; its counts are not added", out);
--- a/crates/shadow/src/laws.rs
+++ b/crates/shadow/src/laws.rs
@@ -93,8 +93,8 @@
         let mut pages = Vec::new();
         for cut in cuts {
             let then = counted(&all[..cut.min(all.len())]);
-            pages.extend(then.pages(&[], 8, size));
-            pages.extend(whole.pages(&then.have(), 8, size));
+            pages.extend(then.pages(&[], 8, size, 0));
+            pages.extend(whole.pages(&then.reach(), 8, size, 0));
         }
         let mut taken = Books::default();
         let mut at = order;
@@ -108,7 +108,7 @@
         }
         let mut rounds = 0;
         while taken != whole {
-            let pages = whole.pages(&taken.have(), 4, size);
+            let pages = whole.pages(&taken.reach(), 4, size, 0);
             prop_assert!(!pages.is_empty(), "it claims to have what it lacks");
             pages.iter().for_each(|page| assert!(taken.take(page, &places, 99)));
             rounds += 1;
@@ -117,16 +117,50 @@
     }
 }
 
+proptest! {
+    /// Copies that came in parts from others at several moments, until the owner was gone: all of them come to hold all that any
+    /// of them held.
+    #[test]
+    fn copies_mend_each_other_when_their_owner_is_gone(
+        all in proptest::collection::vec(any::<u8>(), 1..200),
+        talks in proptest::collection::vec((0usize..200, 0usize..4, 0usize..4), 0..60), size in 1usize..4,
+    ) {
+        let places = places();
+        let steps: Vec<(u8, u8)> = all.iter().map(|what| (0, *what)).collect();
+        let mut copies = vec![Books::default(); 3];
+        for (at, from, to) in talks {
+            let source = copies.get(from).cloned().unwrap_or_else(|| counted(&steps[..at.min(steps.len())]));
+            if let Some(copy) = copies.get_mut(to) {
+                let pages = source.pages(&copy.reach(), 4, size, 0);
+                pages.iter().for_each(|page| assert!(copy.take(page, &places, 99)));
+            }
+        }
+        let mut whole = Books::default();
+        copies.iter().for_each(|copy| whole.join(copy));
+        for round in 0.. {
+            if copies.iter().all(|copy| copy.sums() == whole.sums()) {
+                break;
+            }
+            prop_assert!(round < 2_000, "they do not come together");
+            let (from, to) = (round % 3, (round / 3) % 3);
+            let source = copies[from].clone();
+            let draw = (round as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32;
+            let pages = source.pages(&copies[to].reach(), 4, size, draw);
+            pages.iter().for_each(|page| assert!(copies[to].take(page, &places, 99)));
+        }
+    }
+}
+
 #[test]
 fn owners_beyond_the_bound_and_unknown_cells_are_left_out() {
     let (places, whole) = (places(), counted(&(0..=255).map(|i| (i, i)).collect::<Vec<_>>()));
     let mut taken = Books::default();
-    let results: Vec<bool> = whole.pages(&[], 99, 99).iter().map(|p| taken.take(p, &places, 3)).collect();
+    let results: Vec<bool> = whole.pages(&[], 99, 99, 0).iter().map(|p| taken.take(p, &places, 3)).collect();
     assert_eq!((taken.books.len(), results.iter().filter(|took| !**took).count()), (3, 5));
     let strange = [Cell::Came(Came::Same, 1, 8), Cell::Came(Came::Same, 7, 0), Cell::Sent(55)];
     let mut books = Books::default();
     strange.iter().for_each(|cell| books.bump(&owner(0), *cell));
     let mut taken = Books::default();
-    books.pages(&[], 9, 9).iter().for_each(|page| assert!(taken.take(page, &places, 9)));
+    books.pages(&[], 9, 9, 0).iter().for_each(|page| assert!(taken.take(page, &places, 9)));
     assert!(taken.sums().is_empty(), "{taken:?}");
 }
--- a/crates/shadow/src/merge.rs
+++ b/crates/shadow/src/merge.rs
@@ -38,8 +38,10 @@
 /// What is held of one owner.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Book {
-    /// All steps up to this one are in.
+    /// All steps up to this one are in, as far as is known.
     pub(crate) have: u64,
+    /// Of all cells: the sum of their values, and a sum of hashes over key and value.
+    sum: (u64, u64),
     pub(crate) cells: BTreeMap<Key, Count>,
     /// By their number: the first ones.
     pub(crate) examples: BTreeMap<u32, Example>,
@@ -54,11 +56,24 @@
     pub(crate) examples: Vec<(u32, Example)>,
 }
 
+/// How far a gateway's copy of a book reaches.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Reach {
+    pub(crate) owner: Owner,
+    pub(crate) have: u64,
+    pub(crate) sum: (u64, u64),
+}
+
 impl Book {
     fn join_cell(&mut self, key: Key, count: Count) {
-        let cell = self.cells.entry(key).or_insert(count);
-        cell.value = cell.value.max(count.value);
-        cell.version = cell.version.max(count.version);
+        let cell = self.cells.entry(key).or_insert(Count { value: 0, version: 0 });
+        let joined = Count { value: cell.value.max(count.value), version: cell.version.max(count.version) };
+        self.sum.0 = self.sum.0.wrapping_add(joined.value.wrapping_sub(cell.value));
+        if joined.value != cell.value {
+            let hashes = key.hash(joined.value).wrapping_sub(key.hash(cell.value));
+            self.sum.1 = self.sum.1.wrapping_add(hashes);
+        }
+        *cell = joined;
     }
 
     fn join_example(&mut self, at: u32, example: &Example) {
@@ -94,6 +109,18 @@
     }
 }
 
+impl Book {
+    /// Cells from a drawn place on, which claim to be no step.
+    fn any(&self, owner: &Owner, most: usize, draw: u64) -> Page {
+        let count = self.cells.len();
+        let first = (draw % count.max(1) as u64) as usize;
+        let cells = self.cells.iter().cycle().skip(first).take(most.min(count));
+        let cells = cells.map(|(key, count)| (*key, *count)).collect();
+        let examples = self.examples.iter().map(|(at, example)| (*at, example.clone())).collect();
+        Page { owner: owner.clone(), from: u64::MAX, cells, examples }
+    }
+}
+
 /// What is held of all owners, of one candidate.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Books {
@@ -108,8 +135,8 @@
         }
         if let Some(book) = self.books.get_mut(owner) {
             book.have += 1;
-            let count = book.cells.entry(cell.key()).or_insert(Count { value: 0, version: 0 });
-            *count = Count { value: count.value + 1, version: book.have };
+            let value = book.cells.get(&cell.key()).map_or(0, |count| count.value) + 1;
+            book.join_cell(cell.key(), Count { value, version: book.have });
         }
     }
 
@@ -124,16 +151,26 @@
     }
 
     /// How far each book reaches.
-    pub(crate) fn have(&self) -> Vec<(Owner, u64)> {
-        self.books.iter().map(|(owner, book)| (owner.clone(), book.have)).collect()
+    pub(crate) fn reach(&self) -> Vec<Reach> {
+        let reach =
+            |(owner, book): (&Owner, &Book)| Reach { owner: owner.clone(), have: book.have, sum: book.sum };
+        self.books.iter().map(reach).collect()
     }
 
-    /// Pages that one who has so much lacks, at most so many of so many cells.
-    pub(crate) fn pages(&self, have: &[(Owner, u64)], most: usize, cells: usize) -> Vec<Page> {
-        let have: BTreeMap<&Owner, u64> = have.iter().map(|(owner, have)| (owner, *have)).collect();
-        let lacking = self.books.iter().filter_map(|(owner, book)| {
-            let from = have.get(owner).copied().unwrap_or(0);
-            book.page(owner, from, cells)
+    /// Pages that one who reaches so far lacks, at most so many of so many cells.
+    ///
+    /// Danger: part of a book came from its owner, the rest from one who had an older copy, and the owner is gone: what
+    /// moved up between the two is in neither part, and nobody would send it again, as all steps seem to be in.
+    /// Harm: of two copies that reach equally far and are not equal, each sends the other cells from a drawn place, until
+    /// they are.
+    pub(crate) fn pages(&self, theirs: &[Reach], most: usize, cells: usize, draw: u64) -> Vec<Page> {
+        let theirs: BTreeMap<&Owner, &Reach> = theirs.iter().map(|reach| (&reach.owner, reach)).collect();
+        let lacking = self.books.iter().filter_map(|(owner, book)| match theirs.get(owner) {
+            Some(reach) if reach.have == book.have && reach.sum != book.sum => {
+                Some(book.any(owner, cells, draw))
+            }
+            Some(reach) => book.page(owner, reach.have, cells),
+            None => book.page(owner, 0, cells),
         });
         lacking.take(most).collect()
     }
@@ -152,8 +189,8 @@
         for (at, example) in &page.examples {
             book.join_example(*at, example);
         }
+        let reaches = page.cells.iter().map(|(_, count)| count.version).max().unwrap_or(0);
         if page.from <= book.have {
-            let reaches = page.cells.iter().map(|(_, count)| count.version).max().unwrap_or(0);
             book.have = book.have.max(reaches);
         }
         true
--- a/crates/shadow/src/message.rs
+++ b/crates/shadow/src/message.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::merge::{Owner, Page};
+use crate::merge::{Page, Reach};
 use crate::writes::Seen;
 
 /// A note. Each says the sender's tick, which is its word on what it has written so far.
@@ -15,7 +15,7 @@
     pub(crate) tick: u64,
     /// How far the sender's books reach, all of them; what it lacks may be sent to it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub(crate) have: Option<Vec<(Owner, u64)>>,
+    pub(crate) have: Option<Vec<Reach>>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub(crate) pages: Vec<Page>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- /dev/null
+++ b/crates/shadow/tests/cases.rs
@@ -0,0 +1,98 @@
+//! Candidates right and wrong, nodes that go wrong, found or left alone as they should be.
+
+mod model;
+
+use model::{BAD, Fault, World};
+use shadow::{Doubt, Enough, Lost, Plant, Why};
+
+/// Runs a fleet of four until so many reads were compared and all say the same.
+fn tried(seed: u64, fault: Fault, plant: Plant, compared: u64) -> World {
+    let mut world = World::new(seed, 4, fault, plant);
+    world.start_all();
+    assert!(world.run(120_000_000, |w| w.compared() >= compared), "{} compared", world.compared());
+    assert!(world.settle(), "they do not come to say the same");
+    world
+}
+
+fn found(world: &World) -> Vec<(u32, u64)> {
+    world.verdict(0).wrong().collect()
+}
+
+#[test]
+fn a_right_candidate_is_never_called_wrong_under_writes() {
+    let world = tried(1, Fault::None, Plant::None, 5_000);
+    let verdict = world.verdict(0);
+    println!("{verdict}");
+    assert_eq!((verdict.results.different, found(&world).len()), (0, 0));
+    assert_eq!(verdict.compared, world.compared());
+    assert_eq!(model::sent(&verdict), world.sent());
+    assert!(verdict.results.raced > 0, "no write raced, the test proves nothing");
+    assert!(verdict.sum(|shard| &shard.not_tried, Why::SamePlace) > 0);
+    let doubt = verdict.sum(|shard| &shard.doubts, Doubt::First);
+    assert_eq!(doubt, 0, "a write explains each difference: {verdict}");
+}
+
+#[test]
+fn a_wrong_extent_is_found_and_no_other() {
+    let world = tried(2, Fault::Wrong, Plant::None, 5_000);
+    let verdict = world.verdict(0);
+    println!("{verdict}");
+    let wrong = world.store.wrong.expect("one is planted");
+    assert_eq!(found(&world), [wrong]);
+    assert_eq!(verdict.enough, Enough::Wrong(vec![wrong]));
+    let example = verdict.examples.first().expect("an example");
+    assert_eq!((example.nsid, example.extent), wrong);
+    assert_ne!(example.digests.0, example.digests.1);
+}
+
+#[test]
+fn a_node_that_lost_its_last_second_of_writes_is_found() {
+    let world = tried(3, Fault::Stale(2_000_000), Plant::None, 20_000);
+    println!("{}", world.verdict(0));
+    let found = found(&world);
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|extent| world.differed.contains(extent)), "{found:?} of {:?}", world.differed);
+    // Whatever writes have not made good is found in time.
+    let left = world.store.differing();
+    assert!(left.len() * 2 >= world.differed.len(), "little is left to be found");
+    let missed: Vec<_> = left.iter().filter(|extent| !found.contains(extent)).collect();
+    assert!(missed.len() * 2 < left.len(), "missed {missed:?} of {left:?}");
+}
+
+#[test]
+fn a_node_that_garbles_one_block_in_10000_is_found() {
+    let world = tried(4, Fault::Garble, Plant::None, 15_000);
+    println!("{}", world.verdict(0));
+    let found = found(&world);
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|extent| world.differed.contains(extent)), "{found:?} of {:?}", world.differed);
+}
+
+#[test]
+fn a_node_that_stalls_lies_or_answers_twice_costs_nothing() {
+    for fault in [Fault::Stall, Fault::Lie, Fault::Twice] {
+        let world = tried(5, fault, Plant::None, 3_000);
+        let verdict = world.verdict(0);
+        assert_eq!(model::sent(&verdict), world.sent(), "{fault:?}: {verdict}");
+        for gateway in &world.gateways {
+            assert!(
+                gateway.most_held.0 <= 32 && gateway.most_held.1 <= 64,
+                "{fault:?}: {:?}",
+                gateway.most_held
+            );
+        }
+        let bad = verdict.shards.iter().find(|look| look.shard == BAD).expect("it was tried");
+        match fault {
+            Fault::Stall => {
+                assert_eq!(bad.lost[&Lost::TimedOut], bad.sent, "{verdict}");
+                assert_eq!(bad.results.compared(), 0);
+                assert!(bad.not_tried[&Why::Out] > 0, "what is out is bounded: {verdict}");
+            }
+            Fault::Lie => assert!(bad.results.different > 0 && bad.results.same == 0, "{verdict}"),
+            _ => {
+                assert_eq!(verdict.strange, 2 * bad.sent, "{verdict}");
+                assert_eq!((verdict.results.different, verdict.compared), (0, world.compared()));
+            }
+        }
+    }
+}
