--- a/crates/shadow/tests/model/mod.rs
+++ b/crates/shadow/tests/model/mod.rs
@@ -198,17 +198,22 @@
     pub fn run(&mut self, limit: i64, mut until: impl FnMut(&World) -> bool) -> bool {
         let end = self.now + limit;
         let mut look_at = self.now;
-        while let Some(((at, _), (of, life, event))) = self.events.pop_first() {
+        while let Some(((at, _), _)) = self.events.first_key_value() {
+            if *at > end {
+                self.now = end;
+                return until(self);
+            }
+            let Some(((at, _), (of, life, event))) = self.events.pop_first() else { break };
             self.now = at;
             if at >= look_at {
                 if until(self) {
+                    // It is yet to come.
+                    self.count += 1;
+                    self.events.insert((at, self.count), (of, life, event));
                     return true;
                 }
                 look_at = at + 10_000;
             }
-            if at > end {
-                return false;
-            }
             if life == 0 || life == self.gateways[of].life {
                 self.step(of, event);
             } else if let Event::Apply { .. } = event {
