--- /dev/null
+++ b/crates/interleavings/tests/spill.rs
@@ -0,0 +1,224 @@
+//! A connection's way out: answers are appended and flushed, a writer writes the rest, the connection is finished or closed.
+
+extern crate interleavings as sync;
+
+#[path = "../../transport/src/spill.rs"]
+mod spill;
+
+use std::io;
+use std::net::Shutdown;
+
+use gather::{GatherList, PduSink};
+use spill::{Spill, Way};
+use sync::checker::{Plant, caught, check};
+use sync::{Arc, Mutex, MutexGuard, lock, thread};
+
+/// What the peer sees of the socket.
+#[derive(Debug, Default)]
+struct Wire {
+    bytes: Vec<u8>,
+    /// It takes so many at once, and any number from a writer that waits.
+    room: usize,
+    shut: Option<Shutdown>,
+    /// It breaks once it has taken so many.
+    breaks_at: Option<usize>,
+}
+
+impl Wire {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let room = self.breaks_at.map_or(usize::MAX, |at| at.saturating_sub(self.bytes.len()));
+        if self.shut.is_some() || room < bytes.len() {
+            return Err(io::ErrorKind::BrokenPipe.into());
+        }
+        self.bytes.extend_from_slice(bytes);
+        Ok(())
+    }
+}
+
+#[derive(Debug, Default)]
+struct Socket(Mutex<Wire>);
+
+impl Socket {
+    fn wire(&self) -> MutexGuard<'_, Wire> {
+        lock(&self.0)
+    }
+}
+
+impl Way for Socket {
+    fn write_now(&self, rest: &mut GatherList) -> io::Result<()> {
+        let mut wire = self.wire();
+        let taken = rest.take(wire.room);
+        wire.room -= taken.len();
+        if taken.is_empty() { Ok(()) } else { wire.write(&taken) }
+    }
+
+    fn shut(&self, how: Shutdown) {
+        let mut wire = self.wire();
+        wire.shut = Some(if wire.shut == Some(Shutdown::Both) { Shutdown::Both } else { how });
+    }
+}
+
+/// A spill with its writers, as `Outlet` has them.
+struct Outlet {
+    spill: Spill<Socket>,
+    writers: Mutex<Vec<thread::JoinHandle<()>>>,
+}
+
+impl Outlet {
+    fn new(room: usize, breaks_at: Option<usize>) -> Arc<Outlet> {
+        let wire = Wire { room, breaks_at, ..Wire::default() };
+        let spill = Spill::new(Socket(Mutex::new(wire)), 100);
+        Arc::new(Outlet { spill, writers: Mutex::new(Vec::new()) })
+    }
+}
+
+fn append(outlet: &Outlet, bytes: &[u8]) {
+    outlet.spill.append(|rest| rest.copy(bytes));
+}
+
+fn start(outlet: &Arc<Outlet>) -> io::Result<()> {
+    let own = outlet.clone();
+    let writes = thread::spawn(move || drain(&own));
+    lock(&outlet.writers).push(writes);
+    Ok(())
+}
+
+fn drain(outlet: &Outlet) {
+    while let Some(chunk) = outlet.spill.next(2) {
+        let written = outlet.spill.way().wire().write(&chunk);
+        if written.is_err() {
+            outlet.spill.failed();
+        }
+    }
+}
+
+fn flush(outlet: &Arc<Outlet>) {
+    outlet.spill.flush(|| start(outlet));
+}
+
+fn last(outlet: &Arc<Outlet>, how: Shutdown) {
+    outlet.spill.last(how, || start(outlet));
+}
+
+/// Waits until all writers have ended; what the peer has.
+fn settle(outlet: &Outlet) -> Vec<u8> {
+    loop {
+        let writer = lock(&outlet.writers).pop();
+        match writer {
+            Some(writer) => writer.join().expect("it wrote"),
+            None => return outlet.spill.way().wire().bytes.clone(),
+        }
+    }
+}
+
+fn is_shut(outlet: &Outlet) -> Option<Shutdown> {
+    outlet.spill.way().wire().shut
+}
+
+/// Two answers, of which the socket takes a part at once; then it is finished by the thread that appended.
+fn pushed_and_finished(how: Shutdown) {
+    let outlet = Outlet::new(1, None);
+    for answer in [b"abc", b"def"] {
+        append(&outlet, answer);
+        flush(&outlet);
+    }
+    last(&outlet, how);
+    assert!(!outlet.spill.append(|rest| rest.copy(b"late")));
+    assert_eq!(settle(&outlet), b"abcdef", "what was accepted was not written once and in order");
+    assert_eq!(is_shut(&outlet), Some(how));
+    assert!(!outlet.spill.was_cut() || how == Shutdown::Both, "nothing was cut");
+}
+
+/// The engine appends and flushes in two steps, while the reader finishes.
+fn finished_between(how: Shutdown) {
+    let outlet = Outlet::new(1, None);
+    append(&outlet, b"abc");
+    let own = outlet.clone();
+    let reader = thread::spawn(move || last(&own, how));
+    flush(&outlet);
+    reader.join().expect("it finished");
+    assert_eq!(settle(&outlet), b"abc", "what was accepted was not written once and in order");
+    assert_eq!(is_shut(&outlet), Some(how));
+    assert!(!outlet.spill.was_cut(), "nothing was cut");
+}
+
+/// Two threads answer; a third closes.
+fn closed_between() {
+    let outlet = Outlet::new(1, None);
+    let own = outlet.clone();
+    let closer = thread::spawn(move || own.spill.close());
+    append(&outlet, b"abc");
+    flush(&outlet);
+    append(&outlet, b"def");
+    flush(&outlet);
+    closer.join().expect("it closed");
+    let seen = settle(&outlet);
+    assert!(b"abcdef".starts_with(&seen), "the peer got {seen:?}, which is no beginning of what was sent");
+    assert_eq!(is_shut(&outlet), Some(Shutdown::Both));
+    assert!(!outlet.spill.append(|rest| rest.copy(b"late")), "something is kept after the close");
+    assert!(!outlet.spill.was_cut() || seen != b"abcdef", "all was written, and yet it was cut");
+    outlet.spill.flush(|| panic!("a writer after the close"));
+    assert_eq!(settle(&outlet), seen, "something is written after the close");
+}
+
+/// What is appended once it is closed is neither kept nor written.
+fn appended_after() {
+    let outlet = Outlet::new(100, None);
+    let own = outlet.clone();
+    let closer = thread::spawn(move || own.spill.close());
+    append(&outlet, b"abc");
+    closer.join().expect("it closed");
+    assert!(!outlet.spill.append(|rest| rest.copy(b"late")), "something is kept after the close");
+}
+
+/// The connection breaks under the writer while more is appended.
+fn broken() {
+    let outlet = Outlet::new(1, Some(2));
+    append(&outlet, b"abc");
+    flush(&outlet);
+    append(&outlet, b"d");
+    flush(&outlet);
+    let seen = settle(&outlet);
+    assert!(b"abcd".starts_with(&seen) && seen.len() < 3);
+    assert!(outlet.spill.was_cut(), "bytes were lost and it was not cut");
+    assert_eq!(is_shut(&outlet), Some(Shutdown::Both));
+}
+
+#[test]
+fn what_is_accepted_is_written_once_and_in_order_until_it_is_finished() {
+    for how in [Shutdown::Both, Shutdown::Write] {
+        println!("one thread, {how:?}: {}", check(None, move || pushed_and_finished(how)));
+        println!("two threads, {how:?}: {}", check(None, move || finished_between(how)));
+    }
+}
+
+#[test]
+fn a_close_leaves_a_beginning_and_nothing_comes_after_it() {
+    println!("{}", check(Some(3), closed_between));
+    println!("appended after: {}", check(None, appended_after));
+}
+
+#[test]
+fn a_writer_that_fails_has_cut_the_connection() {
+    println!("{}", check(None, broken));
+}
+
+#[test]
+fn what_is_kept_after_a_close_is_caught() {
+    caught(Plant::SpillAfterClose, "kept after the close", None, appended_after);
+}
+
+#[test]
+fn what_is_written_by_two_is_caught() {
+    caught(Plant::TwoWriters, "once and in order", Some(3), || pushed_and_finished(Shutdown::Both));
+}
+
+#[test]
+fn a_finish_that_drops_the_rest_is_caught() {
+    caught(Plant::FinishDrops, "once and in order", None, || finished_between(Shutdown::Write));
+}
+
+#[test]
+fn a_cut_that_is_forgotten_is_caught() {
+    caught(Plant::CutForgotten, "it was not cut", None, broken);
+}
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -5,7 +5,9 @@
 #![warn(missing_docs)]
 
 mod outlet;
+mod spill;
 mod ticker;
+mod wake;
 
 pub use outlet::{Held, Outlet};
 pub use ticker::Ticker;
--- a/crates/transport/src/ticker.rs
+++ b/crates/transport/src/ticker.rs
@@ -7,61 +7,33 @@
 
 use std::io;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicI64, Ordering};
 use std::thread::Thread;
 use std::time::Duration;
 
 use records::{Clock, Micros};
 
-/// The longest sleep; what is due earlier wakes it.
-const LONGEST: Micros = 100_000;
-/// A tick that the engine has not handled yet is repeated after this.
-const AGAIN: Micros = 1000;
+use crate::wake::Wake;
 
 /// A thread that ticks.
 pub struct Ticker {
-    shared: Arc<Shared>,
+    wake: Arc<Wake>,
     thread: Thread,
 }
 
-struct Shared {
-    due: AtomicI64,
-    sleeps_until: AtomicI64,
-    over: AtomicBool,
-}
-
 impl Ticker {
-    /// Starts the thread; it calls `tick` once something is due.
+    /// Starts the thread; it calls `tick` once something is due. `tick` must not park its thread.
     pub fn start(clock: Clock, tick: impl Fn() + Send + 'static) -> io::Result<Ticker> {
-        let (due, sleeps_until) = (AtomicI64::new(i64::MAX), AtomicI64::new(0));
-        let shared = Arc::new(Shared { due, sleeps_until, over: AtomicBool::new(false) });
-        let own = shared.clone();
-        let run = move || {
-            while !own.over.load(Ordering::SeqCst) {
-                let now = clock.now();
-                // Said before the due time is read: whoever sets an earlier one after this sees it and wakes us.
-                own.sleeps_until.store(i64::MAX, Ordering::SeqCst);
-                let due = own.due.load(Ordering::SeqCst);
-                let until = if due <= now {
-                    tick();
-                    now + AGAIN
-                } else {
-                    due.min(now + LONGEST)
-                };
-                own.sleeps_until.store(until, Ordering::SeqCst);
-                if own.due.load(Ordering::SeqCst) >= until || due <= now {
-                    std::thread::park_timeout(Duration::from_micros((until - now).max(1) as u64));
-                }
-            }
-        };
+        let wake = Arc::new(Wake::new());
+        let own = wake.clone();
+        let sleep = |span: Micros| std::thread::park_timeout(Duration::from_micros(span as u64));
+        let run = move || own.run(|| clock.now(), tick, sleep);
         let thread = std::thread::Builder::new().name("ticker".into()).spawn(run)?.thread().clone();
-        Ok(Ticker { shared, thread })
+        Ok(Ticker { wake, thread })
     }
 
     /// The next due time, in place of the one before.
     pub fn due(&self, at: Micros) {
-        self.shared.due.store(at, Ordering::SeqCst);
-        if at < self.shared.sleeps_until.load(Ordering::SeqCst) {
+        if self.wake.set(at) {
             self.thread.unpark();
         }
     }
@@ -69,7 +41,7 @@
 
 impl Drop for Ticker {
     fn drop(&mut self) {
-        self.shared.over.store(true, Ordering::SeqCst);
+        self.wake.stop();
         self.thread.unpark();
     }
 }
