--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,17 +6,21 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod owed;
+
 use std::io::{self, BufRead, BufReader, Write};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+use crate::owed::Owed;
+
 /// Connections served at a time; a further one is closed at once.
 const CONNECTIONS: usize = 64;
 /// The longest line taken.
@@ -50,23 +54,6 @@
     Error(String),
 }
 
-/// Requests that were read and whose answers are not written yet.
-#[derive(Default)]
-struct Owed {
-    count: Mutex<usize>,
-    none: Condvar,
-}
-
-impl Owed {
-    fn change(&self, by: isize) {
-        let mut count = self.count.lock().unwrap_or_else(|p| p.into_inner());
-        *count = count.saturating_add_signed(by);
-        if *count == 0 {
-            self.none.notify_all();
-        }
-    }
-}
-
 /// A socket that is served.
 #[derive(Clone, Default)]
 pub struct Served(Arc<Owed>);
@@ -76,9 +63,7 @@
     ///
     /// Danger: a process that leaves because it was asked to is gone before its answer is, and the asker takes that for a failure.
     pub fn settle(&self, within: Duration) -> bool {
-        let count = self.0.count.lock().unwrap_or_else(|p| p.into_inner());
-        let waited = self.0.none.wait_timeout_while(count, within, |count| *count > 0);
-        !waited.unwrap_or_else(|p| p.into_inner()).1.timed_out()
+        self.0.settle(within)
     }
 }
 
@@ -142,9 +127,9 @@
         if io::Read::take(&mut reader, LINE).read_line(&mut line)? == 0 {
             return Ok(());
         }
-        owed.change(1);
+        let owing = owed.owe();
         let written = answer(&mut writer, &line, handle);
-        owed.change(-1);
+        drop(owing);
         written?;
     }
 }
@@ -193,6 +178,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::sync::Mutex;
 
     fn path(name: &str) -> PathBuf {
         std::env::temp_dir().join(format!("crowbay-control-{}-{name}", std::process::id()))
--- a/crates/gateway/src/hand.rs
+++ b/crates/gateway/src/hand.rs
@@ -2,24 +2,17 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::Path;
-use std::sync::mpsc::{self, Sender};
 use std::thread;
 
 use decisions::Outcome;
 use filelog::{Log, LogError, Opened};
 use recovery::{Digest, Hand, InHand, Note, Place};
 use storage_core::{AttemptId, Micros, Send};
+use sync::Giver;
 
+use crate::journal::{self, Job, Keeps};
 use crate::message::{Inbox, Message};
 
-/// What the journal's thread is given.
-enum Job {
-    /// Records; a number other than 0 waits for them to be durable.
-    Keep(u64, Vec<Note>),
-    /// All records in place of those that are there.
-    Anew(Vec<Note>),
-}
-
 /// The writes in hand at this gateway, and the thread that keeps their journal.
 pub(crate) struct WorkInHand {
     hand: Hand,
@@ -31,7 +24,7 @@
     waiting: BTreeMap<u64, Send>,
     next: u64,
     rest: Micros,
-    jobs: Sender<Job>,
+    jobs: Giver<Job>,
     /// Records of what is over, which nobody waits for.
     over: Vec<Note>,
 }
@@ -69,33 +62,11 @@
         if mark {
             log.keep_mark()?;
         }
-        let (jobs, inbox_of_thread) = mpsc::channel::<Job>();
+        let (jobs, jobs_of_thread) = sync::handover();
         let keeps = thread::Builder::new().name("journal".into()).spawn(move || {
-            let mut draw = seed;
-            while let Ok(first) = inbox_of_thread.recv() {
-                // All that came meanwhile is made durable with one sync.
-                let jobs: Vec<Job> = std::iter::once(first).chain(inbox_of_thread.try_iter()).collect();
-                let (mut seqs, mut kept) = (Vec::new(), Ok(()));
-                for job in jobs {
-                    match job {
-                        Job::Keep(seq, notes) => {
-                            seqs.extend((seq > 0).then_some(seq));
-                            kept = kept.and_then(|()| notes.iter().try_for_each(|n| log.append(&n.0)));
-                        }
-                        Job::Anew(notes) => {
-                            draw = draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(1);
-                            let all =
-                                log.sync().and_then(|()| log.rewrite(draw, notes.iter().map(|n| &n.0[..])));
-                            kept = kept.and(all);
-                        }
-                    }
-                }
-                let kept = kept.and_then(|()| log.sync());
-                let error = kept.err().map(|e| e.to_string());
-                if !seqs.is_empty() || error.is_some() {
-                    inbox.send(Message::Kept { seqs, error });
-                }
-            }
+            let mut journal = Journal { log, draw: seed };
+            let tell = |seqs, error| inbox.send(Message::Kept { seqs, error });
+            journal::keep(&jobs_of_thread, &mut journal, tell);
         });
         if let Err(error) = keeps {
             return Err(LogError::Io { what: "no thread for", path: path.to_owned(), error });
@@ -137,7 +108,7 @@
         self.waiting.insert(self.next, send);
         let mut notes = std::mem::take(&mut self.over);
         notes.push(note);
-        self.give(Job::Keep(self.next, notes));
+        self.give(Job::Keep(self.next, bytes(notes)));
     }
 
     /// A send whose record is durable, or could not be made so; none if nobody waits for it any more.
@@ -184,19 +155,46 @@
         if self.hand.is_long() && self.waiting.is_empty() {
             self.over.clear();
             let notes = self.hand.anew();
-            self.give(Job::Anew(notes));
+            self.give(Job::Anew(bytes(notes)));
         } else if !self.over.is_empty() {
             let notes = std::mem::take(&mut self.over);
-            self.give(Job::Keep(0, notes));
+            self.give(Job::Keep(0, bytes(notes)));
         }
     }
 
     fn give(&self, job: Job) {
         // The thread ends with the process only.
-        let _ = self.jobs.send(job);
+        self.jobs.give(job);
     }
 }
 
+/// The journal's file, and what numbers the next one.
+struct Journal {
+    log: Log,
+    draw: u64,
+}
+
+impl Keeps for Journal {
+    type Error = LogError;
+
+    fn append(&mut self, record: &[u8]) -> Result<(), LogError> {
+        self.log.append(record)
+    }
+
+    fn sync(&mut self) -> Result<(), LogError> {
+        self.log.sync()
+    }
+
+    fn rewrite(&mut self, records: &[Vec<u8>]) -> Result<(), LogError> {
+        self.draw = self.draw.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(1);
+        self.log.rewrite(self.draw, records.iter().map(Vec::as_slice))
+    }
+}
+
+fn bytes(notes: Vec<Note>) -> Vec<Vec<u8>> {
+    notes.into_iter().map(|note| note.0).collect()
+}
+
 /// Moves a file that is not believed aside, for whoever looks into it.
 fn aside(path: &Path) -> Result<(), LogError> {
     let mut to = path.as_os_str().to_owned();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod front;
 mod gateway;
 mod hand;
+mod journal;
 mod link;
 mod mapping;
 mod message;
--- a/crates/peerlink/src/lib.rs
+++ b/crates/peerlink/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod lane;
 mod lives;
 mod peers;
 
--- a/crates/peerlink/src/peers.rs
+++ b/crates/peerlink/src/peers.rs
@@ -12,11 +12,15 @@
 
 use peer::{Conn, Input, Kind, Life, Mesh, MeshOptions, Micros, Output, PeerName, Told};
 use records::Clock;
+use sync::Giver;
 
+use crate::lane::{self, Came, Way};
 use crate::lives::{Keep, LifeError};
 
 /// A connect takes so long at most.
 const CONNECT: Duration = Duration::from_millis(500);
+/// A connection whose other side takes nothing for so long is broken; longer than any silence that the mesh bears.
+const STUCK: Duration = Duration::from_secs(10);
 /// The longest sleep of the mesh's thread.
 const LONGEST: Micros = 200_000;
 
@@ -52,9 +56,7 @@
 enum Event {
     Dialled(PeerName, Option<TcpStream>),
     Accepted(TcpStream),
-    Bytes(Conn, Vec<u8>),
-    Taken(Conn, usize),
-    Ended(Conn),
+    Came(Conn, Came),
     Ask(PeerName, Kind, Vec<u8>, Micros),
     Answer(Conn, u64, Option<Vec<u8>>),
     Note(Kind, Vec<u8>),
@@ -162,7 +164,7 @@
     clock: Clock,
     addresses: BTreeMap<PeerName, SocketAddr>,
     /// The writer's inbox, and the socket to end.
-    connections: BTreeMap<Conn, (Sender<Vec<u8>>, TcpStream)>,
+    connections: BTreeMap<Conn, (Giver<Vec<u8>>, Arc<TcpStream>)>,
     next: u64,
     events: Sender<Event>,
     tell: Box<dyn Fn(Told) + Send>,
@@ -184,7 +186,7 @@
             };
             self.take(event, &mut out);
         }
-        self.connections.values().for_each(|(_, stream)| end(stream));
+        self.connections.values().for_each(|(_, stream)| stream.end());
     }
 
     fn take(&mut self, event: Option<Event>, out: &mut Vec<Output>) {
@@ -200,9 +202,9 @@
                 Ok(conn) => Input::Accepted { conn },
                 Err(_) => Input::Tick,
             },
-            Some(Event::Bytes(conn, bytes)) => Input::Bytes { conn, bytes },
-            Some(Event::Taken(conn, bytes)) => Input::Taken { conn, bytes },
-            Some(Event::Ended(conn)) => {
+            Some(Event::Came(conn, Came::Bytes(bytes))) => Input::Bytes { conn, bytes },
+            Some(Event::Came(conn, Came::Taken(bytes))) => Input::Taken { conn, bytes },
+            Some(Event::Came(conn, Came::Ended)) => {
                 self.connections.remove(&conn);
                 Input::Ended { conn }
             }
@@ -237,7 +239,7 @@
                 Output::Write(conn, bytes) => {
                     if let Some((writer, _)) = self.connections.get(conn) {
                         // A writer that has ended has told of it.
-                        let _ = writer.send(bytes.clone());
+                        writer.give(bytes.clone());
                     }
                 }
                 Output::Close(conn) => {
@@ -282,42 +284,64 @@
         stream.set_nodelay(true)?;
         self.next += 1;
         let conn = Conn(self.next);
-        let (mut reads, mut writes, ends) = (stream.try_clone()?, stream.try_clone()?, stream);
-        let (writer, pieces) = mpsc::channel::<Vec<u8>>();
+        // Danger: a peer that takes nothing holds the writer, and with it both threads and the descriptor, long after the mesh has
+        // given the connection up. Harm: a peer that stands still for so long with its buffers full has to be dialled again.
+        stream.set_write_timeout(Some(STUCK))?;
+        let (writer, pieces) = sync::handover();
         let (told, taken) = (self.events.clone(), self.events.clone());
-        thread::Builder::new().name("peer-read".into()).spawn(move || {
-            let mut buffer = [0; 16 << 10];
-            loop {
-                match reads.read(&mut buffer) {
-                    Ok(n) if n > 0 => {
-                        if told.send(Event::Bytes(conn, buffer[..n].to_vec())).is_err() {
-                            return;
-                        }
-                    }
-                    Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                    _ => {
-                        let _ = told.send(Event::Ended(conn));
-                        return;
-                    }
-                }
-            }
-        })?;
-        let closes = ends.try_clone()?;
-        thread::Builder::new().name("peer-write".into()).spawn(move || {
-            for bytes in pieces {
-                if writes.write_all(&bytes).is_err() {
-                    break;
-                }
-                let _ = taken.send(Event::Taken(conn, bytes.len()));
-            }
-            end(&closes);
-        })?;
-        self.connections.insert(conn, (writer, ends));
+        let stream = Arc::new(stream);
+        let (reads, writes) = (stream.clone(), stream.clone());
+        thread::Builder::new()
+            .name("peer-read".into())
+            .spawn(move || lane::read_in(&*reads, |came| told.send(Event::Came(conn, came)).is_ok()))?;
+        let writer_thread = thread::Builder::new().name("peer-write".into()).spawn(move || {
+            lane::write_out(&*writes, &pieces, |came| taken.send(Event::Came(conn, came)).is_ok());
+        });
+        if let Err(error) = writer_thread {
+            // Danger: its reader would keep the connection, and the peer would believe in it.
+            stream.end();
+            return Err(error);
+        }
+        self.connections.insert(conn, (writer, stream));
         Ok(conn)
     }
 }
 
-fn end(stream: &TcpStream) {
-    // One that has ended already needs no end.
-    let _ = stream.shutdown(Shutdown::Both);
+impl Way for TcpStream {
+    fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        Read::read(&mut &*self, buffer)
+    }
+
+    fn write_all(&self, bytes: &[u8]) -> io::Result<()> {
+        Write::write_all(&mut &*self, bytes)
+    }
+
+    fn end(&self) {
+        // One that has ended already needs no end.
+        let _ = self.shutdown(Shutdown::Both);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_peer_that_takes_nothing_holds_no_thread() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let peer = TcpStream::connect(listener.local_addr().expect("its address")).expect("it connects");
+        let stream = listener.accept().expect("it is accepted").0;
+        stream.set_write_timeout(Some(Duration::from_millis(20))).expect("a time for writes");
+        let (pieces, given) = sync::handover();
+        // More than the system takes for a peer that does not read.
+        pieces.give(vec![0; 64 << 20]);
+        let (tell, told) = mpsc::channel();
+        thread::scope(|scope| {
+            let (reads, tells) = (&stream, tell.clone());
+            scope.spawn(move || lane::read_in(reads, |came| tells.send(came).is_ok()));
+            scope.spawn(|| lane::write_out(&stream, &given, |came| tell.send(came).is_ok()));
+        });
+        assert_eq!(told.try_iter().collect::<Vec<_>>(), [Came::Ended]);
+        drop(peer);
+    }
 }
--- a/crates/sync/src/checker.rs
+++ b/crates/sync/src/checker.rs
@@ -16,6 +16,8 @@
     EndUnsaid,
     /// The end is looked for before what was given.
     EndFirst,
+    /// A write to a peer that takes nothing waits for ever.
+    NoWriteTimeout,
     /// A writer that failed ends without telling.
     WriterSilent,
     /// Bytes are told as taken before they are written.
