--- a/crates/appliance/src/lib.rs
+++ b/crates/appliance/src/lib.rs
@@ -13,6 +13,7 @@
 mod client;
 mod hub;
 mod journal;
+mod outbox;
 mod processes;
 mod site;
 mod view;
--- a/crates/appliance/src/site.rs
+++ b/crates/appliance/src/site.rs
@@ -396,7 +396,7 @@
             Question::View => Answer::View(Box::new(self.view())),
             Question::Subscribe => {
                 self.hub.set_view(self.view());
-                console.subscribe();
+                self.hub.subscribe(&console);
                 Answer::Done
             }
             Question::Intent(request) => Answer::Verdict(self.intent(&request)),
@@ -437,9 +437,9 @@
 
     fn tell(&mut self) {
         let view = self.view();
-        self.hub.set_view(view.clone());
-        let without = SiteView { gateways: Vec::new(), events: Vec::new(), ..view };
+        let without = SiteView { gateways: Vec::new(), events: Vec::new(), ..view.clone() };
         self.hub.publish(Update::Site(Box::new(without)));
+        self.hub.set_view(view);
     }
 
     fn view(&self) -> SiteView {
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -11,6 +11,7 @@
 use records::Clock;
 
 use crate::connection::{Connection, ConnectionId};
+use crate::entry;
 use crate::message::{Inbox, Message};
 use transport::Outlet;
 
@@ -83,16 +84,13 @@
     fn converse(&self, stream: &mut TcpStream, id: ConnectionId, outlet: Arc<Outlet>) {
         let session = Session::new(&self.target(), self.digests);
         let connection = Arc::new(Connection::new(id, outlet, session));
-        self.inbox.send(Message::Opened(connection.clone()));
+        let say = || self.inbox.send(Message::Opened(connection.clone()));
+        let mut goes_on = entry::enter(&self.gate, id, say);
         let mut buffer = vec![0; READ].into_boxed_slice();
-        loop {
+        while goes_on {
             match stream.read(&mut buffer) {
                 Ok(0) | Err(_) => break,
-                Ok(n) => {
-                    if !self.received(&connection, &buffer[..n]) {
-                        break;
-                    }
-                }
+                Ok(n) => goes_on = self.received(&connection, &buffer[..n]),
             }
         }
         let mut outputs = Vec::new();
@@ -125,7 +123,8 @@
                 }
                 Output::Bound(admission) => {
                     let host = self.target().host(admission.cntlid).unwrap_or_default().to_owned();
-                    self.gate().risen(connection.id, &host);
+                    // One that was let go has nobody to count it any more.
+                    goes_on &= self.gate().risen(connection.id, &host);
                     self.inbox.send(Message::Bound(connection.id, admission, host.into()));
                 }
                 Output::Ended(cntlid) => self.inbox.send(Message::AssociationEnded(cntlid)),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod connection;
 mod engine;
+mod entry;
 mod front;
 mod gateway;
 mod hand;
--- /dev/null
+++ b/crates/interleavings/tests/entry.rs
@@ -0,0 +1,75 @@
+//! A connection gives way to another while it comes in.
+
+extern crate interleavings as sync;
+
+#[path = "../../gateway/src/entry.rs"]
+mod entry;
+
+use std::collections::BTreeSet;
+use std::net::{IpAddr, Ipv4Addr};
+
+use entry::enter;
+use limits::{ConnectionId, Gate, GateOptions, Opened};
+use sync::checker::{Plant, caught, check};
+use sync::{Arc, Mutex, handover, lock, thread};
+
+/// What the engine is told.
+enum Message {
+    Opened(ConnectionId),
+    Evict(ConnectionId),
+}
+
+/// Room for one connection.
+fn gate() -> Gate {
+    let (some, bytes) = (10, 10);
+    Gate::new(GateOptions {
+        connections: 1,
+        from_address: some,
+        rising_from_address: some,
+        way_up: 1000,
+        host_commands: some,
+        commands: some,
+        host_bytes: bytes,
+        bytes,
+    })
+}
+
+/// One is accepted and served, as another is accepted in its place: it must not be left open.
+fn given_way() {
+    let gate = Arc::new(Mutex::new(gate()));
+    let (first, second) = (ConnectionId(1), ConnectionId(2));
+    let from = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let (gives, inbox) = handover();
+    let gives = Arc::new(gives);
+    assert_eq!(lock(&gate).open(0, first, from), Opened::Kept);
+    let (own, tells) = (gate.clone(), gives.clone());
+    let serves = thread::spawn(move || enter(&own, first, || assert!(tells.give(Message::Opened(first)))));
+    assert_eq!(lock(&gate).open(0, second, from), Opened::InPlaceOf(first));
+    gives.give(Message::Evict(first));
+    drop(gives);
+    let goes_on = serves.join().expect("it was served");
+    let (mut known, mut closed) = (BTreeSet::new(), BTreeSet::new());
+    while let Some(message) = inbox.take() {
+        match message {
+            Message::Opened(id) => {
+                known.insert(id);
+            }
+            Message::Evict(id) if known.contains(&id) => {
+                closed.insert(id);
+            }
+            // The engine has no such connection.
+            Message::Evict(_) => {}
+        }
+    }
+    assert!(!goes_on || closed.contains(&first), "a connection that gave way was left open");
+}
+
+#[test]
+fn one_that_gives_way_while_it_comes_in_is_closed() {
+    println!("{}", check(None, given_way));
+}
+
+#[test]
+fn one_that_looks_before_it_is_known_is_caught() {
+    caught(Plant::HeldFirst, "was left open", None, given_way);
+}
--- a/crates/limits/src/gate.rs
+++ b/crates/limits/src/gate.rs
@@ -151,15 +151,24 @@
         Opened::Closed(over)
     }
 
-    /// A connection completed its way up: it is a queue of this host's.
-    pub fn risen(&mut self, id: ConnectionId, host: &str) {
-        let Some(c) = self.connections.get_mut(&id).filter(|c| c.host.is_none()) else { return };
+    /// Whether a connection is let in: it was not turned away, and has not given way.
+    pub fn holds(&self, id: ConnectionId) -> bool {
+        self.connections.contains_key(&id)
+    }
+
+    /// A connection completed its way up: it is a queue of this host's. Whether it is let in still; if not, it is to be closed.
+    pub fn risen(&mut self, id: ConnectionId, host: &str) -> bool {
+        let Some(c) = self.connections.get_mut(&id) else { return false };
+        if c.host.is_some() {
+            return true;
+        }
         c.host = Some(host.to_owned());
         self.rising.remove(&(c.since, id));
         if let Some(of) = self.addresses.get_mut(&c.from) {
             of.rising -= 1;
         }
         self.hosts.entry(host.to_owned()).or_default().connections += 1;
+        true
     }
 
     /// A connection is gone. One that is not known was turned away or gave way: passed over.
--- a/crates/limits/tests/limits.rs
+++ b/crates/limits/tests/limits.rs
@@ -25,7 +25,7 @@
 
 fn up(gate: &mut Gate, now: Micros, id: u64, from: u8, host: &str) {
     assert_eq!(gate.open(now, ConnectionId(id), ip(from)), Opened::Kept);
-    gate.risen(ConnectionId(id), host);
+    assert!(gate.risen(ConnectionId(id), host));
 }
 
 #[test]
@@ -43,11 +43,13 @@
             gate.open(3, ConnectionId(new), ip(4 + new as u8)),
             Opened::InPlaceOf(ConnectionId(oldest))
         );
-        gate.risen(ConnectionId(new), "other");
+        assert!(gate.holds(ConnectionId(new)) && gate.risen(ConnectionId(new), "other"));
+        let gone = ConnectionId(oldest);
+        assert!(!gate.holds(gone) && !gate.risen(gone, "late"), "one that gave way does not come up");
     }
     assert_eq!(gate.open(4, ConnectionId(30), ip(99)), Opened::Closed(Over::Connections));
     gate.close(ConnectionId(10)); // Its end is told later, and passed over.
-    assert_eq!(gate.connections(), (8, 0));
+    assert_eq!((gate.connections(), gate.hosts()), ((8, 0), 2));
 }
 
 #[test]
--- a/crates/sync/src/checker.rs
+++ b/crates/sync/src/checker.rs
@@ -40,10 +40,14 @@
     AckBeforeSync,
     /// Of a group only the last is acknowledged.
     AckLast,
+    /// A connection looks whether it is let in before it is known.
+    HeldFirst,
     /// An answer that was written is taken off without waking who waits for it.
     PaidUnsaid,
-    /// A console's snapshot may be older than what it missed.
+    /// An update is dropped because a snapshot is due, which may be from before it.
     SnapshotStale,
+    /// An update follows a snapshot that it is in.
+    UpdateTwice,
 }
 
 /// Names the mistake that a test's second process plants.
