--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,9 +12,11 @@
 
 mod connection;
 mod engine;
+mod entry;
 mod front;
 mod gateway;
 mod hand;
+mod journal;
 mod link;
 mod mapping;
 mod message;
