--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -278,3 +278,14 @@
 pub fn text(bytes: &Bytes) -> &str {
     std::str::from_utf8(bytes).unwrap_or("?")
 }
+
+pub const ROOMY: Sizes = Sizes { clients: 16, links: 16, answer: 512 << 10, answers: 1 << 20 };
+
+/// A stage, a client, and the connection on which its request is out.
+pub fn sent(request: &str) -> (Stage, SocketId, SocketId) {
+    let mut s = Stage::usual();
+    let client = s.client();
+    s.bytes(client, request);
+    let node = s.raise();
+    (s, client, node)
+}
