shadow: a renewed life counts on under the next; words of the same microsecond do not count as before

A word from a peer now has to come in an earlier microsecond than a read's begin, and the contract on now and began says why. Renewed keeps what the earlier life counted and starts to keep the new one's at once; it was kept only once it had outgrown the old.

--- a/crates/shadow/src/exchange.rs
+++ b/crates/shadow/src/exchange.rs
@@ -19,7 +19,7 @@
         blocks: u32,
         /// The node that answered.
         node: String,
-        /// When the read went out, or earlier.
+        /// When the read went out, or earlier; on the clock of `now`.
         began: Micros,
         /// When its data was in.
         ended: Micros,
@@ -49,7 +49,7 @@
     Tried {
         /// Its name.
         id: TryId,
-        /// When.
+        /// When its data was in.
         ended: Micros,
         /// What it came to.
         outcome: Tried,
@@ -62,6 +62,9 @@
     /// left for good. Without the word of each, no difference is believed.
     Peers(Vec<PeerName>),
     /// A peer's note of this package came.
+    ///
+    /// Danger: with a `now` from before the note arrived, a write that ended just before the peer made it would seem to have
+    /// ended before a read that it raced. `now` is to be read after the note has come in.
     Heard {
         /// The peer.
         from: PeerName,
--- a/crates/shadow/src/gossip.rs
+++ b/crates/shadow/src/gossip.rs
@@ -155,7 +155,7 @@
         self.books.books.get(&self.owner).is_some_and(|book| book.have > self.kept)
     }
 
-    fn keep(&mut self, now: Micros, out: &mut Vec<Output>) {
+    pub(crate) fn keep(&mut self, now: Micros, out: &mut Vec<Output>) {
         let own = self.books.books.iter().filter(|(owner, _)| owner.name == self.options.name);
         let pages = own.map(|(owner, book)| Page {
             owner: owner.clone(),
--- a/crates/shadow/src/peers.rs
+++ b/crates/shadow/src/peers.rs
@@ -99,12 +99,13 @@
         true
     }
 
-    /// All who may have written since `start`, with the last word each gave before it.
+    /// All who may have written since `start`, with the last word each gave before it: in an earlier microsecond, as what
+    /// happened within one cannot be put in order.
     pub(crate) fn words_before(&self, start: Micros) -> Vec<(PeerName, Option<Word>)> {
         let may_write = |known: &Known| known.listed || known.gone.saturating_add(self.rest) >= start;
         let word = |known: &Known| {
             let (life, seat) = known.source?;
-            let (_, tick) = *known.words.iter().rev().find(|(at, _)| *at <= start)?;
+            let (_, tick) = *known.words.iter().rev().find(|(at, _)| *at < start)?;
             Some(Word { life, seat, tick })
         };
         let all = self.known.iter().filter(|(_, known)| may_write(known));
--- a/crates/shadow/src/shadow.rs
+++ b/crates/shadow/src/shadow.rs
@@ -113,7 +113,13 @@
                 self.peers.list(now, &names);
             }
             Input::Heard { from, life, body } => self.heard(now, from, life, &body, out),
-            Input::Renewed(life) => self.owner = owner(&self.options, life, self.seat),
+            Input::Renewed(life) => {
+                if self.is_unkept() {
+                    self.keep(now, out);
+                }
+                self.owner = owner(&self.options, life, self.seat);
+                self.kept = 0;
+            }
             Input::Tick => {}
         }
         self.pass(now, out);
--- a/crates/shadow/tests/cases.rs
+++ b/crates/shadow/tests/cases.rs
@@ -3,7 +3,7 @@
 mod model;
 
 use model::{BAD, Fault, World};
-use shadow::{Doubt, Enough, Lost, Plant, Why};
+use shadow::{Doubt, Enough, Lack, Lost, Plant, ShadowOptions, Why};
 
 /// Runs a fleet of four until so many reads were compared and all say the same.
 fn tried(seed: u64, fault: Fault, plant: Plant, compared: u64) -> World {
@@ -28,10 +28,24 @@
     assert_eq!(model::sent(&verdict), world.sent());
     assert!(verdict.results.raced > 0, "no write raced, the test proves nothing");
     assert!(verdict.sum(|shard| &shard.not_tried, Why::SamePlace) > 0);
+    assert!(matches!(&verdict.enough, Enough::NotYet { lacking } if lacking.is_empty()), "{verdict}");
     let doubt = verdict.sum(|shard| &shard.doubts, Doubt::First);
     assert_eq!(doubt, 0, "a write explains each difference: {verdict}");
 }
 
+#[test]
+fn enough_is_said_once_the_bound_and_each_extent_are_reached() {
+    let mut world = World::new(6, 3, Fault::None, Plant::None);
+    world.options = Box::new(|options| ShadowOptions { target: 0.01, each: 20, ..options });
+    world.start_all();
+    assert!(world.run(60_000_000, |w| w.compared() >= 300));
+    let early = world.verdict(0);
+    assert!(matches!(&early.enough, Enough::NotYet { lacking } if !lacking.is_empty()), "{early}");
+    assert!(world.run(60_000_000, |w| w.verdict(0).enough == Enough::Enough));
+    let verdict = world.verdict(0);
+    assert!(verdict.at_most <= 0.01 && verdict.results.same >= 300, "{verdict}");
+}
+
 #[test]
 fn a_wrong_extent_is_found_and_no_other() {
     let world = tried(2, Fault::Wrong, Plant::None, 5_000);
@@ -87,6 +101,11 @@
                 assert_eq!(bad.lost[&Lost::TimedOut], bad.sent, "{verdict}");
                 assert_eq!(bad.results.compared(), 0);
                 assert!(bad.not_tried[&Why::Out] > 0, "what is out is bounded: {verdict}");
+                let Enough::NotYet { lacking } = &verdict.enough else { panic!("{verdict}") };
+                let volumes = &world.store.candidate.volumes;
+                let shard = |l: &Lack| volumes[l.nsid as usize - 1].shards[l.extent as usize];
+                let on_bad: Vec<&Lack> = lacking.iter().filter(|l| shard(l) == BAD).collect();
+                assert!(!on_bad.is_empty() && on_bad.iter().all(|l| l.same == 0), "{verdict}");
             }
             Fault::Lie => assert!(bad.results.different > 0 && bad.results.same == 0, "{verdict}"),
             _ => {
--- a/crates/shadow/tests/merging.rs
+++ b/crates/shadow/tests/merging.rs
@@ -93,6 +93,25 @@
     assert!(kept >= before * 4 / 5 && kept < before, "{kept} of {before}");
 }
 
+/// A gateway goes on in another life without a restart: what it counted before stays its earlier life's, and is kept.
+#[test]
+fn a_life_that_is_renewed_counts_on_under_the_next() {
+    let mut world = fleet(17, Plant::None);
+    world.run(300_000, |_| false);
+    for turn in 2..4 {
+        world.tell(0, Input::Renewed(model::life(turn)));
+        world.run(250_000, |_| false);
+    }
+    assert!(world.settle());
+    let verdict = world.verdict(2);
+    assert_eq!((model::sent(&verdict), verdict.lives), (world.sent(), 6));
+    world.run(200_000, |_| false);
+    (0..4).for_each(|of| world.kill(of));
+    (0..4).for_each(|of| world.start(of));
+    assert!(world.settle());
+    assert_eq!(model::sent(&world.verdict(1)), world.sent());
+}
+
 /// Two gateways hold one candidate, two another.
 fn two_candidates(plant: Plant) -> (World, u64) {
     let mut world = World::new(14, 4, Fault::None, plant);
--- a/crates/shadow/tests/model/mod.rs
+++ b/crates/shadow/tests/model/mod.rs
@@ -55,6 +55,8 @@
     pub cut: BTreeSet<(usize, usize)>,
     pub tries: BTreeMap<(u32, i64), u64>,
     pub loss: f64,
+    /// Notes sent, and their bytes.
+    pub notes: (u64, u64),
     rng: SmallRng,
     events: BTreeMap<(i64, u64), (usize, u64, Event)>,
     count: u64,
@@ -94,6 +96,7 @@
             cut: BTreeSet::new(),
             tries: BTreeMap::new(),
             loss: 0.02,
+            notes: (0, 0),
             rng: SmallRng::seed_from_u64(seed),
             events: BTreeMap::new(),
             count: 0,
@@ -175,6 +178,8 @@
             Output::Send { to, body } => {
                 let to: usize = to.0[1..].parse().expect("a peer");
                 let life = life(self.gateways[of].life);
+                assert!(body.len() <= 64 << 10, "a note of {} bytes", body.len());
+                self.notes = (self.notes.0 + 1, self.notes.1 + body.len() as u64);
                 let copies = [(1.0 - self.loss), 0.05].map(|p| self.rng.random_bool(p));
                 for _ in copies.iter().filter(|sent| **sent) {
                     let delay = self.rng.random_range(100..10_000);
