--- a/crates/lab/src/change.rs
+++ b/crates/lab/src/change.rs
@@ -22,6 +22,7 @@
             Change::Fault(node, what) => self.fault(node, *what),
             Change::List(node, state) => self.list_change(node, *state),
             Change::Kill(name) => {
+                self.frozen.remove(name);
                 if let Some(mut process) = self.take_gateway(name) {
                     self.down(name, true);
                     process.kill();
@@ -54,8 +55,12 @@
         Ok(())
     }
 
-    fn fault(&self, node: &str, what: Fault) {
-        // One without power has no faults.
+    /// Switches a fault. A node that stands still hears of it when it goes on; one without power has no faults.
+    fn fault(&mut self, node: &str, what: Fault) {
+        if let Some(waiting) = self.frozen.get_mut(node) {
+            waiting.push(what);
+            return;
+        }
         if let Some(Some(process)) = self.nodes.get(node)
             && let Err(error) = fault(&process.control, what)
         {
@@ -75,6 +80,7 @@
     fn stop(&mut self, name: &str) {
         let within = Duration::from_millis(self.site.limits.stop_within_ms.into()) + Duration::from_secs(2);
         let Some(mut process) = self.take_gateway(name) else { return };
+        self.frozen.remove(name);
         self.down(name, false);
         let (gateway, recorder, clock) = (name.to_owned(), self.recorder.clone(), self.clock);
         let leaves = std::thread::spawn(move || {
@@ -90,7 +96,7 @@
     }
 
     /// A process stands still, or goes on; one that is down cannot.
-    fn stall(&self, name: &str, on: bool) {
+    fn stall(&mut self, name: &str, on: bool) {
         let gateway = self.gateways.get(name).and_then(|g| g.process.as_ref());
         let Some(process) = gateway.or(self.nodes.get(name).and_then(|n| n.as_ref())) else { return };
         let line = DayLine::Stall { t: self.clock.now(), gateway: name.to_owned(), on };
@@ -98,9 +104,14 @@
             self.recorder.write(&line);
         }
         process.stall(on);
-        if !on {
-            let t = self.clock.now();
-            self.recorder.write(&DayLine::Stall { t, gateway: name.to_owned(), on });
+        if on {
+            self.frozen.entry(name.to_owned()).or_default();
+            return;
+        }
+        let t = self.clock.now();
+        self.recorder.write(&DayLine::Stall { t, gateway: name.to_owned(), on });
+        for what in self.frozen.remove(name).unwrap_or_default() {
+            self.fault(name, what);
         }
     }
 
@@ -117,6 +128,7 @@
                 self.recorder.write(&DayLine::Stall { t, gateway: name.clone(), on: false });
                 nodes.push((name, process));
             }
+            self.frozen.remove(name);
         }
         gateways.iter_mut().chain(&mut nodes).for_each(|(_, process)| process.strike());
         gateways.iter_mut().chain(&mut nodes).for_each(|(_, process)| process.kill());
@@ -146,7 +158,10 @@
     }
 
     fn list_change(&mut self, node: &str, state: NodeLineState) {
-        let control = self.nodes.get(node).and_then(|n| n.as_ref()).map(|p| p.control.clone());
+        // One that stands still is listed with the start that was seen last.
+        let awake = !self.frozen.contains_key(node);
+        let control =
+            self.nodes.get(node).filter(|_| awake).and_then(|n| n.as_ref()).map(|p| p.control.clone());
         let Some(line) = self.list.get_mut(node) else { return };
         line.state = state;
         if let (NodeLineState::On, Some(control)) = (state, control) {
--- a/crates/lab/src/director.rs
+++ b/crates/lab/src/director.rs
@@ -41,6 +41,8 @@
     /// Gateways told to leave, until they have; one that is to start again waits for its former self.
     pub(crate) leaving: BTreeMap<String, JoinHandle<()>>,
     pub(crate) late_starts: Vec<String>,
+    /// Processes that stand still, and the faults that they hear of when they go on.
+    pub(crate) frozen: BTreeMap<String, Vec<emulator::Fault>>,
     /// Gateways that have left for good.
     pub(crate) departed: BTreeSet<String>,
     pub(crate) stuck: Vec<String>,
@@ -70,6 +72,7 @@
             net: None,
             leaving: BTreeMap::new(),
             late_starts: Vec::new(),
+            frozen: BTreeMap::new(),
             departed: BTreeSet::new(),
             stuck: Vec::new(),
             tell,
