repeats: the collapse shown and the cap judged at the nodes of a fleet in virtual time

Unserved keys are now known for the window and the longest advice: a client told to come back after the window passed for a new request (146 further sends where 57.7 were allowed). Own sight of trouble needs more evidence: a node that refuses 3 of 10 held the shard in recovering. Loans come back on a finer grid, an eighth of the even part is kept.

--- a/crates/repeats/src/account.rs
+++ b/crates/repeats/src/account.rs
@@ -42,7 +42,7 @@
 pub struct Account {
     terms: Terms,
     even: u64,
-    /// Even rights in use, by when they come back. Bounded by the slices in a window and a loan.
+    /// Even rights in use, by when they come back. Bounded by the steps in a window and a loan.
     out: VecDeque<Parcel>,
     /// Earned and borrowed, by when they are dropped. Bounded by the slices of an earned life and the loans in one.
     have: VecDeque<Parcel>,
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -136,7 +136,6 @@
     pub(crate) turned: BTreeSet<(PeerName, &'static str)>,
     pub(crate) next_slice: Micros,
     pub(crate) next_step: Micros,
-    pub(crate) slices: u64,
     pub(crate) counts: Counts,
 }
 
@@ -151,7 +150,10 @@
         let terms = options.terms();
         // The same seed at all gateways must not make them draw the same.
         let seed = xxh3_64_with_seed(options.name.0.as_bytes(), seed ^ life.nonce.0);
-        let kept = if trial.plant == Some(Plant::SketchForgets) { options.window / 2 } else { terms.window };
+        let kept = match trial.plant {
+            Some(Plant::SketchForgets) => options.window / 2,
+            _ => terms.remembered,
+        };
         let mut cap = Cap {
             terms,
             trial,
@@ -161,13 +163,12 @@
             fleet: Account::full(terms, 0),
             fleet_asking: Asking::new(now, &terms),
             lending: Lending::new(terms, life, options.members, trial.plant),
-            sketch: Sketch::new(now, kept),
+            sketch: Sketch::new(now, kept, terms.window),
             peers: Vec::new(),
             heard_worth: BTreeMap::new(),
             turned: BTreeSet::new(),
-            next_slice: terms.up(now + 1),
+            next_slice: terms.down(now) + terms.slice,
             next_step: now + terms.step,
-            slices: 0,
             counts: Counts::default(),
             options,
         };
@@ -230,7 +231,7 @@
         if lacks { next.min(self.next_step) } else { next }
     }
 
-    /// Whether a request like this ended unserved, here or at a peer, within the window. May say so falsely, never the other
+    /// Whether a request like this ended unserved, here or at a peer, within the window and the longest advice. May say so falsely, never the other
     /// way of what was heard.
     pub fn is_repeat(&self, now: Micros, key: u64) -> bool {
         self.sketch.has(now, key)
--- a/crates/repeats/src/course.rs
+++ b/crates/repeats/src/course.rs
@@ -76,7 +76,6 @@
         if now >= self.next_slice {
             let passed = 1 + (now - self.next_slice) / self.terms.slice;
             self.next_slice += passed * self.terms.slice;
-            self.slices = self.slices.wrapping_add(1);
             self.roll(now, usize::try_from(passed.min(SLICES)).unwrap_or(1), out);
             self.sketch.settle(now);
             self.heard_worth.clear();
@@ -91,9 +90,7 @@
                 }
             }
             self.share_out();
-            if self.slices.is_multiple_of(2) {
-                self.tell(now, out);
-            }
+            self.tell(now, out);
         }
         self.fleet.settle(now);
         for post in self.posts.values_mut() {
--- a/crates/repeats/src/message.rs
+++ b/crates/repeats/src/message.rs
@@ -56,7 +56,7 @@
     /// It sees a node of it cold, silent or refusing.
     #[serde(default)]
     pub seen: bool,
-    /// Of what ended there in its last window: served, and refused or unserved.
+    /// Of what ended there in its last window or quarter of one, if that shows trouble: served, and refused or unserved.
     #[serde(default)]
     pub served: u32,
     /// See `served`.
--- a/crates/repeats/src/options.rs
+++ b/crates/repeats/src/options.rs
@@ -9,10 +9,10 @@
 /// The part of `free` that is left while a node of the shard recovers; each gateway has its even part of that.
 pub const RECOVERING_FREE: f64 = 0.25;
 /// The part of its even part that a gateway never lends.
-pub const RESERVE: f64 = 0.25;
-/// Slices of a window: rights that fall due together do so at a slice's end.
+pub const RESERVE: f64 = 0.125;
+/// Slices of a window: what was earned falls due at a slice's end.
 pub const SLICES: Micros = 16;
-/// Steps of a slice: what is borrowed falls due at a step's end.
+/// Steps of a slice: what is borrowed falls due, and what is out comes back, at a step's end.
 const STEPS: Micros = 4;
 
 /// What the cap is told once.
@@ -59,9 +59,10 @@
 }
 
 impl CapOptions {
-    /// Figures to begin with: a window of a second, a tenth of what is served, two free sends a window for each member.
+    /// Figures to begin with: a window of a second, a tenth of what is served, four free sends a window for each member: one
+    /// is left of them while a node recovers.
     pub fn new(name: PeerName, members: usize, shards: Vec<u32>) -> Self {
-        let free = 2.0 * members.max(1) as f64;
+        let free = 4.0 * members.max(1) as f64;
         let fleet_free = free * shards.len().clamp(1, 4) as f64;
         CapOptions {
             name,
@@ -117,7 +118,8 @@
         Terms {
             slice,
             step: slice / STEPS,
-            window: longer(window) + slice,
+            window: longer(window) + slice / 2,
+            remembered: longer(window + self.most_advice.max(0)),
             earned: shorter(window / 2),
             loan: window / 8,
             loan_held: longer(window / 8),
@@ -137,12 +139,14 @@
 /// `t * (1 + drift)` of ours; what must not outlive `t` is dropped after `t * (1 - drift)`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
-    /// What falls due together.
+    /// The grid on which earned rights fall due.
     pub slice: Micros,
-    /// The grid that borrowed rights fall due on.
+    /// The grid on which borrowed rights fall due and spent ones come back.
     pub step: Micros,
-    /// A spent even right comes back after this: the window, and a slice for sends that are a slice long on their way.
+    /// A spent even right comes back after this: the window, and half a slice for sends that are so long on their way.
     pub window: Micros,
+    /// Keys of unserved requests are known for this long: the window and the longest advice.
+    pub remembered: Micros,
     /// A right that was earned is dropped after this: half a window.
     pub earned: Micros,
     /// What a loan's life is stated as, in the judge's time: an eighth of a window.
@@ -164,9 +168,9 @@
         self.window + self.loan_held
     }
 
-    /// The end of the slice that `at` is in; `at` itself on the grid.
+    /// The end of the step that `at` is in; `at` itself on the grid.
     pub(crate) fn up(&self, at: Micros) -> Micros {
-        self.down(at + self.slice - 1)
+        (at + self.step - 1).div_euclid(self.step) * self.step
     }
 
     /// The beginning of the slice that `at` is in.
--- a/crates/repeats/src/shard.rs
+++ b/crates/repeats/src/shard.rs
@@ -20,8 +20,10 @@
 pub const REST: Micros = 8;
 /// Steps from the recovering share back to the whole one, half a window each.
 pub const STEPS: u32 = 4;
-/// Of so many ended in a quarter of a window, half bad is own sight of trouble.
+/// So many that ended in a quarter of a window, all bad, are own sight of trouble.
 const FEW: u32 = 8;
+/// Of so many ended in a window, three quarters bad are.
+const MANY: u32 = 24;
 /// Of so many served in a window, with less than a twentieth bad, the window was healthy.
 const HEALTHY: u32 = 16;
 /// Slices in a quarter of a window.
@@ -143,7 +145,7 @@
 
     /// What a peer saw. Without evidence in it it is nothing.
     pub fn hear(&mut self, now: Micros, from: &PeerName, fact: &Fact) {
-        if !fact.seen && !is_bad(fact.served, fact.bad) {
+        if !fact.seen && !is_trouble(fact.served, fact.bad) {
             return;
         }
         if !self.heard.contains_key(from) && self.heard.len() >= self.most_heard {
@@ -158,15 +160,10 @@
 
     /// What to tell peers: only own sight, and only while there is any. `pass_on` is a planted mistake: what was heard, too.
     pub fn fact(&self, now: Micros, shard: u32, pass_on: bool) -> Option<Fact> {
-        let quarter = self.sum(QUARTER);
         let seen = self.seen && !self.has_long_been_healthy(now)
             || pass_on && self.heard.values().any(|h| now - h.last <= self.window);
-        (seen || is_bad(quarter.served, quarter.bad)).then_some(Fact {
-            shard,
-            seen,
-            served: quarter.served,
-            bad: quarter.bad,
-        })
+        let Tally { served, bad, .. } = self.shown().unwrap_or_default();
+        (seen || bad > 0).then_some(Fact { shard, seen, served, bad })
     }
 
     /// Ends as many slices as have passed and judges anew; true if the state or its step changed.
@@ -188,6 +185,11 @@
         changed
     }
 
+    /// What ended here, if that shows trouble.
+    fn shown(&self) -> Option<Tally> {
+        [QUARTER, SLICES as usize].into_iter().map(|n| self.sum(n)).find(|t| is_trouble(t.served, t.bad))
+    }
+
     fn has_long_been_healthy(&self, now: Micros) -> bool {
         self.healthy.is_some_and(|since| now - since >= self.health)
     }
@@ -202,9 +204,8 @@
         if self.seen {
             return Some("a node of it is cold, silent or refuses");
         }
-        let quarter = self.sum(QUARTER);
-        if is_bad(quarter.served, quarter.bad) {
-            return Some("half of what ended here was refused or unserved");
+        if self.shown().is_some() {
+            return Some("most of what ended here was refused or unserved");
         }
         let mut words = self.heard.values().filter(|h| now - h.last <= self.window);
         match (words.next(), words.next()) {
@@ -267,6 +268,9 @@
     }
 }
 
-fn is_bad(served: u32, bad: u32) -> bool {
-    served + bad >= FEW && bad >= served
+/// What ended here shows trouble by itself: nothing of [`FEW`] in a quarter of a window was served, or three quarters of
+/// [`MANY`] in a whole one were bad. A node that refuses 3 of 10 at random is so taken for one in trouble about once in ten minutes at
+/// a gateway that sends it 30 in a window.
+fn is_trouble(served: u32, bad: u32) -> bool {
+    served == 0 && bad >= FEW || served + bad >= MANY && bad >= 3 * served
 }
--- /dev/null
+++ b/crates/repeats/tests/rig/check.rs
@@ -0,0 +1,98 @@
+//! The rule, judged from what arrived at the nodes and what they served. Shares no code with the package.
+
+use std::collections::BTreeSet;
+
+/// One send as a node saw it.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub at: i64,
+    pub shard: u32,
+    pub request: usize,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    pub arrivals: Vec<Arrival>,
+    /// When and for which shard a node served.
+    pub served: Vec<(i64, u32)>,
+}
+
+/// A bound to judge by: further sends <= free + share x served, in all windows that lie in `within`.
+#[derive(Clone, Copy, Debug)]
+pub struct Rule {
+    pub window: i64,
+    pub free: f64,
+    pub share: f64,
+    /// What was served so long before a window counts, too.
+    pub before: i64,
+    /// The shard; none: all of them.
+    pub shard: Option<u32>,
+    pub within: (i64, i64),
+}
+
+/// The worst window.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Worst {
+    /// Further sends beyond the bound; negative: so much was left.
+    pub excess: f64,
+    pub further: usize,
+    pub bound: f64,
+    pub at: i64,
+}
+
+fn is_in(shard: Option<u32>, of: u32) -> bool {
+    shard.is_none_or(|s| s == of)
+}
+
+impl Records {
+    /// When sends beyond the first of their request arrived. A request's first is the first that arrived anywhere.
+    pub fn further(&self, shard: Option<u32>) -> Vec<i64> {
+        let mut seen = BTreeSet::new();
+        let mut arrivals = self.arrivals.clone();
+        arrivals.sort_by_key(|a| a.at);
+        arrivals.retain(|a| !seen.insert(a.request));
+        arrivals.iter().filter(|a| is_in(shard, a.shard)).map(|a| a.at).collect()
+    }
+
+    /// Holds every window that ends with a further send against the rule.
+    pub fn judge(&self, rule: &Rule) -> Worst {
+        let further = self.further(rule.shard);
+        let mut served: Vec<i64> =
+            self.served.iter().filter(|s| is_in(rule.shard, s.1)).map(|s| s.0).collect();
+        served.sort_unstable();
+        let between = |list: &[i64], from: i64, to: i64| {
+            list.partition_point(|&t| t <= to) - list.partition_point(|&t| t <= from)
+        };
+        let mut worst = Worst { excess: f64::NEG_INFINITY, ..Worst::default() };
+        for &at in &further {
+            if at > rule.within.1 || at - rule.window < rule.within.0 {
+                continue;
+            }
+            let count = between(&further, at - rule.window, at);
+            let bound = rule.free + rule.share * between(&served, at - rule.window - rule.before, at) as f64;
+            let excess = count as f64 - bound;
+            if excess > worst.excess {
+                worst = Worst { excess, further: count, bound, at };
+            }
+        }
+        worst
+    }
+
+    /// All sends for each first one, in the worst of the windows that follow on one another.
+    pub fn amplification(&self, shard: u32, window: i64) -> f64 {
+        let further = self.further(Some(shard));
+        let mut worst = 1.0_f64;
+        let mut all: Vec<i64> = self.arrivals.iter().filter(|a| a.shard == shard).map(|a| a.at).collect();
+        all.sort_unstable();
+        let (mut from, last) = (0, all.last().copied().unwrap_or(0));
+        while from < last {
+            let count = |list: &[i64]| list.iter().filter(|&&t| (from..from + window).contains(&t)).count();
+            let (sends, again) = (count(&all), count(&further));
+            if sends > again {
+                worst = worst.max(sends as f64 / (sends - again) as f64);
+            }
+            from += window / 2;
+        }
+        worst
+    }
+}
