World: split by noun, moves alone

Moves only: connections, gateways, storage nodes, discovery, clients and troubles have a file each; visibility within the world changes, nothing else. cargo test -p world: 12 passed, as before.

--- /dev/null
+++ b/crates/world/src/world/asking.rs
@@ -0,0 +1,144 @@
+//! What clients ask and hear.
+
+use bytes::Bytes;
+use http1::AnswerDecoder;
+use rand_distr::{Distribution, Exp};
+
+use super::conn::{Conn, Peer};
+use super::{Event, LIMITS, NEAR, World};
+use crate::Micros;
+use crate::client::{AIM, Asking, PATIENCE, SLACK};
+use crate::node::ConnId;
+use crate::tally::Tally;
+
+impl World {
+    pub(super) fn next_asks(&mut self, g: usize) {
+        let rate = self.volumes.rates[g];
+        let gap = Exp::new(rate.max(1e-3)).map_or(1.0, |exp| exp.sample(&mut self.rng));
+        self.line.plan((gap * 1e6) as Micros, Event::Asks(g));
+    }
+
+    pub(super) fn asks(&mut self, g: usize) {
+        let now = self.line.now();
+        if now >= self.end {
+            return;
+        }
+        self.next_asks(g);
+        let asking = self.volumes.draw(g, now, &mut self.rng);
+        let id = self.next_request;
+        self.next_request += 1;
+        self.requests.insert(id, asking);
+        self.ask(id);
+    }
+
+    pub(super) fn ask(&mut self, id: u64) {
+        let Some(asking) = self.requests.get(&id) else { return };
+        let (g, text) = (asking.gateway, asking.text(id));
+        self.tally.asked += 1;
+        self.line.plan(PATIENCE + SLACK, Event::GivesUp(id));
+        let idle = loop {
+            match self.gateways[g].idle.pop() {
+                Some(conn) if self.conns.contains_key(&conn) => break Some(conn),
+                Some(_) => {}
+                None => break None,
+            }
+        };
+        let conn = match idle {
+            Some(conn) => conn,
+            None if !self.gateways[g].listening => return self.over(id, |t| &mut t.nobody),
+            None => {
+                let decoder = AnswerDecoder::new(LIMITS);
+                let peer = Peer::Client { decoder, request: None, early: Vec::new() };
+                let conn = self.add_conn(g, None, peer);
+                self.gateways[g].waiting.push_back(conn);
+                self.admit(g);
+                self.drive(g);
+                conn
+            }
+        };
+        if let Some(Conn { peer: Peer::Client { request, .. }, .. }) = self.conns.get_mut(&conn) {
+            *request = Some(id);
+            self.line.plan(NEAR, Event::ToGateway(conn, Bytes::from(text)));
+        }
+    }
+
+    /// Counts a request's end, once.
+    pub(super) fn over(&mut self, id: u64, count: impl Fn(&mut Tally) -> &mut u64) {
+        if let Some(asking) = self.requests.get_mut(&id).filter(|a| !a.ended) {
+            asking.ended = true;
+            *count(&mut self.tally) += 1;
+        }
+    }
+
+    pub(super) fn gives_up(&mut self, id: u64) {
+        self.over(id, |t| &mut t.unanswered);
+    }
+
+    pub(super) fn reach_client(&mut self, conn: ConnId, bytes: &[u8]) {
+        let now = self.line.now();
+        let Some(Conn { gateway, peer: Peer::Client { decoder, request, .. }, .. }) =
+            self.conns.get_mut(&conn)
+        else {
+            return;
+        };
+        let g = *gateway;
+        decoder.receive(bytes);
+        let Ok(Some(answer)) = decoder.poll() else { return };
+        let Some(id) = request.take() else { return };
+        if answer.keep {
+            self.gateways[g].idle.push(conn);
+        }
+        let Some(asking) = self.requests.get(&id).filter(|a| !a.ended) else { return };
+        let (took, again) = (now - asking.asked, asking.again);
+        let held_back = answer.status != 200 && took > PATIENCE / 2 && asking.reached == 0;
+        self.tally.held_back += u64::from(held_back);
+        match answer.status {
+            200 if took <= AIM => self.over(id, |t| &mut t.in_time),
+            200 => self.over(id, |t| &mut t.late),
+            429 | 503 => {
+                self.over(id, |t| &mut t.refused);
+                if self.scenario.returns && !again {
+                    let advice = answer.fields.only("retry-after").ok().flatten();
+                    let advice = advice.and_then(|a| std::str::from_utf8(a).ok()?.parse::<f64>().ok());
+                    let after = (advice.unwrap_or(0.1) * 1e6) as Micros;
+                    self.comes_again(id, after);
+                }
+            }
+            _ => self.over(id, |t| &mut t.failed),
+        }
+    }
+
+    /// A client's one retry, under a new id.
+    pub(super) fn comes_again(&mut self, id: u64, after: Micros) {
+        let now = self.line.now();
+        if now + after >= self.end {
+            return;
+        }
+        let Some(before) = self.requests.get(&id) else { return };
+        let asking = Asking { asked: now + after, reached: 0, again: true, ended: false, ..before.clone() };
+        let next = self.next_request;
+        self.next_request += 1;
+        self.requests.insert(next, asking);
+        self.line.plan(after, Event::Again(next));
+    }
+
+    /// A client's connection ends at the client, who closes its side.
+    pub(super) fn end_at_client(&mut self, conn: ConnId) {
+        let Some(Conn { socket, peer: Peer::Client { request, .. }, .. }) = self.conns.get(&conn) else {
+            return;
+        };
+        let (known, request) = (socket.is_some(), *request);
+        if let Some(id) = request {
+            self.over(id, |t| &mut t.cut);
+        }
+        if known {
+            self.line.plan(NEAR, Event::EndAtGateway(conn));
+        } else {
+            self.drop_conn(conn);
+        }
+        let g = self.conns.get(&conn).map(|c| c.gateway);
+        if let Some(g) = g {
+            self.gateways[g].idle.retain(|&c| c != conn);
+        }
+    }
+}
