--- a/crates/world/src/agent.rs
+++ b/crates/world/src/agent.rs
@@ -73,18 +73,12 @@
     }
 }
 
-/// The agent of one gateway.
-#[derive(Default)]
-pub(crate) struct Agent {
-    /// What it has been sent.
-    pub(crate) knows: u64,
-    /// What it has told over the watch that is open.
-    pub(crate) told: u64,
-}
-
-/// A line of a watch as a chunk.
-pub(crate) fn chunk(text: &str) -> String {
-    format!("{:x}\r\n{text}\n\r\n", text.len() + 1)
+/// A piece of a watch as a chunk.
+pub(crate) fn chunk(text: &[u8]) -> Vec<u8> {
+    let mut chunk = format!("{:x}\r\n", text.len()).into_bytes();
+    chunk.extend_from_slice(text);
+    chunk.extend_from_slice(b"\r\n");
+    chunk
 }
 
 /// The head of a watch's answer.
--- a/crates/world/src/lib.rs
+++ b/crates/world/src/lib.rs
@@ -6,7 +6,7 @@
 //! up to over the fleet is counted in a [`Tally`].
 //!
 //! It is not the bench, and it is calibrated against nothing: no figure here is a score. What it is for is what one gateway
-//! cannot show: sums. One seed gives one world; processor time costs nothing in it, and bytes are never split.
+//! cannot show: sums. One seed gives one world; processor time costs nothing in it, and only what discovery tells is cut into pieces.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -14,7 +14,9 @@
 mod agent;
 mod bounds;
 mod client;
+mod cold;
 mod config;
+mod learning;
 mod node;
 mod plant;
 mod scenario;
@@ -24,7 +26,7 @@
 
 pub use bounds::Bounds;
 pub use plant::Plant;
-pub use scenario::{Scenario, Trouble};
+pub use scenario::{Ill, Outage, Scenario, Trouble, Writing};
 pub use tally::Tally;
 pub use world::World;
 
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -4,6 +4,41 @@
 
 use crate::Micros;
 
+/// How agents write what they tell.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Writing {
+    /// A list comes over several lines, with blank lines before and after.
+    pub indented: bool,
+    /// What is told comes in pieces of so many bytes at most, cut anywhere; 0: in one.
+    pub piece: usize,
+}
+
+/// What agents do that cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Watches that are open, and those opened meanwhile, come up and say nothing, then and later.
+    Silent,
+    /// Watches end, calls are refused.
+    Refuses,
+    /// Watches end, calls come up and are reset once they ask.
+    Resets,
+}
+
+/// What ails a node.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Ill {
+    /// It works so many times slower.
+    Slow(f64),
+    /// It answers this part of the requests with an error, unseen.
+    Fails(f64),
+    /// It takes requests and answers none of them, then or later.
+    Hangs,
+    /// It sends this part of its answers a second time, so long after the first at most, on the same connection.
+    Repeats(f64, Micros),
+    /// This part of the connections to it comes up late, by up to a second.
+    UpLate(f64),
+}
+
 /// Something that goes wrong, at a time counted from the start.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Trouble {
@@ -34,7 +69,8 @@
         /// Until they start again.
         back: Micros,
     },
-    /// All gateways are told to leave, a tenth at a time, and start again later.
+    /// All gateways are told to leave, a tenth at a time, are killed at the earliest time that the platform states, and start
+    /// again later.
     Roll {
         /// From when.
         at: Micros,
@@ -43,13 +79,50 @@
         /// From the word to leave to the new start.
         back: Micros,
     },
-    /// Agents refuse their gateways' calls.
+    /// Agents cannot be used.
     NoDiscovery {
+        /// What they do.
+        how: Outage,
         /// From when.
         at: Micros,
         /// For how long.
         lasts: Micros,
     },
+    /// The open watches of a part of the gateways fall silent: they stay open, and nothing more comes.
+    Mute {
+        /// The part, 0 to 1.
+        part: f64,
+        /// When.
+        at: Micros,
+        /// Their later watches fall silent too, so long after they were answered.
+        again: Option<Micros>,
+    },
+    /// Something ails a part of the nodes.
+    Ails {
+        /// The part, 0 to 1.
+        part: f64,
+        /// What.
+        ill: Ill,
+        /// From when.
+        at: Micros,
+        /// For how long.
+        lasts: Micros,
+    },
+}
+
+impl Trouble {
+    /// When it begins, counted from the start.
+    pub fn at(&self) -> Micros {
+        match *self {
+            Trouble::Silence { at, .. }
+            | Trouble::Replace { at, .. }
+            | Trouble::Kill { at, .. }
+            | Trouble::Roll { at, .. }
+            | Trouble::NoDiscovery { at, .. }
+            | Trouble::Mute { at, .. }
+            | Trouble::Ails { at, .. } => at,
+        }
+    }
 }
 
 /// A world.
@@ -77,6 +150,15 @@
     pub places: usize,
     /// Lists reach agents after so long, drawn for each gateway and change.
     pub lag: (Micros, Micros),
+    /// How agents write.
+    pub writing: Writing,
+    /// From the word that a node drains to its end; until then it serves.
+    pub drain: Micros,
+    /// A gateway that starts again has the list of the world's beginning in its configuration, not what its agent knows.
+    pub old_known: bool,
+    /// Clients of a gateway that is told to leave go on to send on every connection that stays open, one sends half a
+    /// request, one pipelines.
+    pub persist: bool,
     /// Descriptors that a gateway's machine grants.
     pub sockets: u64,
     /// Clients that come again after a refusal, once.
@@ -116,6 +198,10 @@
             },
             places: 700,
             lag: (300_000, 2_000_000),
+            writing: Writing::default(),
+            drain: 2_000_000,
+            old_known: false,
+            persist: false,
             sockets: 512,
             returns: true,
             troubles: Vec::new(),
--- a/crates/world/src/tally.rs
+++ b/crates/world/src/tally.rs
@@ -61,6 +61,30 @@
     pub killed_open: u64,
     /// The most calls for the list within a tenth of a second that were not a gateway's first.
     pub most_again: usize,
+    /// How long after its agent had it each gateway learnt each change, and after it counted as told.
+    pub learning: Vec<(Micros, Micros)>,
+    /// Changes that gateways had not learnt at the end, the grace after they counted as told.
+    pub unlearnt: u64,
+    /// Requests sent to draining nodes later than the grace allows.
+    pub drained_late: u64,
+    /// The longest time from when a drain counted as told to a request to that node.
+    pub latest_drain: Micros,
+    /// Answers handed to another request than the one they were made for.
+    pub wrong: u64,
+    /// Answers that nodes sent twice.
+    pub repeated: u64,
+    /// Cold nodes that fall by the platform's budget by the fault of gateways that had been told.
+    pub cold_blamed: u64,
+    /// The most of what a cold node bears in a window that one of them got.
+    pub cold_worst: f64,
+    /// Requests that clients sent on connections that had stayed open after the word to leave.
+    pub pressed: u64,
+    /// Of the requests at gateways that were told to leave, those without an answer: come within 0.7 s of that, and later.
+    pub lost_early: u64,
+    /// See [`Tally::lost_early`].
+    pub lost_late: u64,
+    /// Microseconds of all outages of agents.
+    pub outages: Micros,
     calls: VecDeque<Micros>,
     again: VecDeque<Micros>,
 }
@@ -75,6 +99,23 @@
         }
     }
 
+    /// A gateway learnt a change, so long after its agent had it, and after it counted as told.
+    pub(crate) fn learnt(&mut self, since_has: Micros, since_counts: Micros) {
+        self.learning.push((since_has, since_counts));
+    }
+
+    /// How long gateways took to learn a change from when their agent had it: the median, and the longest.
+    pub fn learnt_after(&self) -> (Micros, Micros) {
+        let mut all: Vec<Micros> = self.learning.iter().map(|l| l.0).collect();
+        all.sort_unstable();
+        (all.get(all.len() / 2).copied().unwrap_or(0), all.last().copied().unwrap_or(0))
+    }
+
+    /// The longest that a gateway took from when a change counted as told; below 0: it never came to that.
+    pub fn learnt_late(&self) -> Micros {
+        self.learning.iter().map(|l| l.1).max().unwrap_or(0)
+    }
+
     /// Part of what was asked that was served in time.
     pub fn service(&self) -> f64 {
         self.in_time as f64 / self.asked.max(1) as f64
@@ -93,6 +134,11 @@
              connects {} up {} used {} crowded {} most connections {}\n\
              list calls {} most at once {}, again {}\n\
              fallen {} cold sent {:.0} of {:.0}\n\
+             worst cold node {:.2} of what it bears, fallen by those told {}\n\
+             learnt {} after median {} ms, at worst {} ms, {} ms after it counted; never {}\n\
+             to draining nodes too late {}, at worst {} ms after the word\n\
+             answers for another request {}, sent twice {}\n\
+             asked after the word to leave {}, lost of the first 0.7 s {}, of later {}\n\
              most held {}",
             self.asked,
             self.in_time,
@@ -118,6 +164,20 @@
             self.fallen,
             self.cold_sent,
             self.cold_borne,
+            self.cold_worst,
+            self.cold_blamed,
+            self.learning.len(),
+            self.learnt_after().0 / 1000,
+            self.learnt_after().1 / 1000,
+            self.learnt_late() / 1000,
+            self.unlearnt,
+            self.drained_late,
+            self.latest_drain / 1000,
+            self.wrong,
+            self.repeated,
+            self.pressed,
+            self.lost_early,
+            self.lost_late,
             self.most_held
         )
     }
--- a/crates/world/src/world/conn.rs
+++ b/crates/world/src/world/conn.rs
@@ -1,11 +1,14 @@
 //! Connections, and what reaches their ends at gateways.
 
+use std::collections::VecDeque;
+
+use bytes::Bytes;
 use http1::{AnswerDecoder, RequestDecoder};
 use platform::SocketId;
 
 use super::{AT_ONCE, Event, World};
-use crate::Plant;
 use crate::node::ConnId;
+use crate::{Micros, Plant};
 
 pub(super) enum Peer {
     Node {
@@ -16,18 +19,39 @@
         lost: bool,
         /// A request has come on it.
         used: bool,
+        /// A planted mistake: the answer that was kept.
+        kept: Option<Bytes>,
     },
-    Agent {
-        up: bool,
-    },
+    Agent(Watch),
     Client {
         decoder: AnswerDecoder,
-        request: Option<u64>,
+        /// Asked on it and not answered, in order.
+        requests: VecDeque<u64>,
         /// What came before the gateway accepted it.
         early: Vec<u8>,
+        /// The client has seen its end.
+        over: bool,
     },
 }
 
+/// A connection to an agent.
+#[derive(Default)]
+pub(super) struct Watch {
+    pub(super) up: bool,
+    /// It says nothing more, or never said anything.
+    pub(super) mute: bool,
+    /// The version told last on it, once it was asked.
+    pub(super) told: Option<u64>,
+    /// When all that was told on it has come.
+    pub(super) clear: Micros,
+}
+
+impl Watch {
+    pub(super) fn speaks(&self) -> bool {
+        self.up && !self.mute && self.told.is_some()
+    }
+}
+
 pub(super) struct Conn {
     pub(super) gateway: usize,
     pub(super) socket: Option<SocketId>,
@@ -75,7 +99,7 @@
                 self.tally.came_up += 1;
                 self.tally.most_connections = self.tally.most_connections.max(node.connections);
             }
-            Peer::Agent { up } => *up = true,
+            Peer::Agent(watch) => watch.up = true,
             Peer::Client { .. } => {}
         }
         let (g, Some(socket)) = (c.gateway, c.socket) else { return };
@@ -87,6 +111,8 @@
 
     pub(super) fn reach_gateway(&mut self, conn: ConnId, bytes: &[u8]) {
         let now = self.line.now();
+        let spoilt = self.spoilt(conn, bytes);
+        let bytes = spoilt.as_deref().unwrap_or(bytes);
         let Some(c) = self.conns.get_mut(&conn) else { return };
         if let Peer::Node { face, lost, .. } = &c.peer
             && (*lost || self.nodes[*face].silent)
@@ -94,6 +120,9 @@
             return;
         }
         let g = c.gateway;
+        if let Peer::Agent(_) = c.peer {
+            self.gateways[g].spoke = now;
+        }
         let Some(socket) = c.socket else {
             if let Peer::Client { early, .. } = &mut c.peer {
                 early.extend_from_slice(bytes);
@@ -106,6 +135,15 @@
         }
     }
 
+    /// What comes instead of an answer, where handing it to the next request is planted.
+    fn spoilt(&mut self, conn: ConnId, bytes: &[u8]) -> Option<Bytes> {
+        if self.plant != Plant::NextAnswer {
+            return None;
+        }
+        let Peer::Node { kept, .. } = &mut self.conns.get_mut(&conn)?.peer else { return None };
+        kept.replace(Bytes::copy_from_slice(bytes))
+    }
+
     /// A connection ends at its gateway: the other side closed or reset it, or it never came.
     pub(super) fn end_at_gateway(&mut self, conn: ConnId) {
         let now = self.line.now();
@@ -113,7 +151,7 @@
         let (g, socket) = (c.gateway, c.socket);
         let (was_up, node) = match c.peer {
             Peer::Node { up, face, .. } => (up, Some(face)),
-            Peer::Agent { up } => (up, None),
+            Peer::Agent(Watch { up, .. }) => (up, None),
             Peer::Client { .. } => (true, None),
         };
         self.drop_conn(conn);
@@ -123,6 +161,7 @@
         }
         let Some(socket) = socket else { return };
         self.gateways[g].sockets.remove(&socket);
+        self.rests(g, socket);
         if let Some(machine) = &mut self.gateways[g].machine {
             machine.ended(now, socket, !was_up);
             self.drive(g);
--- a/crates/world/src/world/storage.rs
+++ b/crates/world/src/world/storage.rs
@@ -6,18 +6,31 @@
 
 use super::conn::{Conn, Peer};
 use super::{Event, HANDSHAKE, LIMITS, WAY, World};
+use crate::Micros;
 use crate::node::{ConnId, Work};
+use crate::scenario::Ill;
+use rand::Rng;
+
+/// Connections that come up late do so within this.
+const UP_LATE: Micros = 1_000_000;
 
 impl World {
     pub(super) fn connect(&mut self, g: usize, socket: Option<SocketId>, face: usize) {
         self.tally.connects += 1;
         let decoder = RequestDecoder::new(LIMITS);
-        let conn =
-            self.add_conn(g, socket, Peer::Node { face, up: false, decoder, lost: false, used: false });
+        let conn = self.add_conn(
+            g,
+            socket,
+            Peer::Node { face, up: false, decoder, lost: false, used: false, kept: None },
+        );
+        let late = match self.nodes.get(face).and_then(|n| n.ill) {
+            Some(Ill::UpLate(part)) if self.rng.random_bool(part) => self.rng.random_range(0..UP_LATE),
+            _ => 0,
+        };
         if self.nodes.get(face).is_none_or(|n| n.gone) {
             self.line.plan(WAY * 2, Event::EndAtGateway(conn));
         } else if !self.nodes[face].silent {
-            self.line.plan(WAY * 2 + HANDSHAKE, Event::Up(conn));
+            self.line.plan(WAY * 2 + HANDSHAKE + late, Event::Up(conn));
         }
     }
 
@@ -54,8 +67,19 @@
         self.tally.attempts += 1;
         self.tally.further += u64::from(asking.reached > 0);
         asking.reached += 1;
+        let (units, g) = (asking.units, asking.gateway);
+        let told = self.gateways[g].learning.starts.get(&n).is_some_and(|&counts| now >= counts);
+        self.tally.cold_blamed += u64::from(self.nodes[n].pressed(now, units, told));
+        match self.nodes[n].ill {
+            Some(Ill::Hangs) => return,
+            Some(Ill::Fails(part)) if self.rng.random_bool(part) => {
+                let answer = http1::answer(500, &[], b"", true);
+                return self.line.plan(WAY, Event::ToGateway(conn, answer));
+            }
+            _ => {}
+        }
+        let Some(asking) = self.requests.get(&id) else { return };
         let key = asking.write.then_some(asking.object);
-        let units = asking.units;
         match self.nodes[n].arrive(now, Work { conn, request: id, key }, units) {
             Arrival::Taken => self.plan_node(n),
             Arrival::Full => {
@@ -90,6 +114,13 @@
             let body = work.request.to_string();
             let load = [("X-Server-Load", "TEXT inflight=1")];
             let answer = http1::answer(200, &load, body.as_bytes(), true);
+            if let Some(Ill::Repeats(part, most)) = self.nodes[n].ill
+                && self.rng.random_bool(part)
+            {
+                let after = self.rng.random_range(1..=most);
+                self.tally.repeated += 1;
+                self.line.plan(WAY + after, Event::ToGateway(work.conn, answer.clone()));
+            }
             self.line.plan(WAY, Event::ToGateway(work.conn, answer));
         }
         self.plan_node(n);
