--- a/crates/world/src/tally.rs
+++ b/crates/world/src/tally.rs
@@ -57,7 +57,7 @@
     pub most_held: usize,
     /// Gateways started.
     pub starts: u64,
-    /// Requests open at gateways that were killed.
+    /// Requests open at gateways that are no more.
     pub killed_open: u64,
     /// The most calls for the list within a tenth of a second that were not a gateway's first.
     pub most_again: usize,
@@ -83,6 +83,8 @@
     pub lost_early: u64,
     /// See [`Tally::lost_early`].
     pub lost_late: u64,
+    /// Watches that fell silent.
+    pub silenced: u64,
     /// Microseconds of all outages of agents.
     pub outages: Micros,
     calls: VecDeque<Micros>,
--- a/crates/world/src/world/asking.rs
+++ b/crates/world/src/world/asking.rs
@@ -191,6 +191,9 @@
         };
         *over = true;
         let (g, known, open) = (*gateway, socket.is_some(), std::mem::take(requests));
+        if self.gateways[g].machine.is_none() {
+            self.tally.killed_open += open.len() as u64;
+        }
         for id in open {
             let unanswered = self.requests.get(&id).filter(|a| !a.ended);
             if let (Some(left), Some(asking)) = (self.gateways[g].left, unanswered) {
--- a/crates/world/src/world/discovery.rs
+++ b/crates/world/src/world/discovery.rs
@@ -180,6 +180,7 @@
         let Some(Conn { gateway, peer: Peer::Agent(watch), .. }) = self.conns.get_mut(&conn) else { return };
         let g = *gateway;
         watch.mute = true;
+        self.tally.silenced += 1;
         if self.watches(g).is_empty() {
             self.gateways[g].learning.silent.get_or_insert(now);
         }
