fleet: a probe lasts under five periods, however slow the ways and whoever doubts itself

Two of 10,000 drawn schedules did not settle within the bound: a member that had been slow and then died was probed for up to sixteen periods at a time, as its long ways were lengthened once more by the prober's own doubt. The settling bound now counts six probes of four and a half periods.

--- a/crates/fleet/src/detector.rs
+++ b/crates/fleet/src/detector.rs
@@ -209,7 +209,9 @@
         took.sort_unstable();
         let known = self.peers.get(&target).map_or(0, |p| p.round_trip);
         let round_trip = known.max(took[1]).min(4 * self.period);
-        let relay = (self.period / 4).max(2 * round_trip).min(4 * self.period) * times;
+        // The quarter and the whole of a period are lengthened by doubt, the ways by what they are known to take; together
+        // they stay under five periods, or a silence would take too long to find out.
+        let relay = (self.period / 4 * times).max(2 * round_trip).min(4 * self.period);
         let ends = (self.period * times).max(relay + self.period / 2);
         self.probe =
             Some(Probe { target: target.clone(), began: now, relay_at: Some(now + relay), ends: now + ends });
--- a/crates/fleet/src/input.rs
+++ b/crates/fleet/src/input.rs
@@ -34,7 +34,8 @@
     Leave,
     /// An operator says that a member has left for good in this life.
     Left(PeerName, Life),
-    /// Time has passed; wanted at [`crate::Fleet::next_due`].
+    /// Time has passed; wanted at [`crate::Fleet::next_due`]. If nothing at all comes in until more than a period later, the
+    /// gateway takes itself for stopped or starved.
     Tick,
 }
 
--- a/crates/fleet/src/options.rs
+++ b/crates/fleet/src/options.rs
@@ -54,11 +54,11 @@
         }
     }
 
-    /// Periods within which all that reach each other hold one view after the last fault. Derived in docs/fleet/view.md:
-    /// the longest suspicion twice (that one begins late, and one that is refuted too late is seen anew), the most probes
-    /// in a row while this gateway doubts itself, and two rounds of gossip and of exchange.
+    /// Periods within which all that reach each other hold one view after the last fault, as docs/fleet/view.md derives it:
+    /// the longest suspicion twice (one that is refuted too late is seen anew), six probes in a row of four and a half
+    /// periods, two rounds of gossip there and back, and two draws of an exchange.
     pub fn settling(&self) -> u32 {
-        2 * self.suspicion.0.max(self.suspicion.1) + 12 + 4 * log2(self.members.len()) + 2 * self.exchange
+        2 * self.suspicion.0.max(self.suspicion.1) + 27 + 4 * log2(self.members.len()) + 2 * self.exchange
     }
 }
 
