shadow: nothing is tried while a difference could not be judged

Reads that came out the same were counted while a gateway had just started or a peer was silent, when no difference could have been: the bound promised more than was looked at, and differences of those times were unknown for good. A note now says when its sender cannot speak for its writes yet.

--- a/crates/shadow/src/counts.rs
+++ b/crates/shadow/src/counts.rs
@@ -12,6 +12,8 @@
     Across,
     /// Its extent lies on the same shard, or this node, in both maps: a node compared with itself proves nothing.
     SamePlace,
+    /// A difference could not be judged: this gateway or a peer has just started, or a peer has said no word of late.
+    Unjudged,
     /// Requests were held here.
     Busy,
     /// The candidate's shard has no node that may be tried.
@@ -66,7 +68,8 @@
     NoNode,
 }
 
-pub(crate) const WHYS: [Why; 6] = [Why::Across, Why::SamePlace, Why::Busy, Why::NoNode, Why::Out, Why::Rate];
+pub(crate) const WHYS: [Why; 7] =
+    [Why::Across, Why::SamePlace, Why::Unjudged, Why::Busy, Why::NoNode, Why::Out, Why::Rate];
 pub(crate) const DOUBTS: [Doubt; 7] = [
     Doubt::First,
     Doubt::OwnWrites,
--- a/crates/shadow/src/gossip.rs
+++ b/crates/shadow/src/gossip.rs
@@ -21,6 +21,7 @@
             digest: self.digest,
             seat: self.seat,
             tick: self.writes.tick(),
+            blind: self.writes.is_blind(),
             have: None,
             pages: Vec::new(),
             asks: Vec::new(),
@@ -83,7 +84,8 @@
         let Some(note) = decode::<Note>(body) else {
             return self.turn_away(from, "a note cannot be read", out);
         };
-        if !self.peers.heard(now, &from, life, note.seat, note.tick) {
+        let tick = (!note.blind).then_some(note.tick);
+        if !self.peers.heard(now, &from, life, note.seat, tick) {
             return;
         }
         for said in note.said.iter().take(MOST_ASKS) {
--- a/crates/shadow/src/message.rs
+++ b/crates/shadow/src/message.rs
@@ -13,6 +13,9 @@
     /// Of the sender's instance, drawn when it started: ticks of two instances have nothing to do with each other.
     pub(crate) seat: u64,
     pub(crate) tick: u64,
+    /// The sender cannot say yet what it has written: its tick is no word.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub(crate) blind: bool,
     /// How far the sender's books reach, all of them; what it lacks may be sent to it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) have: Option<Vec<Reach>>,
--- a/crates/shadow/src/peers.rs
+++ b/crates/shadow/src/peers.rs
@@ -9,6 +9,9 @@
 /// Words that are remembered of a peer, a beat apart: reads that began before the oldest find none.
 const MOST_WORDS: usize = 24;
 
+/// A peer that has said no word for so many beats is silent: what it writes now will hardly be known.
+const LATELY: Micros = 4;
+
 /// What a peer had said before a read began.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Word {
@@ -27,6 +30,13 @@
     told: BTreeSet<&'static str>,
 }
 
+impl Known {
+    /// Whether it may have written since `start`: also when it was taken off the list, as long as its writes rest.
+    fn may_write(&self, start: Micros, rest: Micros) -> bool {
+        self.listed || self.gone.saturating_add(rest) >= start
+    }
+}
+
 pub(crate) struct Peers {
     rest: Micros,
     /// Words closer than this replace nothing.
@@ -74,10 +84,17 @@
         self.known.get(name).is_some_and(|known| known.listed)
     }
 
-    /// A peer said a tick. Whether it counts: an earlier life's late note does not.
+    /// A peer said a tick, or that it has none to say. Whether it counts: an earlier life's late note does not.
     ///
     /// Danger: a note may come twice or late; it then says less than was known, and never more. What was said last counts.
-    pub(crate) fn heard(&mut self, now: Micros, name: &PeerName, life: Life, seat: u64, tick: u64) -> bool {
+    pub(crate) fn heard(
+        &mut self,
+        now: Micros,
+        name: &PeerName,
+        life: Life,
+        seat: u64,
+        tick: Option<u64>,
+    ) -> bool {
         let apart = self.apart;
         let known = self.of(name);
         match known.source {
@@ -88,6 +105,7 @@
                 known.words.clear();
             }
         }
+        let Some(tick) = tick else { return true };
         let last = known.words.back().copied();
         let tick = last.map_or(tick, |(_, said)| said.max(tick));
         if last.is_none_or(|(at, _)| now - at >= apart) {
@@ -102,16 +120,25 @@
     /// All who may have written since `start`, with the last word each gave before it: in an earlier microsecond, as what
     /// happened within one cannot be put in order.
     pub(crate) fn words_before(&self, start: Micros) -> Vec<(PeerName, Option<Word>)> {
-        let may_write = |known: &Known| known.listed || known.gone.saturating_add(self.rest) >= start;
         let word = |known: &Known| {
             let (life, seat) = known.source?;
             let (_, tick) = *known.words.iter().rev().find(|(at, _)| *at < start)?;
             Some(Word { life, seat, tick })
         };
-        let all = self.known.iter().filter(|(_, known)| may_write(known));
+        let all = self.known.iter().filter(|(_, known)| known.may_write(start, self.rest));
         all.map(|(name, known)| (name.clone(), word(known))).collect()
     }
 
+    /// Whether each that may have written since `start` had said a word before it, and one not long ago.
+    pub(crate) fn speak(&self, now: Micros, start: Micros) -> bool {
+        let recent = now.saturating_sub(self.apart.saturating_mul(2 * LATELY));
+        let speaks = |known: &Known| {
+            known.words.front().is_some_and(|(at, _)| *at < start)
+                && known.words.back().is_some_and(|(at, _)| *at >= recent)
+        };
+        self.known.values().all(|known| speaks(known) || !known.may_write(start, self.rest))
+    }
+
     /// Whether a peer's counts may be answered now: once in half a beat, so that one who asks without end costs little.
     pub(crate) fn may_answer(&mut self, now: Micros, name: &PeerName) -> bool {
         let apart = self.apart;
--- a/crates/shadow/src/shadow.rs
+++ b/crates/shadow/src/shadow.rs
@@ -97,6 +97,7 @@
         if let Some(why) = self.refused.take() {
             out.push(Output::TurnedAway { from: self.options.name.clone(), why });
         }
+        self.writes.pass(now);
         match input {
             Input::Read { nsid, slba, blocks, node, began, ended, digest } => {
                 self.read(now, Range { nsid, slba, blocks }, node, (began, ended), digest, out);
@@ -204,6 +205,10 @@
         };
         let node_to = if place.from == place.to {
             Err(Why::SamePlace)
+        } else if !self.can_judge(now, began) {
+            // Danger: reads that came out the same would be counted in times when no difference could be, and the bound would
+            // promise more than was looked at. Harm: nothing is tried while a gateway starts or a peer is silent.
+            Err(Why::Unjudged)
         } else if self.is_busy {
             Err(Why::Busy)
         } else {
@@ -218,6 +223,10 @@
         }
     }
 
+    fn can_judge(&self, now: Micros, began: Micros) -> bool {
+        !self.writes.is_blind() && self.peers.speak(now, began.saturating_sub(self.options.settle))
+    }
+
     fn send(&mut self, pair: Pair, out: &mut Vec<Output>) {
         let Range { nsid, slba, blocks } = pair.range;
         let (shard, node, patience) = (pair.place.to, pair.to_node.clone(), self.options.patience);
--- a/crates/shadow/src/writes.rs
+++ b/crates/shadow/src/writes.rs
@@ -69,6 +69,11 @@
         self.tick
     }
 
+    /// Whether some of what was written may not be known here.
+    pub(crate) fn is_blind(&self) -> bool {
+        self.blind.is_some()
+    }
+
     pub(crate) fn began(&mut self, now: Micros, token: u64, range: Range) {
         self.pass(now);
         self.tick += 1;
--- a/crates/shadow/tests/planted.rs
+++ b/crates/shadow/tests/planted.rs
@@ -8,7 +8,7 @@
 use peer::{Life, PeerName};
 use shadow::{
     Candidate, Digest, Doubt, Input, Lost, Output, Plant, Results, Shadow, ShadowOptions, Tried, TryId,
-    VolumeMap,
+    VolumeMap, Why,
 };
 
 /// The right candidate under writes, with a mistake: how many reads are called different.
@@ -34,7 +34,9 @@
 fn second_tries(plant: Plant) -> u64 {
     let mut pair = Two::new(plant, 0);
     let mut ids = Vec::new();
+    pair.beat(900_000);
     for at in 0..50 {
+        pair.beat(980_000 + at * 100_000);
         ids.extend(pair.read(0, 1_000_000 + at * 100_000, at as u64));
         if let Some(id) = ids.last() {
             let ended = 1_050_000 + at * 100_000;
@@ -155,15 +157,20 @@
 
     /// A read that the candidate's node answers otherwise, begun at `now`.
     fn differ(&mut self, of: usize, now: i64) {
-        let ids = self.read(of, now + 500, 1);
         let outcome = Tried::Data(Digest::of(b"other"));
-        self.tell(of, now + 900, Input::Tried { id: ids[0], ended: now + 900, outcome });
+        for id in self.read(of, now + 500, 1) {
+            self.tell(of, now + 900, Input::Tried { id, ended: now + 900, outcome });
+        }
     }
 
     fn results(&self) -> Results {
         self.shadows[0].verdict().results
     }
 
+    fn unjudged(&self) -> u64 {
+        self.shadows[0].verdict().sum(|shard| &shard.not_tried, Why::Unjudged)
+    }
+
     fn doubts(&self, doubt: Doubt) -> u64 {
         self.shadows[0].verdict().sum(|shard| &shard.doubts, doubt)
     }
@@ -219,8 +226,10 @@
 fn a_difference_stays_unknown_while_a_peer_does_not_speak() {
     let mut two = Two::new(Plant::None, 0);
     let times: Vec<i64> = second().take(20).collect();
-    two.differ(0, 500);
-    assert_eq!(two.doubts(Doubt::OwnWrites), 1, "an earlier life may have left writes in flight");
+    two.differ(0, 400);
+    assert_eq!(two.unjudged(), 1, "an earlier life may have left writes in flight");
+    two.differ(0, 2_000);
+    assert_eq!(two.unjudged(), 2, "the peer has not said a word since its own rest");
     two.beat(times[0]);
     two.held = Some(Vec::new());
     two.differ(0, times[0] + 10_000);
@@ -229,15 +238,15 @@
     assert_eq!((two.shadows[0].held(), two.doubts(Doubt::NoWordAfter)), ((0, 0), 1));
     // What comes too late settles nothing.
     two.release(times[8]);
-    assert_eq!((two.doubts(Doubt::NoWordAfter), two.results().unknown, two.results().different), (1, 2, 0));
+    assert_eq!((two.doubts(Doubt::NoWordAfter), two.results().unknown, two.results().different), (1, 1, 0));
     // A peer that is new has not said a word.
     two.tell(0, times[9], Input::Peers(vec![name(1), name(2)]));
     two.differ(0, times[9] + 10_000);
-    assert_eq!(two.doubts(Doubt::NoWordBefore), 1);
+    assert_eq!(two.unjudged(), 3);
     // One that was taken off the list may have left writes in flight, until their rest is over.
     two.tell(0, times[10], Input::Peers(vec![name(1)]));
     two.differ(0, times[10] + 100);
-    assert_eq!(two.doubts(Doubt::NoWordBefore), 2);
+    assert_eq!(two.unjudged(), 4);
     two.beat(times[11]);
     two.differ(0, times[11] + 10_000);
     assert_eq!((two.doubts(Doubt::First), two.results().different), (1, 0));
--- a/crates/shadow/tests/slice.rs
+++ b/crates/shadow/tests/slice.rs
@@ -119,7 +119,8 @@
 #[test]
 fn a_node_gets_its_rate_over_the_fleet_and_no_more() {
     let mut world = World::new(21, 4, Fault::None, Plant::None);
-    world.options = Box::new(|options| ShadowOptions { node_rate: 40.0, ..options });
+    world.options =
+        Box::new(|options| ShadowOptions { node_rate: 40.0, rest: 1_000, beat: 10_000, ..options });
     world.start_all();
     for _ in 0..30 {
         world.run(100_000, |_| false);
@@ -137,7 +138,7 @@
 fn alone(tell: impl IntoIterator<Item = Input>, node: &str) -> (usize, Verdict) {
     let (candidate, current) = good();
     let mut options = ShadowOptions::new(name(0), candidate, current, 1);
-    options.node_rate = 1e6;
+    (options.node_rate, options.rest) = (1e6, 1_000);
     let mut shadow = Shadow::new(options, life(1), None, 0, 1).expect("it fits");
     let mut out = Vec::new();
     tell.into_iter().for_each(|input| shadow.handle(0, input, &mut out));
