--- a/crates/shadow/src/laws.rs
+++ b/crates/shadow/src/laws.rs
@@ -70,6 +70,7 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(100))]
     /// Any contents at all, also such as no honest owner would make.
     #[test]
     fn the_join_is_commutative_associative_and_idempotent(a in steps(), b in steps(), c in steps()) {
@@ -118,6 +119,7 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig::with_cases(100))]
     /// Copies that came in parts from others at several moments, until the owner was gone: all of them come to hold all that any
     /// of them held.
     #[test]
