--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,22 +1,23 @@
 //! A link to a node: an admin queue and an I/O queue, brought up when needed and kept.
 
+mod answers;
+mod rise;
+
 use std::collections::{HashMap, VecDeque};
-use std::io::{self, Read, Write};
+use std::io;
 use std::net::{Shutdown, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use decisions::Outcome;
-use may::net::TcpStream;
 use may::sync::Semphore;
-use nvme::{
-    GatherList, HostEvent, HostFault, Initiator, InitiatorOptions, Reply, Sqe, StatusCode, Submission, admin,
-};
-use storage_core::{AttemptId, End, Opcode, Send};
+use nvme::{GatherList, Initiator, Sqe, Submission, admin};
+use storage_core::{AttemptId, End, Send};
 
 use crate::message::{Inbox, Message};
 use crate::options::LinkOptions;
+use answers::submission;
 use transport::Outlet;
 
 /// Bytes read at a time.
@@ -256,143 +257,6 @@
             .for_each(|s| self.inbox.send(Message::Ended(s.attempt, End::of(Outcome::Unreachable))));
         over
     }
-
-    /// Connects and brings both queues up; the watch ends it if it takes too long.
-    fn connect(self: &Arc<Self>) -> Result<TcpStream, LinkError> {
-        let (mut admin_stream, admin, ready) = self.bring_up(0, 0, 8192)?;
-        let HostEvent::Ready { cntlid, limits: Some(limits) } = ready else {
-            return Err(LinkError::NoLimits);
-        };
-        let (stream, initiator, _) = self.bring_up(1, cntlid, limits.in_capsule)?;
-        let outlet = Arc::new(Outlet::new(&stream, SPILL)?);
-        let admin_outlet = Arc::new(Outlet::new(&admin_stream, SPILL)?);
-        let (mut ended, mut dirty) = (Vec::new(), Vec::new());
-        {
-            let mut state = self.state();
-            if state.phase == Phase::Over {
-                return Err(LinkError::Over);
-            }
-            state.enter(Phase::Up);
-            state.kept = Instant::now();
-            state.queue = Some((initiator, outlet.clone()));
-            state.admin = Some((admin, admin_outlet));
-            while let Some(send) = state.waiting.pop_front() {
-                let attempt = send.attempt;
-                ended.extend(self.submit(&mut state, send, &mut dirty).map(|end| (attempt, end)));
-            }
-        }
-        dirty.iter().for_each(Outlet::flush);
-        ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::Ended(a, end)));
-        let link = self.clone();
-        task::spawn("link-admin", move || {
-            link.read_admin(&mut admin_stream);
-            // Without its admin queue the association is over, and so is the I/O queue.
-            outlet.close();
-        })?;
-        Ok(stream)
-    }
-
-    /// Opens a connection and goes all the way up to a queue that takes commands.
-    fn bring_up(
-        &self,
-        qid: u16,
-        cntlid: u16,
-        in_capsule: u32,
-    ) -> Result<(TcpStream, Initiator, HostEvent), LinkError> {
-        // Danger: a timed connect takes its timer off the poller's list on a worker's thread while the poller walks it (`may`
-        // 0.3.51, EventData::fast_schedule), by its source; not shown to have done harm here: test processes were aborted
-        // with a damaged heap before and after it was taken out (docs/architecture.md). Harm: where a node's packets are swallowed the system's own time-out ends the try; what waits
-        // for the link is ended in time by the watch all the same.
-        let mut stream = TcpStream::connect(self.address)?;
-        stream.set_nodelay(true)?;
-        let _rising = Rising::new(self, &stream)?;
-        let mut out = BytesMut::new();
-        let options = InitiatorOptions {
-            host: self.host.clone(),
-            host_id: self.host_id,
-            subsystem: self.options.subsystem.clone(),
-            qid,
-            cntlid,
-            entries: if qid == 0 { ADMIN_ENTRIES } else { self.options.entries },
-            kato: u32::try_from(self.options.keep_alive.as_millis()).unwrap_or(u32::MAX),
-            digests: self.options.digests,
-            in_capsule,
-            max_data: MAX_DATA,
-        };
-        let mut initiator = Initiator::new(options, &mut out);
-        let (mut buffer, mut events) = (vec![0; 8192], Vec::new());
-        loop {
-            stream.write_all(&out)?;
-            out.clear();
-            let n = stream.read(&mut buffer)?;
-            if n == 0 {
-                return Err(LinkError::Closed);
-            }
-            initiator.receive(&buffer[..n], &mut out, &mut events);
-            match events.pop() {
-                None => {}
-                Some(HostEvent::Fault(fault)) => return Err(fault.into()),
-                Some(ready) => return Ok((stream, initiator, ready)),
-            }
-        }
-    }
-
-    /// Reads the admin queue until its connection ends.
-    fn read_admin(&self, stream: &mut TcpStream) {
-        let (mut buffer, mut events) = (vec![0; 1024], Vec::new());
-        loop {
-            let n = match stream.read(&mut buffer) {
-                Ok(0) | Err(_) => return,
-                Ok(n) => n,
-            };
-            let mut state = self.state();
-            let Some((initiator, outlet)) = &mut state.admin else { return };
-            let mut out = GatherList::new();
-            initiator.receive(&buffer[..n], &mut out, &mut events);
-            outlet.push(out);
-            if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
-                return;
-            }
-        }
-    }
-
-    /// Reads answers until the connection ends.
-    fn read(&self, stream: &mut TcpStream) {
-        let mut buffer = vec![0; READ].into_boxed_slice();
-        let mut events = Vec::new();
-        loop {
-            let n = match stream.read(&mut buffer) {
-                Ok(0) | Err(_) => return,
-                Ok(n) => n,
-            };
-            let mut goes_on = true;
-            let mut ended = Vec::new();
-            {
-                let mut state = self.state();
-                let State { queue: Some((initiator, outlet)), flights, .. } = &mut *state else { return };
-                let mut out = GatherList::new();
-                initiator.receive(&buffer[..n], &mut out, &mut events);
-                outlet.push(out);
-                for event in events.drain(..) {
-                    match event {
-                        HostEvent::Reply(reply) => {
-                            let flight = flights.remove(&reply.user);
-                            ended.extend(flight.map(|f| (f.0, end_of(reply))));
-                        }
-                        HostEvent::Fault(fault) => {
-                            tracing::warn!(address = %self.address, %fault, "a link is broken");
-                            goes_on = false;
-                        }
-                        HostEvent::Ready { .. } => {}
-                    }
-                }
-            }
-            ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::Ended(a, end)));
-            if !goes_on {
-                return;
-            }
-        }
-    }
 }
 
 impl State {
@@ -401,22 +265,6 @@
     }
 }
 
-/// Names the connection that is on its way up, for the watch to end.
-struct Rising<'a>(&'a Link);
-
-impl<'a> Rising<'a> {
-    fn new(link: &'a Link, stream: &TcpStream) -> io::Result<Self> {
-        link.state().rising = Some(stream.inner().try_clone()?);
-        Ok(Rising(link))
-    }
-}
-
-impl Drop for Rising<'_> {
-    fn drop(&mut self) {
-        self.0.state().rising = None;
-    }
-}
-
 fn close(state: &mut State) {
     if let Some((_, outlet)) = state.queue.take() {
         outlet.close();
@@ -425,44 +273,3 @@
         admin.close();
     }
 }
-
-fn submission(send: &Send, user: u64) -> Submission {
-    let (opcode, expect) = match send.opcode {
-        Opcode::Read => (nvme::io::READ, send.bytes),
-        Opcode::Write => (nvme::io::WRITE, 0),
-        Opcode::Flush => (nvme::io::FLUSH, 0),
-    };
-    let mut sqe = Sqe::blocks(opcode, send.nsid, send.slba, send.blocks);
-    sqe.set_token(send.token);
-    sqe.set_cdw(14, u32::from(send.keyed));
-    sqe.set_cdw(15, send.attempt.n);
-    Submission { sqe, data: send.data.clone(), expect, user }
-}
-
-/// What a node's answer tells. Only its own word for *full* proves that a command never ran.
-fn end_of(reply: Reply) -> End {
-    let outcome = if reply.status.is_success() {
-        Outcome::Served
-    } else if reply.status.is(StatusCode::VendorFull) {
-        Outcome::Full
-    } else {
-        Outcome::Error
-    };
-    let load = (outcome == Outcome::Served).then_some(reply.dw0);
-    End { outcome, data: reply.data, load }
-}
-
-/// Why a link did not come up.
-#[derive(Debug, thiserror::Error)]
-enum LinkError {
-    #[error("connection: {0}")]
-    Io(#[from] io::Error),
-    #[error("it closed on the way up")]
-    Closed,
-    #[error("the controller did not identify itself")]
-    NoLimits,
-    #[error(transparent)]
-    Host(#[from] HostFault),
-    #[error("the link was ended")]
-    Over,
-}
--- /dev/null
+++ b/crates/gateway/src/link/answers.rs
@@ -0,0 +1,96 @@
+//! What comes from a node, and what goes to it.
+
+use std::io::Read;
+
+use decisions::Outcome;
+use may::net::TcpStream;
+use nvme::{GatherList, HostEvent, Reply, Sqe, StatusCode, Submission};
+use storage_core::{End, Opcode, Send};
+
+use super::{Link, READ, State};
+use crate::message::Message;
+
+impl Link {
+    /// Reads the admin queue until its connection ends.
+    pub(super) fn read_admin(&self, stream: &mut TcpStream) {
+        let (mut buffer, mut events) = (vec![0; 1024], Vec::new());
+        loop {
+            let n = match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return,
+                Ok(n) => n,
+            };
+            let mut state = self.state();
+            let Some((initiator, outlet)) = &mut state.admin else { return };
+            let mut out = GatherList::new();
+            initiator.receive(&buffer[..n], &mut out, &mut events);
+            outlet.push(out);
+            if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
+                return;
+            }
+        }
+    }
+
+    /// Reads answers until the connection ends.
+    pub(super) fn read(&self, stream: &mut TcpStream) {
+        let mut buffer = vec![0; READ].into_boxed_slice();
+        let mut events = Vec::new();
+        loop {
+            let n = match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return,
+                Ok(n) => n,
+            };
+            let mut goes_on = true;
+            let mut ended = Vec::new();
+            {
+                let mut state = self.state();
+                let State { queue: Some((initiator, outlet)), flights, .. } = &mut *state else { return };
+                let mut out = GatherList::new();
+                initiator.receive(&buffer[..n], &mut out, &mut events);
+                outlet.push(out);
+                for event in events.drain(..) {
+                    match event {
+                        HostEvent::Reply(reply) => {
+                            let flight = flights.remove(&reply.user);
+                            ended.extend(flight.map(|f| (f.0, end_of(reply))));
+                        }
+                        HostEvent::Fault(fault) => {
+                            tracing::warn!(address = %self.address, %fault, "a link is broken");
+                            goes_on = false;
+                        }
+                        HostEvent::Ready { .. } => {}
+                    }
+                }
+            }
+            ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::Ended(a, end)));
+            if !goes_on {
+                return;
+            }
+        }
+    }
+}
+
+pub(super) fn submission(send: &Send, user: u64) -> Submission {
+    let (opcode, expect) = match send.opcode {
+        Opcode::Read => (nvme::io::READ, send.bytes),
+        Opcode::Write => (nvme::io::WRITE, 0),
+        Opcode::Flush => (nvme::io::FLUSH, 0),
+    };
+    let mut sqe = Sqe::blocks(opcode, send.nsid, send.slba, send.blocks);
+    sqe.set_token(send.token);
+    sqe.set_cdw(14, u32::from(send.keyed));
+    sqe.set_cdw(15, send.attempt.n);
+    Submission { sqe, data: send.data.clone(), expect, user }
+}
+
+/// What a node's answer tells. Only its own word for *full* proves that a command never ran.
+fn end_of(reply: Reply) -> End {
+    let outcome = if reply.status.is_success() {
+        Outcome::Served
+    } else if reply.status.is(StatusCode::VendorFull) {
+        Outcome::Full
+    } else {
+        Outcome::Error
+    };
+    let load = (outcome == Outcome::Served).then_some(reply.dw0);
+    End { outcome, data: reply.data, load }
+}
