settings: tables for the view, the cap and a candidate, each wrong value with line and key

A cap or a candidate without the view is told what to do; extents left out, twice or beyond the end, and shards without a node, are named. Nothing reads them yet.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -10,6 +10,7 @@
 use crate::schema::*;
 
 mod day;
+mod fleet;
 
 /// Problems told at most.
 const MOST: usize = 50;
@@ -188,6 +189,7 @@
         self.names("node", s.node.iter().map(|n| n.name.as_str()));
         self.nodes(s);
         self.volumes(s, &plans, &gateways);
+        self.fleet(s);
         self.day(s);
     }
 
@@ -292,8 +294,9 @@
                 self.problem(format!("gateway[{n}].listen"), format!("{} is used twice", gateway.listen));
             }
             match gateway.peer {
-                None if s.recovery.is_some() && s.gateway.len() > 1 => {
-                    let what = "with [recovery] a gateway's peers need an address to connect to";
+                None if (s.recovery.is_some() || s.fleet.is_some()) && s.gateway.len() > 1 => {
+                    let table = if s.recovery.is_some() { "recovery" } else { "fleet" };
+                    let what = format!("with [{table}] a gateway's peers need an address to connect to");
                     self.problem(format!("gateway[{n}].peer"), what);
                 }
                 Some(peer) if peer.port() != 0 && !addresses.insert(peer) => {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod assemble;
 mod check;
 mod day;
+mod fleet;
 mod lines;
 mod process;
 mod schema;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -17,7 +17,10 @@
     /// Where clients connect; port 0 lets the system choose.
     #[serde(default = "any_port")]
     pub listen: SocketAddr,
-    /// Where its peers connect, for `[recovery]`; port 0 lets the system choose, and peers are then told otherwise.
+    /// Its zone, for `[fleet]`.
+    #[serde(default)]
+    pub zone: u32,
+    /// Where its peers connect, for `[recovery]` and `[fleet]`; port 0 lets the system choose, and peers are then told otherwise.
     pub peer: Option<SocketAddr>,
 }
 
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -23,6 +23,12 @@
     pub log: Log,
     /// Coming back after a loss of power; without it a gateway is open at once and talks to no other.
     pub recovery: Option<Recovery>,
+    /// The fleet's view; without it a gateway knows of no other.
+    pub fleet: Option<FleetTable>,
+    /// The cap on repeats over all gateways; without it each keeps its own budget alone.
+    pub repeats: Option<CapTable>,
+    /// A candidate shard map, tried in the shadow.
+    pub candidate: Option<CandidateTable>,
     /// The appliance.
     #[serde(default)]
     pub appliance: Appliance,
