--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -72,8 +72,10 @@
         Some(path) => json_file(path)?,
         None => BTreeMap::new(),
     };
-    options.returning =
-        site.return_options(index, folder, &told).map(|r| gateway::ReturnOptions { mark: args.mark, ..r });
+    options.company = site.company_options(index, folder, &told);
+    if let Some(returning) = options.company.as_mut().and_then(|c| c.returning.as_mut()) {
+        returning.mark = args.mark;
+    }
     let gateway = Gateway::start(options)?;
     if args.with_parent {
         end_with_parent();
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -2,6 +2,7 @@
 
 mod attempts;
 mod commands;
+mod company;
 mod control;
 mod look;
 mod orders;
@@ -20,6 +21,7 @@
 use recovery::InHand;
 use storage_core::{Core, Effect, Micros, Ticket};
 
+use crate::company::Company;
 use crate::connection::{Connection, ConnectionId};
 use crate::front::Front;
 use crate::link::Link;
@@ -76,6 +78,7 @@
     started: Micros,
     next_housekeeping: Micros,
     stop_by: Option<Micros>,
+    company: Option<Company>,
     returning: Option<Returning>,
     /// Reads of places whose writes from before are to be settled.
     settling: HashMap<Ticket, InHand>,
@@ -90,6 +93,7 @@
         address: String,
         front: Arc<Front>,
         inbox: Inbox,
+        company: Option<Company>,
         returning: Option<Returning>,
     ) -> Self {
         let core = Core::new(options.catalogue.clone(), options.seed);
@@ -111,6 +115,7 @@
             dirty: Vec::new(),
             next_housekeeping: 0,
             stop_by: None,
+            company,
             returning,
             settling: HashMap::new(),
             starts: HashMap::new(),
@@ -174,7 +179,7 @@
         match message {
             Message::Tick => {}
             Message::Kept { seqs, error } => self.kept(now, seqs, error),
-            Message::Peer(told) => self.return_with(now, |r, orders| r.told(now, told, orders)),
+            Message::Peer(told) => self.heard(now, told),
             Message::Opened(connection) => {
                 let (tickets, host) = (HashMap::new(), Arc::from(""));
                 let client = Client { admission: None, tickets, host, connection: connection.clone() };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,6 +14,7 @@
 use nvme::{DiscoveryEntry, Target};
 use records::Clock;
 
+use crate::company::Company;
 use crate::engine::Engine;
 use crate::front::Front;
 use crate::message::{Inbox, Message};
@@ -97,15 +98,21 @@
         let ticks = inbox.clone();
         let ticker =
             Ticker::start(front.clock, move || ticks.send(Message::Tick)).map_err(GatewayError::Start)?;
-        let returning = match options.returning.take() {
-            Some(r) => {
-                let (catalogue, seed) = (&options.catalogue, options.seed);
-                Some(Returning::start(r, catalogue, seed, front.clock.now(), inbox.clone())?)
+        let (mut company, mut returning) = (None, None);
+        if let Some(c) = options.company.take() {
+            let names = c.peers.peers.iter().map(|p| p.0.clone()).collect();
+            let folder = c.peers.folder.clone();
+            let peers = Company::start(c.peers, inbox.clone())?;
+            if let Some(r) = &c.returning {
+                let (catalogue, seed, now) = (&options.catalogue, options.seed, front.clock.now());
+                let company = (peers.clone(), names, folder.as_path());
+                returning = Some(Returning::start(r, company, catalogue, seed, now, inbox.clone())?);
             }
-            None => None,
-        };
-        let peer_address = returning.as_ref().map(Returning::address);
-        let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone(), returning);
+            company = Some(peers);
+        }
+        let peer_address = company.as_ref().map(Company::address);
+        let engine =
+            Engine::new(options, address.to_string(), front.clone(), inbox.clone(), company, returning);
         let (over, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod company;
 mod connection;
 mod engine;
 mod front;
@@ -22,6 +23,7 @@
 mod returning;
 mod status;
 
+pub use company::CompanyOptions;
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use crate::returning::ReturnOptions;
+use crate::company::CompanyOptions;
 use limits::GateOptions;
 use nvme::{Digests, TargetOptions};
 use serde::{Deserialize, Serialize};
@@ -112,6 +112,6 @@
     pub control: Option<PathBuf>,
     /// Told to stop, it leaves within this, having answered all it took.
     pub stop_within: Duration,
-    /// It has peers, and asks them when it comes back; without it, it is open at once.
-    pub returning: Option<ReturnOptions>,
+    /// It has peers; without them it is open at once, and talks to nobody.
+    pub company: Option<CompanyOptions>,
 }
--- a/crates/gateway/src/returning.rs
+++ b/crates/gateway/src/returning.rs
@@ -4,31 +4,29 @@
 //! is, goes to the module. Off unless the site has a `[recovery]` table.
 
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use decisions::NodeId;
 use nvme::IoCommand;
-use peer::{Kind, Told, wire};
-use peerlink::{PeerOptions, Peers};
+use peer::{Kind, PeerName, Told, wire};
 use recovery::{
     Act, Admission, AdmissionOptions, Closed, Digest, Entry, Fact, InHand, Phase, Place, Plant, Recovery,
     RecoveryOptions, Shown, Word,
 };
 use storage_core::{Catalogue, Micros};
 
+use crate::company::Company;
 use crate::gateway::GatewayError;
 use crate::hand::WorkInHand;
-use crate::message::{Inbox, Message};
+use crate::message::Inbox;
 
 /// A question for a peer's word, and the note of one's own.
-const WORD: Kind = Kind(1);
+pub(crate) const WORD: Kind = Kind(1);
 
 /// Settings of a gateway that asks its peers when it comes back.
 #[derive(Clone, Debug)]
 pub struct ReturnOptions {
-    /// Its peers, and the folder of its lives.
-    pub peers: PeerOptions,
     /// Peers are waited for so long at most.
     pub ask_for: Duration,
     /// The longest that anything sent before a loss may still run at a node.
@@ -52,7 +50,7 @@
 pub(crate) struct Returning {
     recovery: Recovery,
     admission: Admission,
-    peers: Peers,
+    peers: Company,
     file: PathBuf,
     work: Option<WorkInHand>,
     born: Micros,
@@ -72,22 +70,19 @@
 impl Returning {
     /// Begins the next life, reads what the last one held, and starts to ask.
     pub(crate) fn start(
-        options: ReturnOptions,
+        options: &ReturnOptions,
+        (peers, names, folder): (Company, Vec<PeerName>, &Path),
         catalogue: &Catalogue,
         seed: u64,
         now: Micros,
         inbox: Inbox,
     ) -> Result<Returning, GatewayError> {
         let s = &catalogue.settings;
-        let names = options.peers.peers.iter().map(|p| p.0.clone()).collect();
-        let folder = options.peers.folder.clone();
         let file = folder.join("word");
         let before: Option<Word> = match filelog::read(&file)? {
             Some(bytes) => Some(wire::decode(&bytes).ok_or_else(|| GatewayError::Word(file.clone()))?),
             None => None,
         };
-        let tells = inbox.clone();
-        let peers = Peers::start(options.peers, move |told| tells.send(Message::Peer(told)))?;
         let rest = options.rest.as_micros() as Micros;
         let work = if options.journal {
             Some(WorkInHand::open(&folder.join("hand"), seed ^ now as u64, options.mark, rest, inbox)?)
@@ -147,11 +142,6 @@
         })
     }
 
-    /// Where its peers connect.
-    pub(crate) fn address(&self) -> std::net::SocketAddr {
-        self.peers.address()
-    }
-
     /// The orders from before, which are in force until later ones come.
     pub(crate) fn word(&self) -> &Word {
         self.recovery.word()
@@ -199,16 +189,15 @@
                     self.said(now, peer, word, orders);
                 }
             }
-            Told::NewLife { peer, before, now } => tracing::info!(%peer, %before, %now, "a peer lives anew"),
-            Told::Stale { peer, claim, seen } => {
-                tracing::warn!(%peer, %claim, %seen, "a peer came with a life that is over, and was turned away");
-            }
-            Told::Refused { peer, why } => {
-                let peer = peer.map_or_else(String::new, |p| p.0);
-                tracing::error!(peer, why, "a peer cannot be talked to");
-            }
             Told::Renewed { life } => self.recovery.renewed(life),
-            Told::Quiet { .. } | Told::Heard { .. } | Told::Superseded { .. } | Told::Noted { .. } => {}
+            // The company has them written down, or they are another's.
+            Told::Quiet { .. }
+            | Told::Heard { .. }
+            | Told::NewLife { .. }
+            | Told::Stale { .. }
+            | Told::Refused { .. }
+            | Told::Superseded { .. }
+            | Told::Noted { .. } => {}
         }
     }
 
@@ -217,7 +206,7 @@
         Word { served_for, ..self.recovery.word().clone() }
     }
 
-    fn said(&mut self, now: Micros, peer: peer::PeerName, word: Word, orders: &mut Vec<Order>) {
+    fn said(&mut self, now: Micros, peer: PeerName, word: Word, orders: &mut Vec<Order>) {
         self.witnessed |= word.served_for >= self.warm_after;
         self.learn(now, Fact::Said(peer, word), orders);
     }
--- a/crates/peerlink/src/peers.rs
+++ b/crates/peerlink/src/peers.rs
@@ -57,7 +57,8 @@
     Ended(Conn),
     Ask(PeerName, Kind, Vec<u8>, Micros),
     Answer(Conn, u64, Option<Vec<u8>>),
-    Note(Kind, Vec<u8>),
+    /// To this peer alone, or to all.
+    Note(Option<PeerName>, Kind, Vec<u8>),
     Stop,
 }
 
@@ -143,7 +144,12 @@
 
     /// Tells all peers that are connected.
     pub fn note(&self, kind: Kind, body: Vec<u8>) {
-        self.send(Event::Note(kind, body));
+        self.send(Event::Note(None, kind, body));
+    }
+
+    /// Tells one peer, if it is connected; what it leaves untaken is bounded as all that is said to it.
+    pub fn note_to(&self, peer: &PeerName, kind: Kind, body: Vec<u8>) {
+        self.send(Event::Note(Some(peer.clone()), kind, body));
     }
 }
 
@@ -214,7 +220,11 @@
                 self.mesh.answer(now, conn, id, body, out);
                 Input::Tick
             }
-            Some(Event::Note(kind, body)) => {
+            Some(Event::Note(Some(peer), kind, body)) => {
+                self.mesh.note(now, &peer, kind, body, out);
+                Input::Tick
+            }
+            Some(Event::Note(None, kind, body)) => {
                 for peer in self.addresses.keys() {
                     self.mesh.note(now, peer, kind, body.clone(), out);
                 }
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -7,7 +7,7 @@
 
 use decisions::{Group, Micros, RetryBudget, Settings, ShardId};
 use emulator::{ModelOptions, NodeOptions};
-use gateway::{GatewayOptions, LinkOptions, NodeLine, NodeLineState, ReturnOptions};
+use gateway::{CompanyOptions, GatewayOptions, LinkOptions, NodeLine, NodeLineState, ReturnOptions};
 use load::ClientOptions;
 use nvme::{Digests, Namespace, TargetOptions};
 use peer::PeerName;
@@ -204,26 +204,26 @@
             await_orders: false,
             control,
             stop_within: millis(l.stop_within_ms),
-            returning: None,
+            company: None,
         })
     }
 
-    /// How the gateway with this index comes back, with its folder; none without `[recovery]`. Peers that `told` names listen
-    /// there in place of the file's address.
-    pub fn return_options(
+    /// The peers of the gateway with this index, with its folder, and what it says to them; none without `[recovery]` and
+    /// `[fleet]`. Peers that `told` names listen there in place of the file's address.
+    pub fn company_options(
         &self,
         index: usize,
         folder: PathBuf,
         told: &BTreeMap<String, SocketAddr>,
-    ) -> Option<ReturnOptions> {
-        let recovery = self.recovery.as_ref()?;
+    ) -> Option<CompanyOptions> {
+        if self.recovery.is_none() && self.fleet.is_none() {
+            return None;
+        }
         let own = &self.gateway[index];
         let others = self.gateway.iter().filter(|g| g.name != own.name);
         let at = |g: &Gateway| told.get(&g.name).copied().or(g.peer);
         let peers = others.filter_map(|g| at(g).map(|a| (PeerName(g.name.clone()), a))).collect();
-        // The longest that a command may be out, and the rest behind one that may still run.
-        let patience = self.class.iter().map(|c| c.patience_ms).max().unwrap_or(0);
-        Some(ReturnOptions {
+        Some(CompanyOptions {
             peers: PeerOptions {
                 name: PeerName(own.name.clone()),
                 listen: own.peer.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
@@ -231,11 +231,19 @@
                 site: hash(&format!("{}/{}", self.site.name, self.site.subsystem)),
                 folder,
             },
+            returning: self.recovery.as_ref().map(|r| self.return_options(r)),
+        })
+    }
+
+    fn return_options(&self, recovery: &Recovery) -> ReturnOptions {
+        // The longest that a command may be out, and the rest behind one that may still run.
+        let patience = self.class.iter().map(|c| c.patience_ms).max().unwrap_or(0);
+        ReturnOptions {
             ask_for: millis(recovery.ask_for_ms),
             rest: millis(patience + self.rules.order_rest_ms),
             journal: recovery.journal,
             mark: false,
-        })
+        }
     }
 
     /// Settings of a stand-in node.
