gateway: the fleet's view in the engine, published, written down and shown by status

With [fleet] a gateway drives fleet::Fleet from its peers' words, its times and what it sees of nodes at housekeeping; nothing of it is on a request's path. A gateway that is told to stop says so first.

--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -76,6 +76,9 @@
     if let Some(returning) = options.company.as_mut().and_then(|c| c.returning.as_mut()) {
         returning.mark = args.mark;
     }
+    if let Some(together) = options.company.as_mut().and_then(|c| c.together.as_mut()) {
+        together.membership.records.clone_from(&args.records);
+    }
     let gateway = Gateway::start(options)?;
     if args.with_parent {
         end_with_parent();
--- a/crates/crowbay/tests/recovery.rs
+++ b/crates/crowbay/tests/recovery.rs
@@ -1,28 +1,18 @@
 //! Gateways, nodes with disks and a relay as processes; the power goes, for all or some, and comes back in drawn or bad orders.
 
-use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::mpsc::{self, Receiver, Sender};
+mod common;
+
+use std::process::Command;
 use std::time::{Duration, Instant};
 
-use emulator::NodeStatus;
-use gateway::{ControlAnswer, ControlRequest, NodeLine, NodeLineState, Status};
-use lab::{NodeRequest, Ready};
-use load::{Answer, Found, Host, HostOptions, Word, fill, look};
-use nvme::Digests;
-use peer::{Lives, wire};
-use records::NodeLine as NodeRecord;
+use common::process::{EXE, text, until};
+use common::stage::{NODES, Stage};
+use gateway::{ControlRequest, NodeLine, NodeLineState, Status};
+use load::{Found, Word};
 use recovery::Phase;
-use relay::{Link, Listening, Order, Plan, Side, What};
+use relay::{Side, What};
 
-const EXE: &str = env!("CARGO_BIN_EXE_crowbay");
-/// Nothing here takes that long; a test that waits longer has failed.
-const LONG: Duration = Duration::from_secs(30);
 const GATEWAYS: [&str; 3] = ["g1", "g2", "g3"];
-const NODES: [&str; 2] = ["node0", "node1"];
 /// Peers are waited for so long.
 const ASK_FOR: Duration = Duration::from_millis(600);
 
@@ -38,324 +28,18 @@
         .replace("[log]", &format!("[recovery]\nask_for_ms = {}\n\n[log]", ASK_FOR.as_millis()))
 }
 
-/// A process that is killed when it is dropped.
-struct Running {
-    child: Child,
-    line: String,
-}
-
-impl Running {
-    fn start(args: &[&str], log: &Path) -> Running {
-        let log = std::fs::File::options().append(true).create(true).open(log).expect("a log");
-        let mut command = Command::new(EXE);
-        command.args(args).arg("--with-parent").stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
-        let mut child = command.spawn().expect("it starts");
-        let mut line = String::new();
-        let out = child.stdout.take().expect("its output");
-        BufReader::new(out).read_line(&mut line).expect("a line");
-        assert!(!line.is_empty(), "{args:?} did not come up");
-        Running { child, line }
-    }
-
-    fn ready(&self) -> Ready {
-        serde_json::from_str(&self.line).expect("it says where it listens")
-    }
-}
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-/// The site: everything that is up, and the relay between.
-struct Stage {
-    folder: tempfile::TempDir,
-    links: BTreeMap<(String, String), SocketAddr>,
-    _relay: Running,
-    nodes: BTreeMap<&'static str, Running>,
-    gateways: BTreeMap<&'static str, Running>,
-    answers: Receiver<Answer>,
-    sender: Sender<Answer>,
-    token: u64,
+/// The relay alone: nothing else has power yet.
+fn dark() -> Stage {
+    Stage::dark(&GATEWAYS, &site())
 }
 
-impl Stage {
-    /// The relay alone: nothing else has power yet.
-    fn dark() -> Stage {
-        let folder = tempfile::tempdir().expect("a folder");
-        std::fs::write(folder.path().join("site.toml"), site()).expect("a file");
-        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
-        let link = |from: &str, to: &str| Link {
-            from: from.into(),
-            to: to.into(),
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            target: nowhere,
-        };
-        let to_all = |from: &'static str| {
-            let others = GATEWAYS.into_iter().filter(move |g| *g != from).chain(NODES);
-            others.map(move |to| link(from, to))
-        };
-        let plan = Plan {
-            control: Some(folder.path().join("r")),
-            records: Some(folder.path().join("relay.jsonl")),
-            seed: 1,
-            link: GATEWAYS.into_iter().flat_map(to_all).collect(),
-            order: Vec::new(),
-        };
-        let file = folder.path().join("relay.toml");
-        std::fs::write(&file, toml::to_string(&plan).expect("a plan")).expect("a file");
-        let relay =
-            Running::start(&["relay", file.to_str().expect("a path")], &folder.path().join("relay.log"));
-        let listening: Vec<Listening> = serde_json::from_str(&relay.line).expect("it says where it listens");
-        let links = listening.into_iter().map(|l| ((l.from, l.to), l.address)).collect();
-        let (sender, answers) = mpsc::channel();
-        Stage {
-            folder,
-            links,
-            _relay: relay,
-            nodes: BTreeMap::new(),
-            gateways: BTreeMap::new(),
-            answers,
-            sender,
-            token: 0,
-        }
-    }
-
-    /// All of it, up and serving.
-    fn lit() -> Stage {
-        let mut stage = Stage::dark();
-        NODES.into_iter().for_each(|n| stage.node(n, &[]));
-        GATEWAYS.into_iter().for_each(|g| stage.gateway(g));
-        GATEWAYS.into_iter().for_each(|g| stage.until(g, "it serves", |s| phase(s) == Some(Phase::Serving)));
-        stage
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name)
-    }
-
-    fn order(&self, from: &str, to: &str, what: What) {
-        let met: (usize, usize) =
-            control::call(&self.path("r"), &Order::new(from, to, what), LONG).expect("it is carried out");
-        assert!(met.0 > 0, "no link from {from} to {to}");
-    }
-
-    fn node(&mut self, name: &'static str, more: &[&str]) {
-        let (site, disk, control) =
-            (self.path("site.toml"), self.path(&format!("{name}.disk")), self.path(name));
-        let records = self.path(&format!("node-{name}.jsonl"));
-        let mut args = vec!["node", "--name", name, "--cold", "--config", text(&site), "--disk", text(&disk)];
-        args.extend(["--control", text(&control), "--records", text(&records)]);
-        args.extend(more);
-        let running = Running::start(&args, &self.path("nodes.log"));
-        self.order("*", name, What::Lead(running.ready().address));
-        self.nodes.insert(name, running);
-    }
-
-    fn line(&self, gateway: &str, node: usize) -> NodeLine {
-        NodeLine {
-            name: NODES[node].into(),
-            address: self.links[&(gateway.to_owned(), NODES[node].to_owned())],
-            zone: 0,
-            shard: node as u32,
-            state: NodeLineState::On,
-            // As a supervisor would tell it: the node's own word, or none while it is not there.
-            started: self.nodes.get(NODES[node]).map_or(0, |_| self.started(NODES[node])),
-        }
-    }
-
-    fn started(&self, node: &str) -> i64 {
-        let status: Option<NodeStatus> =
-            control::call(&self.path(node), &NodeRequest::Status, LONG).expect("it answers");
-        status.expect("a status").started
-    }
-
-    /// The power goes for a gateway alone.
-    fn cut_gateway(&mut self, name: &'static str) {
-        self.gateways.remove(name);
-        emulator::cut_power(&self.path(&format!("{name}.state")).join("hand"), &[0x5a; 21]).expect("a mark");
-    }
-
-    /// How far the journal of a gateway is durable.
-    fn journal(&self, gateway: &str) -> u64 {
-        let mark =
-            std::fs::read(self.path(&format!("{gateway}.state")).join("hand.durable")).expect("a mark");
-        mark.try_into().map(u64::from_le_bytes).expect("a place")
-    }
-
-    /// Sends a write and waits until it is in hand, without an answer.
-    fn write_in_hand(&mut self, gateway: &'static str, host: &Host, block: u64) -> u64 {
-        let (token, before) = (self.next_token(), self.journal(gateway));
-        host.write(1, 1, block, 1, fill(token, 1, block, 1, 4096), token).expect("it is sent");
-        until("the write is in the journal", || self.journal(gateway) > before);
-        token
-    }
-
-    /// Waits until a write has run at a node.
-    fn until_run(&self, node: &str, token: u64) {
-        let records = self.path(&format!("node-{node}.jsonl"));
-        until("the write runs", || {
-            let lines: Vec<NodeRecord> = records::read(&records).expect("its records");
-            lines.iter().any(|l| matches!(l, NodeRecord::Answer { token: t, .. } if *t == token))
-        });
-    }
-
-    /// The answer to one command; those of connections that were left are passed over.
-    fn answer(&self, token: u64) -> Word {
-        loop {
-            let answer = self.answers.recv_timeout(LONG).expect("an answer");
-            if answer.user == token {
-                return answer.word;
-            }
-        }
-    }
-
-    fn gateway(&mut self, name: &'static str) {
-        let (nodes, peers) = (self.path(&format!("{name}.nodes")), self.path(&format!("{name}.peers")));
-        let lines: Vec<NodeLine> = (0..NODES.len()).map(|n| self.line(name, n)).collect();
-        std::fs::write(&nodes, serde_json::to_vec(&lines).expect("a list")).expect("a file");
-        let others = GATEWAYS.into_iter().filter(|g| *g != name);
-        let told: BTreeMap<&str, SocketAddr> =
-            others.map(|g| (g, self.links[&(name.to_owned(), g.to_owned())])).collect();
-        std::fs::write(&peers, serde_json::to_vec(&told).expect("addresses")).expect("a file");
-        let (site, state, control) =
-            (self.path("site.toml"), self.path(&format!("{name}.state")), self.path(name));
-        let mut args = vec!["gateway", "--name", name, "--config", text(&site), "--state", text(&state)];
-        args.extend([
-            "--nodes",
-            text(&nodes),
-            "--peers",
-            text(&peers),
-            "--control",
-            text(&control),
-            "--seed",
-            "7",
-            "--mark",
-        ]);
-        let running = Running::start(&args, &self.path("gateways.log"));
-        self.order("*", name, What::Lead(running.ready().peer.expect("it has peers")));
-        self.gateways.insert(name, running);
-    }
-
-    /// The power goes for everything at once: what was not durable is gone, and each disk's last record is torn.
-    fn power_off(&mut self) {
-        for name in GATEWAYS.into_iter().filter(|g| self.gateways.contains_key(g)).collect::<Vec<_>>() {
-            self.cut_gateway(name);
-        }
-        self.nodes.clear();
-        for name in NODES {
-            emulator::cut_power(&self.path(&format!("{name}.disk")), &[0x5a; 33]).expect("a mark");
-        }
-    }
-
-    fn ask(&self, gateway: &str, request: &ControlRequest) -> Result<ControlAnswer, String> {
-        control::call(&self.path(gateway), request, LONG).map_err(|e| e.to_string())
-    }
-
-    fn status(&self, gateway: &str) -> Status {
-        match self.ask(gateway, &ControlRequest::Status).expect("it answers") {
-            ControlAnswer::Status(status) => *status,
-            other => panic!("{other:?}"),
-        }
-    }
-
-    fn until(&self, gateway: &str, what: &str, done: impl Fn(&Status) -> bool) {
-        let end = Instant::now() + LONG;
-        while !done(&self.status(gateway)) {
-            assert!(Instant::now() < end, "{gateway}, never: {what}: {:#?}", self.status(gateway));
-            std::thread::sleep(Duration::from_millis(5));
-        }
-    }
-
-    /// The latest life of a gateway that another has seen, as its disk says.
-    fn seen(&self, by: &str, of: &str) -> u64 {
-        let file = filelog::read(&self.path(&format!("{by}.state")).join("lives")).expect("it is whole");
-        let lives: Lives = file.and_then(|bytes| wire::decode(&bytes)).unwrap_or_default();
-        lives.of(&of.into()).map_or(0, |life| life.incarnation.0)
-    }
-
-    fn host(&self, gateway: &'static str) -> Host {
-        let options = HostOptions {
-            address: self.gateways[gateway].ready().address,
-            subsystem: "nqn.2026-12.example.crowbay:path".into(),
-            name: "nqn.2026-12.example:host1".into(),
-            id: [1; 16],
-            queues: 1,
-            depth: 32,
-            digests: Digests { header: true, data: true },
-            keep_alive: 0,
-        };
-        Host::connect(options, &self.sender).expect("it connects")
-    }
-
-    fn next_token(&mut self) -> u64 {
-        self.token += 1;
-        self.token
-    }
-
-    fn write(&mut self, host: &Host, block: u64) -> (u64, Word) {
-        let token = self.next_token();
-        host.write(1, 1, block, 1, fill(token, 1, block, 1, 4096), token).expect("it is sent");
-        (token, self.answer(token))
-    }
-
-    fn read(&mut self, host: &Host, block: u64) -> Result<Found, Word> {
-        let token = self.next_token();
-        host.read(1, 1, block, 1, 4096, token).expect("it is sent");
-        match self.answer(token) {
-            Word::Served(data) => Ok(look(&data, 1, block, 4096).into_iter().next().expect("a block")),
-            other => Err(other),
-        }
-    }
-
-    /// Asks until it is served, as a client does.
-    fn read_served(&mut self, host: &Host, block: u64) -> Found {
-        let end = Instant::now() + LONG;
-        loop {
-            match self.read(host, block) {
-                Ok(found) => return found,
-                Err(word) => {
-                    assert!(Instant::now() < end, "block {block} is never served: {word:?}");
-                    come_back(&word);
-                }
-            }
-        }
-    }
-
-    fn write_served(&mut self, host: &Host, block: u64) -> u64 {
-        let end = Instant::now() + LONG;
-        loop {
-            let (token, word) = self.write(host, block);
-            if matches!(word, Word::Served(_)) {
-                return token;
-            }
-            assert!(Instant::now() < end, "block {block} is never written: {word:?}");
-            come_back(&word);
-        }
-    }
-}
-
-/// Waits as long as the advice says, as clients do. Danger: one that comes again at once is taken for the same request by the
-/// module, late already, for as long as it does.
-fn come_back(word: &Word) {
-    if let Word::Refused(advice) = word {
-        std::thread::sleep(Duration::from_micros((*advice).max(5000) as u64));
-    }
-}
-
-/// Waits for something that processes bring about.
-fn until(what: &str, done: impl Fn() -> bool) {
-    let end = Instant::now() + LONG;
-    while !done() {
-        assert!(Instant::now() < end, "never: {what}");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn text(path: &Path) -> &str {
-    path.to_str().expect("a path in this alphabet")
+/// All of it, up and serving.
+fn lit() -> Stage {
+    let mut stage = dark();
+    NODES.into_iter().for_each(|n| stage.node(n, &[]));
+    GATEWAYS.into_iter().for_each(|g| stage.gateway(g));
+    GATEWAYS.into_iter().for_each(|g| stage.until(g, "it serves", |s| phase(s) == Some(Phase::Serving)));
+    stage
 }
 
 fn phase(status: &Status) -> Option<Phase> {
@@ -368,7 +52,7 @@
 
 #[test]
 fn all_lose_their_power_and_what_was_answered_is_there_when_gateways_come_first() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     // Blocks 0 to 7 lie on shard 0, 8 to 15 on shard 1.
     let written: Vec<(u64, u64)> = (0..16).map(|b| (b, stage.write_served(&host, b))).collect();
@@ -398,7 +82,7 @@
 
 #[test]
 fn power_goes_again_in_the_middle_of_coming_back_twice() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g3");
     let token = stage.write_served(&host, 5);
     drop(host);
@@ -424,7 +108,7 @@
 
 #[test]
 fn a_gateway_whose_peers_never_return_serves_within_the_stated_time() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     let token = stage.write_served(&host, 1);
     drop(host);
@@ -441,7 +125,7 @@
 
 #[test]
 fn two_who_hear_each_other_one_way_only_serve_and_meet_once_it_is_over() {
-    let mut stage = Stage::dark();
+    let mut stage = dark();
     NODES.into_iter().for_each(|n| stage.node(n, &[]));
     // g1 dials; what it says never arrives, what g2 says would.
     stage.order("g1", "g2", What::Hold(Side::Forth));
@@ -465,7 +149,7 @@
 
 #[test]
 fn orders_from_before_the_cut_reach_one_that_was_away_and_older_ones_are_turned_down() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     stage.gateways.remove("g3");
     let lines = |stage: &Stage, g: &str| {
         vec![stage.line(g, 0), NodeLine { state: NodeLineState::Draining, ..stage.line(g, 1) }]
@@ -491,7 +175,7 @@
 
 #[test]
 fn last_months_disk_and_an_empty_one_begin_a_life_above_all_that_were_seen() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let life = stage.path("g2.state").join("life");
     let last_month = std::fs::read(&life).expect("its life");
     for n in 2..=4 {
@@ -526,7 +210,7 @@
 /// Power goes with two writes in hand at g1, one that ran and one that never arrived; their keys, and no others, rest.
 #[test]
 fn writes_in_hand_when_the_power_goes_are_settled_by_what_is_there() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     let before = stage.write_served(&host, 1);
     stage.order("g1", "node0", What::Hold(Side::Back));
@@ -564,7 +248,7 @@
 
 #[test]
 fn a_node_that_kept_its_power_may_still_run_what_it_has_so_the_key_rests() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     stage.order("g1", "node0", What::Hold(Side::Back));
     let token = stage.write_in_hand("g1", &host, 2);
@@ -583,7 +267,7 @@
 
 #[test]
 fn a_damaged_journal_is_moved_aside_and_all_writes_rest_once() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     for block in 0..8 {
         stage.write_served(&host, block);
@@ -605,7 +289,7 @@
 
 #[test]
 fn operators_see_what_is_waited_for_and_force_it_only_when_they_confirm_what_it_costs() {
-    let mut stage = Stage::lit();
+    let mut stage = lit();
     let host = stage.host("g1");
     stage.order("g1", "node0", What::Hold(Side::Back));
     stage.write_in_hand("g1", &host, 4);
--- a/crates/gateway/src/company.rs
+++ b/crates/gateway/src/company.rs
@@ -12,6 +12,7 @@
 
 use crate::message::{Inbox, Message};
 use crate::returning::ReturnOptions;
+use crate::together::TogetherOptions;
 
 /// Settings of a gateway that has peers.
 #[derive(Clone, Debug)]
@@ -20,6 +21,8 @@
     pub peers: PeerOptions,
     /// It asks them when it comes back; without it, it is open at once.
     pub returning: Option<ReturnOptions>,
+    /// It acts as one with them; without it, it knows of no other.
+    pub together: Option<TogetherOptions>,
 }
 
 /// Whom a word concerns.
@@ -71,6 +74,11 @@
         self.0.note(kind, body);
     }
 
+    /// Tells one peer, if it is connected.
+    pub(crate) fn note_to(&self, peer: &PeerName, kind: Kind, body: Vec<u8>) {
+        self.0.note_to(peer, kind, body);
+    }
+
     /// Writes down what operators should know of, and says whom a word concerns.
     pub(crate) fn concern(&self, told: &Told) -> Concern {
         match told {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -4,6 +4,7 @@
 mod commands;
 mod company;
 mod control;
+mod fleet;
 mod look;
 mod orders;
 
@@ -28,6 +29,7 @@
 use crate::message::{Inbox, Message};
 use crate::options::GatewayOptions;
 use crate::returning::Returning;
+use crate::together::Together;
 use transport::Outlet;
 use transport::Ticker;
 
@@ -80,6 +82,7 @@
     stop_by: Option<Micros>,
     company: Option<Company>,
     returning: Option<Returning>,
+    together: Option<Together>,
     /// Reads of places whose writes from before are to be settled.
     settling: HashMap<Ticket, InHand>,
     /// Starts of nodes as listed.
@@ -93,8 +96,7 @@
         address: String,
         front: Arc<Front>,
         inbox: Inbox,
-        company: Option<Company>,
-        returning: Option<Returning>,
+        (company, returning, together): (Option<Company>, Option<Returning>, Option<Together>),
     ) -> Self {
         let core = Core::new(options.catalogue.clone(), options.seed);
         Engine {
@@ -117,6 +119,7 @@
             stop_by: None,
             company,
             returning,
+            together,
             settling: HashMap::new(),
             starts: HashMap::new(),
             stopped: Vec::new(),
@@ -146,12 +149,14 @@
             if self.returning.as_ref().is_some_and(|r| now >= r.next_due()) {
                 self.return_with(now, |r, orders| r.tick(now, orders));
             }
+            self.together(now);
             self.dirty.drain(..).for_each(|outlet| outlet.flush());
             if self.may_leave(now) {
                 return self.leave();
             }
             let due = self.core.next_due().unwrap_or(Micros::MAX).min(self.next_housekeeping);
             let due = due.min(self.returning.as_ref().map_or(Micros::MAX, Returning::next_due));
+            let due = due.min(self.together.as_ref().map_or(Micros::MAX, |t| t.next_due(now)));
             if due != told {
                 ticker.due(due);
                 told = due;
@@ -248,6 +253,7 @@
                 }
             });
         }
+        self.sights(now);
         let views = self.core.node_views();
         self.links.retain(|id, link| {
             link.watch();
@@ -264,6 +270,9 @@
             tracing::info!(open = self.core.open_operations(), "stopping: nothing new is taken");
             self.stop_by = Some(now + self.options.stop_within.as_micros() as Micros);
             self.front.closing.store(true, Ordering::Relaxed);
+            if let Some(together) = &mut self.together {
+                together.leave(now);
+            }
         }
     }
 
@@ -276,7 +285,8 @@
             self.core.end_all(now, &mut self.effects);
             self.settle(now);
         }
-        self.core.open_operations() == 0 && self.turns.is_empty()
+        let says = now < by && self.together.as_ref().is_some_and(|t| t.is_saying(now));
+        self.core.open_operations() == 0 && self.turns.is_empty() && !says
     }
 
     fn leave(mut self) {
--- a/crates/gateway/src/engine/look.rs
+++ b/crates/gateway/src/engine/look.rs
@@ -116,6 +116,7 @@
             late: tally.late,
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             recovery: self.returning.as_ref().map(Returning::show),
+            fleet: self.fleet_status(),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -17,10 +17,12 @@
 use crate::company::Company;
 use crate::engine::Engine;
 use crate::front::Front;
+use crate::membership::Snapshot;
 use crate::message::{Inbox, Message};
 use crate::options::GatewayOptions;
 use crate::returning::Returning;
 use crate::status::{ControlAnswer, ControlRequest};
+use crate::together::Together;
 use transport::Ticker;
 
 /// Why a gateway did not start, or did not answer.
@@ -59,6 +61,7 @@
 pub struct Gateway {
     address: SocketAddr,
     peer_address: Option<SocketAddr>,
+    view: Option<Snapshot>,
     inbox: Inbox,
     front: Arc<Front>,
     control: Served,
@@ -98,7 +101,7 @@
         let ticks = inbox.clone();
         let ticker =
             Ticker::start(front.clock, move || ticks.send(Message::Tick)).map_err(GatewayError::Start)?;
-        let (mut company, mut returning) = (None, None);
+        let (mut company, mut returning, mut together) = (None, None, None);
         if let Some(c) = options.company.take() {
             let names = c.peers.peers.iter().map(|p| p.0.clone()).collect();
             let folder = c.peers.folder.clone();
@@ -108,11 +111,17 @@
                 let company = (peers.clone(), names, folder.as_path());
                 returning = Some(Returning::start(r, company, catalogue, seed, now, inbox.clone())?);
             }
+            if let Some(t) = c.together {
+                let volumes = options.target.namespaces.iter().map(|ns| ns.nsid).collect();
+                let (now, seed) = (front.clock.now(), options.seed);
+                together = Some(Together::start(t, &peers, volumes, now, seed)?);
+            }
             company = Some(peers);
         }
         let peer_address = company.as_ref().map(Company::address);
-        let engine =
-            Engine::new(options, address.to_string(), front.clone(), inbox.clone(), company, returning);
+        let view = together.as_ref().map(|t| t.membership.snapshot());
+        let (place, parts) = (address.to_string(), (company, returning, together));
+        let engine = Engine::new(options, place, front.clone(), inbox.clone(), parts);
         let (over, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
@@ -123,7 +132,7 @@
         task::spawn("accept", move || accepts.accept(&listener)).map_err(GatewayError::Start)?;
         tracing::info!(name, %address, "gateway up");
         let ended = Mutex::new(Some(ended));
-        Ok(Gateway { address, peer_address, inbox, front, control, stop_within, ended })
+        Ok(Gateway { address, peer_address, view, inbox, front, control, stop_within, ended })
     }
 
     /// Where it listens.
@@ -136,6 +145,11 @@
         self.peer_address
     }
 
+    /// The fleet as this gateway sees it, if it holds a view. It asks nobody and waits for nothing.
+    pub fn view(&self) -> Option<Arc<fleet::View>> {
+        self.view.as_ref().map(|view| view.load_full())
+    }
+
     /// Asks the engine, as the control socket does.
     ///
     /// # Errors
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,16 +18,21 @@
 mod hand;
 mod link;
 mod mapping;
+mod membership;
 mod message;
 mod options;
 mod returning;
 mod status;
+mod together;
 
 pub use company::CompanyOptions;
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
+pub use membership::{MembershipOptions, ViewLine};
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
 pub use returning::ReturnOptions;
 pub use status::{
-    ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
+    ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
+    RequestStatus, Status, VolumeStatus,
 };
+pub use together::TogetherOptions;
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,10 +1,14 @@
 //! What the control socket carries.
 
+mod fleet;
+
 use serde::{Deserialize, Serialize};
 use storage_core::Micros;
 
 use crate::options::{NodeLine, NodeLineState};
 
+pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus};
+
 /// A request on the control socket.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "lowercase", deny_unknown_fields)]
@@ -154,6 +158,9 @@
     /// How far it has come back; none: it has no peers, and is open at once.
     #[serde(default)]
     pub recovery: Option<recovery::Shown>,
+    /// The fleet as it sees it; none: it knows of no other gateway.
+    #[serde(default)]
+    pub fleet: Option<FleetStatus>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
--- /dev/null
+++ b/crates/gateway/src/together.rs
@@ -0,0 +1,70 @@
+//! What a gateway does together with its fleet, by the site file.
+
+use std::collections::BTreeMap;
+
+use decisions::NodeId;
+use fleet::Holding;
+use storage_core::Micros;
+
+use crate::company::Company;
+use crate::gateway::GatewayError;
+use crate::membership::{Membership, MembershipOptions};
+
+/// Settings of a gateway that acts as one with others.
+#[derive(Clone, Debug)]
+pub struct TogetherOptions {
+    /// The view.
+    pub membership: MembershipOptions,
+}
+
+pub(crate) struct Together {
+    pub(crate) membership: Membership,
+    /// Nodes whose links are not up, and since when.
+    pub(crate) down: BTreeMap<NodeId, Micros>,
+    /// It leaves, and its word of that has gone out by then.
+    said_by: Option<Micros>,
+    period: Micros,
+    /// Volumes that it serves.
+    volumes: Vec<u32>,
+}
+
+impl Together {
+    pub(crate) fn start(
+        options: TogetherOptions,
+        company: &Company,
+        volumes: Vec<u32>,
+        now: Micros,
+        seed: u64,
+    ) -> Result<Together, GatewayError> {
+        let period = options.membership.fleet.period;
+        let membership =
+            Membership::start(options.membership, company.clone(), now, seed).map_err(GatewayError::Start)?;
+        let mut together = Together { membership, down: BTreeMap::new(), said_by: None, period, volumes };
+        together.hold(now);
+        Ok(together)
+    }
+
+    /// States what this gateway holds; whether the view is another now.
+    pub(crate) fn hold(&mut self, now: Micros) -> bool {
+        self.membership.hold(now, Holding { volumes: self.volumes.clone(), cap: 0, candidate: 0 })
+    }
+
+    /// It is about to leave by its own will.
+    ///
+    /// Danger: one that ends in the same moment is taken for one that was cut off, and doubted for as long as those are. Harm: it goes a
+    /// period and a half later, with all answered and nothing new taken.
+    pub(crate) fn leave(&mut self, now: Micros) {
+        self.membership.leave(now);
+        self.said_by = Some(now + self.period * 3 / 2);
+    }
+
+    /// Whether its word of leaving is still on its way.
+    pub(crate) fn is_saying(&self, now: Micros) -> bool {
+        self.said_by.is_some_and(|by| now < by)
+    }
+
+    pub(crate) fn next_due(&self, now: Micros) -> Micros {
+        let said = self.said_by.filter(|by| now < *by).unwrap_or(Micros::MAX);
+        self.membership.next_due().min(said)
+    }
+}
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -1,17 +1,16 @@
 //! What a checked file means to each part of the program.
 
-use std::collections::BTreeMap;
+mod fleet;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
 use decisions::{Group, Micros, RetryBudget, Settings, ShardId};
 use emulator::{ModelOptions, NodeOptions};
-use gateway::{CompanyOptions, GatewayOptions, LinkOptions, NodeLine, NodeLineState, ReturnOptions};
+use gateway::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
 use load::ClientOptions;
 use nvme::{Digests, Namespace, TargetOptions};
-use peer::PeerName;
-use peerlink::PeerOptions;
 use records::{Budget, ClassTerms, ColdTerms, Kind, Op, PlanTerms, Terms, VolumeTerms};
 use storage_core::{Catalogue, CatalogueError, ClassRule, Opcode};
 
@@ -208,44 +207,6 @@
         })
     }
 
-    /// The peers of the gateway with this index, with its folder, and what it says to them; none without `[recovery]` and
-    /// `[fleet]`. Peers that `told` names listen there in place of the file's address.
-    pub fn company_options(
-        &self,
-        index: usize,
-        folder: PathBuf,
-        told: &BTreeMap<String, SocketAddr>,
-    ) -> Option<CompanyOptions> {
-        if self.recovery.is_none() && self.fleet.is_none() {
-            return None;
-        }
-        let own = &self.gateway[index];
-        let others = self.gateway.iter().filter(|g| g.name != own.name);
-        let at = |g: &Gateway| told.get(&g.name).copied().or(g.peer);
-        let peers = others.filter_map(|g| at(g).map(|a| (PeerName(g.name.clone()), a))).collect();
-        Some(CompanyOptions {
-            peers: PeerOptions {
-                name: PeerName(own.name.clone()),
-                listen: own.peer.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0))),
-                peers,
-                site: hash(&format!("{}/{}", self.site.name, self.site.subsystem)),
-                folder,
-            },
-            returning: self.recovery.as_ref().map(|r| self.return_options(r)),
-        })
-    }
-
-    fn return_options(&self, recovery: &Recovery) -> ReturnOptions {
-        // The longest that a command may be out, and the rest behind one that may still run.
-        let patience = self.class.iter().map(|c| c.patience_ms).max().unwrap_or(0);
-        ReturnOptions {
-            ask_for: millis(recovery.ask_for_ms),
-            rest: millis(patience + self.rules.order_rest_ms),
-            journal: recovery.journal,
-            mark: false,
-        }
-    }
-
     /// Settings of a stand-in node.
     pub fn node_options(&self, index: usize, cold: bool) -> NodeOptions {
         let (n, r) = (&self.node[index], &self.rules);
