--- a/crates/gateway/src/engine/orders.rs
+++ b/crates/gateway/src/engine/orders.rs
@@ -57,6 +57,7 @@
                         blocks,
                         data: Bytes::new(),
                         token: 0,
+                        retry: false,
                     };
                     self.core.submit(now, read, &mut self.effects);
                 }
