gateway: one cap on repeats over the fleet, driven by what the engine sends and sees end

With [repeats] a command like one that ended unserved here or at a peer after something of it was sent is marked as a retry, each send and end is told to repeats::Cap, and what it allows goes to the module as Event::Allowance. A node's cold start is taken from anybody's word, its silence from this gateway's own sight alone. Status shows each shard.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -281,7 +281,7 @@
     }
 
     /// The last operations that ended unserved, oldest first.
-    pub fn ended_views(&self) -> impl Iterator<Item = &EndedView> {
+    pub fn ended_views(&self) -> impl DoubleEndedIterator<Item = &EndedView> {
         self.ended.iter()
     }
 
--- a/crates/crowbay/tests/common/process.rs
+++ b/crates/crowbay/tests/common/process.rs
@@ -52,7 +52,7 @@
 }
 
 /// Waits for something that processes bring about.
-pub fn until(what: &str, done: impl Fn() -> bool) {
+pub fn until(what: &str, mut done: impl FnMut() -> bool) {
     let end = Instant::now() + LONG;
     while !done() {
         assert!(Instant::now() < end, "never: {what}");
--- /dev/null
+++ b/crates/crowbay/tests/repeats.rs
@@ -0,0 +1,92 @@
+//! Gateways as processes that hold one cap on repeats.
+
+mod common;
+
+use common::process::until;
+use common::stage::{NODES, Stage};
+use gateway::Status;
+use load::{Host, Word};
+use relay::{Side, What};
+use repeats::{ShardLook, ShardState};
+
+const GATEWAYS: [&str; 3] = ["g1", "g2", "g3"];
+
+fn site(repeats: &str) -> String {
+    let text = include_str!("../../gateway/tests/site.toml");
+    let gateways: String =
+        GATEWAYS.iter().map(|g| format!("[[gateway]]\nname = \"{g}\"\npeer = \"127.0.0.1:0\"\n\n")).collect();
+    let text = ["1500", "2000", "3000"]
+        .iter()
+        .fold(text.to_owned(), |t, ms| t.replace(&format!("patience_ms = {ms}"), "patience_ms = 1000"));
+    text.replace("[[gateway]]\nname = \"gw1\"\n", &gateways)
+        .replace("warm_after_ms = 5000", "warm_after_ms = 1000")
+        .replace("[log]", &format!("[fleet]\nperiod_ms = 100\n\n[repeats]\n{repeats}\n\n[log]"))
+}
+
+fn lit(repeats: &str) -> Stage {
+    let mut stage = Stage::dark(&GATEWAYS, &site(repeats));
+    NODES.into_iter().for_each(|n| stage.node(n, &[]));
+    GATEWAYS.into_iter().for_each(|g| stage.gateway(g));
+    for gateway in GATEWAYS {
+        stage.until(gateway, "all are up", |s| {
+            s.fleet.as_ref().is_some_and(|f| f.members.iter().all(|m| m.standing == "up" && m.cap > 0))
+        });
+    }
+    stage
+}
+
+fn look(status: &Status, shard: u32) -> &ShardLook {
+    let repeats = status.repeats.as_ref().expect("it holds the cap");
+    repeats.shards.iter().find(|l| l.shard == Some(shard)).expect("the shard")
+}
+
+#[test]
+fn a_repeat_at_another_gateway_is_known_there_and_takes_a_right() {
+    let mut stage = lit("window_ms = 2000\nfree = 30.0\nfleet_free = 60.0");
+    let host = stage.host("g1");
+    stage.write_served(&host, 0);
+    for gateway in GATEWAYS {
+        stage.until(gateway, "its rights are there", |s| look(s, 0).left >= 2.0 && look(s, 0).allowed >= 2);
+    }
+    let other = stage.host("g2");
+    stage.read(&other, 1).expect("it is served");
+    assert_eq!(look(&stage.status("g2"), 0).spent, 0.0, "a first read takes no right");
+    // What node0 answers to g1 is lost: the read was sent and ends unserved.
+    stage.order("g1", "node0", What::Hold(Side::Back));
+    assert!(stage.read(&host, 0).is_err(), "no answer comes");
+    until("g2 has heard of it, and takes it for a repeat", || {
+        let before = look(&stage.status("g2"), 0).spent;
+        // Each try is one read; it is served whether it is known as a repeat or not.
+        let token = 1_000_000 + stage.status("g2").taken;
+        other.read(1, 1, 0, 1, 4096, token).expect("it is sent");
+        matches!(stage.answer(token), Word::Served(_)) && look(&stage.status("g2"), 0).spent > before
+    });
+}
+
+/// Reads from both shards through all gateways until these are in no trouble anywhere.
+fn serve_until_well(stage: &mut Stage, hosts: &[Host]) {
+    let mut block = 0;
+    until("served answers show that all is well", || {
+        for host in hosts {
+            block = (block + 3) % 16;
+            stage.read_served(host, block);
+        }
+        let well = |s: &Status| [0, 1].iter().all(|shard| look(s, *shard).state != ShardState::Recovering);
+        GATEWAYS.iter().all(|g| well(&stage.status(g)))
+    });
+}
+
+#[test]
+fn a_shard_whose_node_is_gone_recovers_at_all_gateways_and_is_normal_again_once_it_serves() {
+    let mut stage = lit("window_ms = 1000");
+    let hosts: Vec<Host> = GATEWAYS.into_iter().map(|g| stage.host(g)).collect();
+    // Its nodes have just started, so that their shards recover from that first.
+    serve_until_well(&mut stage, &hosts);
+    stage.nodes.remove("node0");
+    for gateway in GATEWAYS {
+        stage.until(gateway, "its shard recovers", |s| look(s, 0).state == ShardState::Recovering);
+        assert_ne!(look(&stage.status(gateway), 1).state, ShardState::Recovering, "{gateway}");
+    }
+    stage.node("node0", &[]);
+    serve_until_well(&mut stage, &hosts);
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -49,6 +49,15 @@
     tickets: HashMap<u16, Ticket>,
 }
 
+/// What the cap knows a command by.
+#[derive(Clone, Copy)]
+struct Asked {
+    /// Its repeats have the same, at any gateway.
+    key: u64,
+    /// One like it ended unserved of late, here or at a peer.
+    is_repeat: bool,
+}
+
 /// A command that was taken.
 struct Taken {
     connection: ConnectionId,
@@ -56,6 +65,8 @@
     bytes: u64,
     /// What a Compare holds the data that was read against.
     expected: Option<Bytes>,
+    /// For the cap on repeats, where there is one.
+    asked: Option<Asked>,
 }
 
 pub(crate) struct Engine {
@@ -137,7 +148,7 @@
         if let Some(word) = self.returning.as_ref().map(|r| r.word().clone()) {
             self.adopt(now, &word);
         }
-        self.settle(now);
+        self.agree(now, true);
         let mut told = Micros::MIN;
         loop {
             let now = clock.now();
@@ -207,12 +218,7 @@
             }
             Message::Closed(id) => self.closed(now, id),
             Message::AssociationEnded(cntlid) => self.association_ended(cntlid),
-            Message::Ended(attempt, end) => {
-                if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
-                    work.ended(now, attempt, end.outcome);
-                }
-                self.core.ended(now, attempt, end, &mut self.effects);
-            }
+            Message::Ended(attempt, end) => self.over(now, attempt, end),
             Message::Control(request, reply) => {
                 let answer = self.control(now, request);
                 let _ = reply.send(answer); // Its asker may have gone.
--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use nvme::{Completion, Status as NvmeStatus, StatusCode};
-use storage_core::{Answer, Effect, End, Micros, Opcode, Send};
+use storage_core::{Answer, AttemptId, Effect, End, Micros, Opcode, Send};
 
 use super::Engine;
 use crate::mapping::told;
@@ -11,7 +11,7 @@
 impl Engine {
     /// Carries out the core's effects until none is left.
     pub(super) fn settle(&mut self, now: Micros) {
-        while !self.effects.is_empty() {
+        while !self.effects.is_empty() || self.allow(now) {
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
                     Effect::Send(send) => self.send(now, send),
@@ -19,6 +19,7 @@
                         if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
                             work.forgotten(now, attempt);
                         }
+                        self.forgets(now, attempt);
                         if let Some(link) = self.links.get(&node) {
                             link.forget(attempt);
                         }
@@ -31,11 +32,17 @@
                         }
                     }
                     Effect::Answer(ticket, answer) => {
-                        let expected = self.tickets.get(&ticket).and_then(|t| t.expected.as_ref());
+                        let taken = self.tickets.get(&ticket);
+                        let asked =
+                            taken.and_then(|t| t.asked).filter(|_| !matches!(answer, Answer::Served(_)));
+                        let expected = taken.and_then(|t| t.expected.as_ref());
                         let completion = match (&answer, expected) {
                             (Answer::Served(data), Some(expected)) => compared(data, expected),
                             _ => told(answer, &self.options.target.retry_delays),
                         };
+                        if let Some(asked) = asked {
+                            self.unserved(now, ticket, asked);
+                        }
                         self.complete(ticket, completion);
                     }
                     Effect::Subscribe => {}
@@ -46,6 +53,7 @@
     }
 
     pub(super) fn send(&mut self, now: Micros, send: Send) {
+        self.sends(now, &send);
         if send.opcode == Opcode::Write
             && let Some(work) = self.returning.as_mut().and_then(Returning::work)
         {
@@ -74,8 +82,7 @@
             if error.is_none() {
                 self.send_now(now, send);
             } else {
-                work.ended(now, send.attempt, decisions::Outcome::NotSent);
-                self.core.ended(now, send.attempt, End::of(decisions::Outcome::NotSent), &mut self.effects);
+                self.over(now, send.attempt, End::of(decisions::Outcome::NotSent));
             }
         }
     }
@@ -87,11 +94,17 @@
             None => Some(End::of(decisions::Outcome::Unreachable)),
         };
         if let Some(end) = end {
-            if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
-                work.ended(now, attempt, end.outcome);
-            }
-            self.core.ended(now, attempt, end, &mut self.effects);
+            self.over(now, attempt, end);
+        }
+    }
+
+    /// An attempt has ended, as its link tells, or never went out.
+    pub(super) fn over(&mut self, now: Micros, attempt: AttemptId, end: End) {
+        if let Some(work) = self.returning.as_mut().and_then(Returning::work) {
+            work.ended(now, attempt, end.outcome);
         }
+        self.ends(now, attempt, &end);
+        self.core.ended(now, attempt, end, &mut self.effects);
     }
 }
 
--- a/crates/gateway/src/engine/commands.rs
+++ b/crates/gateway/src/engine/commands.rs
@@ -32,7 +32,6 @@
         if let Some(over) = over {
             tracing::debug!(%over, "a command is not taken");
         }
-        let Some(client) = self.clients.get_mut(&id) else { return };
         if over.is_some() || self.stop_by.is_some() || self.paused || self.held.contains(&command.nsid) {
             // It is not taken: it never becomes a request, whether this gateway leaves, an operator holds the volume, or
             // the gateway holds as much of this host as it may.
@@ -45,6 +44,8 @@
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
+        let asked = self.asked(now, &command);
+        let Some(client) = self.clients.get_mut(&id) else { return };
         client.tickets.insert(command.cid, ticket);
         let (cid, compares) = (command.cid, command.opcode == nvme::io::COMPARE);
         let opcode = match command.opcode {
@@ -54,8 +55,9 @@
         };
         let IoCommand { nsid, slba, blocks, mut data, token, .. } = command;
         let expected = compares.then(|| std::mem::take(&mut data));
-        self.tickets.insert(ticket, Taken { connection: id, cid, bytes, expected });
-        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token, retry: false };
+        self.tickets.insert(ticket, Taken { connection: id, cid, bytes, expected, asked });
+        let retry = asked.is_some_and(|a| a.is_repeat);
+        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token, retry };
         self.core.submit(now, operation, &mut self.effects);
     }
 
@@ -99,8 +101,12 @@
         let mut tickets: Vec<Ticket> = client.tickets.into_values().collect();
         tickets.sort();
         for ticket in tickets {
-            self.tickets.remove(&ticket);
+            let taken = self.tickets.remove(&ticket);
             self.core.withdraw(now, ticket, &mut self.effects);
+            // Its client may come with it again, here or at another gateway.
+            if let Some(asked) = taken.and_then(|t| t.asked) {
+                self.unserved(now, ticket, asked);
+            }
         }
     }
 
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -1,36 +1,114 @@
-//! The view: fed with what the engine sees at housekeeping, at its own times and at peers' words. Nothing of it is on the path of
-//! a request.
+//! The view and the cap: fed with what the engine sees, and carried out by it.
+//!
+//! What concerns a single request is one line where the request passes; the rest is at housekeeping, at their own times and
+//! at peers' words. Of the view nothing is on the path of a request.
 
-use decisions::NodeState;
-use fleet::NodeSight;
+use std::collections::BTreeMap;
+
+use decisions::{NodeState, Outcome, ShardId};
+use fleet::{NodeSight, Standing};
+use nvme::IoCommand;
 use peer::Told;
-use storage_core::Micros;
+use storage_core::{AttemptId, End, Micros, Send, Ticket};
 
-use super::Engine;
-use crate::status::FleetStatus;
+use super::{Asked, Engine};
+use crate::rights::Rights;
+use crate::status::{FleetStatus, RepeatsStatus};
 
 /// A link that is not up for so long counts as silence.
 const SILENT: Micros = 1_000_000;
 
 impl Engine {
-    /// What is due of it.
+    /// What is due of them.
     pub(super) fn together(&mut self, now: Micros) {
-        if let Some(together) = self.together.as_mut().filter(|t| now >= t.membership.next_due()) {
-            together.membership.tick(now);
+        let Some(together) = &mut self.together else { return };
+        let changed = now >= together.membership.next_due() && together.membership.tick(now);
+        if let Some(rights) = together.rights.as_mut().filter(|r| now >= r.next_due()) {
+            rights.tick(now);
         }
+        self.agree(now, changed);
     }
 
-    /// A peer said or did what concerns it.
+    /// A peer said or did what concerns them.
     pub(super) fn told_together(&mut self, now: Micros, told: &Told) {
-        if let Some(together) = &mut self.together {
-            together.membership.told(now, told.clone());
+        let Some(together) = &mut self.together else { return };
+        let changed = together.membership.told(now, told.clone());
+        if let Some(rights) = &mut together.rights {
+            rights.told(now, told.clone());
+        }
+        self.agree(now, changed);
+    }
+
+    /// Tells the others of a view that changed, and carries out what they say.
+    pub(super) fn agree(&mut self, now: Micros, changed: bool) {
+        if let Some(together) = self.together.as_mut().filter(|_| changed) {
+            let view = together.membership.view();
+            let others = view.members.iter().filter(|m| m.name != view.own);
+            if let Some(rights) = &mut together.rights {
+                let up = others.filter(|m| m.standing == Standing::Up);
+                rights.peers(now, up.map(|m| m.name.clone()).collect());
+            }
+        }
+        self.settle(now);
+    }
+
+    /// Tells the cap what was held back, and the module what it is allowed; whether there was something to tell it.
+    pub(super) fn allow(&mut self, now: Micros) -> bool {
+        let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) else { return false };
+        for wanted in self.core.take_wanted() {
+            rights.wanted(now, wanted);
+        }
+        let mut any = false;
+        for a in rights.allowances() {
+            any = true;
+            self.core.allow(now, ShardId(a.shard), a.further, a.come_back, &mut self.effects);
+        }
+        any
+    }
+
+    /// What is known of a command for the cap; none without it.
+    pub(super) fn asked(&self, now: Micros, command: &IoCommand) -> Option<Asked> {
+        let rights = self.together.as_ref()?.rights.as_ref()?;
+        let key = Rights::key(command);
+        Some(Asked { key, is_repeat: rights.is_repeat(now, key) })
+    }
+
+    /// An operation ended unserved, or its client has left it. One of which nothing was ever sent is not repeated by coming again;
+    /// one that was a repeat already has been sent before.
+    pub(super) fn unserved(&mut self, now: Micros, ticket: Ticket, asked: Asked) {
+        let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) else { return };
+        let ended = self.core.ended_views().rev().find(|e| e.ticket == ticket);
+        if asked.is_repeat || ended.is_none_or(|e| e.attempts > 0) {
+            rights.unserved(now, asked.key);
+        }
+    }
+
+    /// An attempt is on its way out.
+    pub(super) fn sends(&mut self, now: Micros, send: &Send) {
+        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+            rights.sent(now, send);
+        }
+    }
+
+    /// An attempt has ended, as its link tells.
+    pub(super) fn ends(&mut self, now: Micros, attempt: AttemptId, end: &End) {
+        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+            rights.ended(now, attempt, end.outcome);
+        }
+    }
+
+    /// Nobody waits for an attempt any more.
+    pub(super) fn forgets(&mut self, now: Micros, attempt: AttemptId) {
+        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+            rights.ended(now, attempt, Outcome::TimedOut);
         }
     }
 
     /// What is seen of nodes.
     pub(super) fn sights(&mut self, now: Micros) {
         let Some(together) = &mut self.together else { return };
-        let mut sights = Vec::new();
+        let view = together.membership.view();
+        let (mut sights, mut troubles) = (Vec::new(), BTreeMap::new());
         let warm_after = self.options.catalogue.settings.warm_after;
         for (id, n) in self.core.node_views().iter().filter(|(_, n)| n.state != NodeState::Gone) {
             let up = self.links.get(id).is_some_and(|link| link.phase() == "up");
@@ -45,11 +123,19 @@
             let silent_for = since.map(|s| now - s).max(unheard).unwrap_or(0);
             let cold = look.is_some_and(|l| l.cold);
             let cold_for = if cold { (warm_after - (now - n.started.unwrap_or(now))).max(1) } else { 0 };
+            // A start is a fact about the node, whoever saw it; silence is one about a link.
+            let fact = view.nodes.iter().find(|f| f.node == n.name);
+            let warms = cold || fact.is_some_and(|f| f.cold_for > 0 && view.at + f.cold_for > now);
+            *troubles.entry(n.shard).or_insert(false) |= warms || silent_for > 0;
             let started = self.starts.get(id).copied().unwrap_or(0);
             sights.push(NodeSight { node: n.name.clone(), started, cold_for, silent_for });
         }
         together.down.retain(|id, _| self.links.contains_key(id));
-        together.membership.saw(now, sights);
+        let changed = together.membership.saw(now, sights);
+        if let Some(rights) = &mut together.rights {
+            rights.saw(now, troubles);
+        }
+        self.agree(now, changed);
     }
 
     /// What operators see of it.
@@ -57,4 +143,9 @@
         let m = &self.together.as_ref()?.membership;
         Some(FleetStatus::of(&m.view(), m.life(), &m.counts()))
     }
+
+    pub(super) fn repeats_status(&self, now: Micros) -> Option<RepeatsStatus> {
+        let (shards, counts) = self.together.as_ref()?.rights.as_ref()?.look(now);
+        Some(RepeatsStatus { shards, counts })
+    }
 }
--- a/crates/gateway/src/engine/look.rs
+++ b/crates/gateway/src/engine/look.rs
@@ -117,6 +117,7 @@
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             recovery: self.returning.as_ref().map(Returning::show),
             fleet: self.fleet_status(),
+            repeats: self.repeats_status(now),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod message;
 mod options;
 mod returning;
+mod rights;
 mod status;
 mod together;
 
@@ -33,6 +34,6 @@
 pub use returning::ReturnOptions;
 pub use status::{
     ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
-    RequestStatus, Status, VolumeStatus,
+    RepeatsStatus, RequestStatus, Status, VolumeStatus,
 };
 pub use together::TogetherOptions;
--- /dev/null
+++ b/crates/gateway/src/rights.rs
@@ -0,0 +1,151 @@
+//! The cap on repeats, fed with what goes out and comes back here.
+//!
+//! It knows nothing of single requests but a key by which a repeat is known as one. What it allows is told to the module as one
+//! fact for each shard; which request gets a right is the module's.
+
+use std::collections::{BTreeMap, HashMap};
+
+use decisions::Outcome;
+use nvme::IoCommand;
+use peer::{PeerName, Told};
+use repeats::{Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, key_of};
+use storage_core::{AttemptId, Micros, Send, Wanted};
+
+use crate::company::Company;
+
+pub(crate) struct Rights {
+    cap: Cap,
+    company: Company,
+    /// Shards of the attempts that are out.
+    out: HashMap<AttemptId, u32>,
+    /// Whether a node of a shard was seen cold, silent or refusing last.
+    recovering: BTreeMap<u32, bool>,
+    /// Shards of which a node refused since the last look.
+    refused: BTreeMap<u32, bool>,
+    peers: Vec<PeerName>,
+    told: Vec<Output>,
+    /// For the module, in this order.
+    allowances: Vec<Allowance>,
+}
+
+impl Rights {
+    /// Begins in the company's life; empty for a window.
+    pub(crate) fn start(options: CapOptions, company: Company, now: Micros, seed: u64) -> Rights {
+        let cap = Cap::new(options, company.life(), now, seed);
+        let mut rights = Rights {
+            cap,
+            company,
+            out: HashMap::new(),
+            recovering: BTreeMap::new(),
+            refused: BTreeMap::new(),
+            peers: Vec::new(),
+            told: Vec::new(),
+            allowances: Vec::new(),
+        };
+        rights.take(now, Input::Tick);
+        rights
+    }
+
+    pub(crate) fn next_due(&self) -> Micros {
+        self.cap.next_due()
+    }
+
+    pub(crate) fn look(&self, now: Micros) -> (Vec<ShardLook>, Counts) {
+        (self.cap.look(now), self.cap.counts())
+    }
+
+    /// What the module is to be told now.
+    pub(crate) fn allowances(&mut self) -> impl Iterator<Item = Allowance> {
+        self.allowances.drain(..)
+    }
+
+    /// A key by which a command and its repeats at any gateway are known: what it is to do, not who asks nor when.
+    pub(crate) fn key(command: &IoCommand) -> u64 {
+        key_of(command.nsid, command.slba, command.opcode, command.blocks)
+    }
+
+    /// Whether a command like this ended unserved within the window, here or at a peer.
+    pub(crate) fn is_repeat(&self, now: Micros, key: u64) -> bool {
+        self.cap.is_repeat(now, key)
+    }
+
+    /// An attempt is on its way out.
+    pub(crate) fn sent(&mut self, now: Micros, send: &Send) {
+        self.out.insert(send.attempt, send.shard.0);
+        self.take(now, Input::Sent { shard: send.shard.0, further: send.further });
+    }
+
+    /// An attempt has ended, or nobody waits for it any more. One that never went out has spent its right all the same: a
+    /// right too many is spent, never one too few.
+    pub(crate) fn ended(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
+        let Some(shard) = self.out.remove(&attempt) else { return };
+        let (served, refused) = (outcome == Outcome::Served, outcome == Outcome::Full);
+        if refused {
+            self.refused.insert(shard, true);
+        }
+        self.take(now, Input::Ended { shard, served, refused });
+    }
+
+    /// An operation ended unserved after something of it was sent: the next like it is its repeat. What was never sent is not
+    /// repeated by coming again.
+    pub(crate) fn unserved(&mut self, now: Micros, key: u64) {
+        self.take(now, Input::Unserved { key });
+    }
+
+    /// A part was turned away for want of rights.
+    pub(crate) fn wanted(&mut self, now: Micros, wanted: Wanted) {
+        let Wanted { shard, worth, left } = wanted;
+        self.take(now, Input::Wanted { shard: shard.0, worth, left });
+    }
+
+    /// Shards with a node that this gateway sees cold or silent.
+    ///
+    /// Danger: were others' sights of silence taken for one's own, one gateway that is cut off from a node would hold the fleet in
+    /// recovering by many mouths. Peers' sights come by their own notes, each in its own name. Harm: a node's trouble is known
+    /// here a note later.
+    pub(crate) fn saw(&mut self, now: Micros, shards: BTreeMap<u32, bool>) {
+        let refused = std::mem::take(&mut self.refused);
+        for (shard, trouble) in shards {
+            let on = trouble || refused.contains_key(&shard);
+            if self.recovering.insert(shard, on) != Some(on) {
+                self.take(now, Input::Recovers { shard, on });
+            }
+        }
+    }
+
+    /// Who may be asked: those who are up.
+    pub(crate) fn peers(&mut self, now: Micros, peers: Vec<PeerName>) {
+        if peers != self.peers {
+            self.peers.clone_from(&peers);
+            self.take(now, Input::Peers(peers));
+        }
+    }
+
+    pub(crate) fn told(&mut self, now: Micros, told: Told) {
+        match told {
+            Told::Noted { peer, life, kind: KIND, body } => {
+                self.take(now, Input::Heard { from: peer, life, body })
+            }
+            Told::Renewed { life } => self.take(now, Input::Renewed(life)),
+            _ => {}
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Micros) {
+        self.take(now, Input::Tick);
+    }
+
+    fn take(&mut self, now: Micros, input: Input) {
+        self.cap.handle(now, input, &mut self.told);
+        for output in self.told.drain(..) {
+            match output {
+                Output::Send { to, body } => self.company.note_to(&to, KIND, body),
+                Output::Allow(allowance) => self.allowances.push(allowance),
+                Output::Entered { shard, state, why } => tracing::info!(shard, ?state, why, "repeats"),
+                Output::TurnedAway { from, why } => {
+                    tracing::warn!(%from, why, "something that a member said of repeats was turned away");
+                }
+            }
+        }
+    }
+}
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -7,7 +7,7 @@
 
 use crate::options::{NodeLine, NodeLineState};
 
-pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus};
+pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus, RepeatsStatus};
 
 /// A request on the control socket.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -161,6 +161,9 @@
     /// The fleet as it sees it; none: it knows of no other gateway.
     #[serde(default)]
     pub fleet: Option<FleetStatus>,
+    /// The cap on repeats as it holds it; none: its own budget alone holds.
+    #[serde(default)]
+    pub repeats: Option<RepeatsStatus>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
--- a/crates/gateway/src/status/fleet.rs
+++ b/crates/gateway/src/status/fleet.rs
@@ -1,5 +1,6 @@
-//! What operators see of the fleet.
+//! What operators see of the fleet and the cap.
 
+use repeats::ShardLook;
 use serde::{Deserialize, Serialize};
 use storage_core::Micros;
 
@@ -102,3 +103,12 @@
         }
     }
 }
+
+/// The cap on repeats as this gateway holds it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RepeatsStatus {
+    /// Each shard; the last, without a number, is all of them together.
+    pub shards: Vec<ShardLook>,
+    /// Totals of this life.
+    pub counts: repeats::Counts,
+}
--- a/crates/settings/src/assemble/fleet.rs
+++ b/crates/settings/src/assemble/fleet.rs
@@ -1,6 +1,6 @@
 //! What a checked file means for gateways that talk to each other.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -8,6 +8,7 @@
 use gateway::{CompanyOptions, MembershipOptions, ReturnOptions, TogetherOptions};
 use peer::PeerName;
 use peerlink::PeerOptions;
+use repeats::CapOptions;
 
 use super::{hash, micros, millis};
 use crate::schema::*;
@@ -69,6 +70,28 @@
         if let Some([longest, shortest]) = table.suspicion {
             fleet.suspicion = (longest, shortest);
         }
-        TogetherOptions { membership: MembershipOptions { fleet, records: None } }
+        TogetherOptions {
+            membership: MembershipOptions { fleet, records: None },
+            repeats: self.repeats.as_ref().map(|r| self.cap_options(own, r)),
+        }
+    }
+
+    fn cap_options(&self, own: &Gateway, table: &CapTable) -> CapOptions {
+        let shards = self.shards().into_iter().collect();
+        let mut cap = CapOptions::new(PeerName(own.name.clone()), self.gateway.len(), shards);
+        cap.window = micros(table.window_ms);
+        let over_shards = cap.fleet_free / cap.free.max(1.0);
+        cap.free = table.free.unwrap_or(cap.free);
+        cap.fleet_free = table.fleet_free.unwrap_or(cap.free * over_shards);
+        (cap.share, cap.recovering_share) = (table.share, table.recovering_share);
+        (cap.fleet_share, cap.drift) = (table.fleet_share, table.drift);
+        cap.warming = micros(self.rules.warm_after_ms);
+        cap.most_advice = micros(self.rules.most_advice_ms).max(1);
+        cap
+    }
+
+    /// Shards that have nodes.
+    fn shards(&self) -> BTreeSet<u32> {
+        self.node.iter().map(|n| n.shard).collect()
     }
 }
