gateway: a candidate shard map tried in the shadow, behind the clients' answers

With [candidate] reads of the slice are held on to by reference until the batch with their answers has gone; then their digests are taken and shadow::Shadow chooses what is copied. Copies go out on the nodes' links under numbers that neither core nor module sees, each with a right of the cap, and none where the shard is not normal or the node cold, silent, drained or doubted by a member. Writes are told attempt by attempt before they go. Counts are kept durably by a thread. SIGHUP rereads [candidate] alone; a wrong file is named with line and key and changes nothing.

--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -14,7 +14,7 @@
 use lab::{NodeRequest, Ready};
 use records::{Clock, Recorder};
 use settings::Site;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
 use crate::command::{ApplianceArgs, GatewayArgs, NodeArgs, STATE};
@@ -83,13 +83,20 @@
     if args.with_parent {
         end_with_parent();
     }
-    let mut signals = Signals::new([SIGINT, SIGTERM])?;
+    let mut signals = Signals::new([SIGHUP, SIGINT, SIGTERM])?;
     say_ready(&args.name, gateway.address(), gateway.peer_address())?;
     let (handle, gateway) = (signals.handle(), std::sync::Arc::new(gateway));
-    let stops = gateway.clone();
+    let (stops, config, name) = (gateway.clone(), args.config.clone(), args.name.clone());
     let waiter = std::thread::spawn(move || {
-        if signals.forever().next().is_some() {
-            stops.stop();
+        for signal in signals.forever() {
+            if signal != SIGHUP {
+                stops.stop();
+                return;
+            }
+            match Site::load(&config) {
+                Ok(site) => stops.try_candidate(site.candidate_options(&name)),
+                Err(error) => tracing::error!(%error, "the site file is wrong: the candidate before stays"),
+            }
         }
     });
     gateway.wait();
--- a/crates/crowbay/tests/common/process.rs
+++ b/crates/crowbay/tests/common/process.rs
@@ -7,6 +7,7 @@
 
 use lab::Ready;
 use load::Word;
+use rustix::process::{Pid, Signal, kill_process};
 
 pub const EXE: &str = env!("CARGO_BIN_EXE_crowbay");
 /// Nothing here takes that long; a test that waits longer has failed.
@@ -31,6 +32,11 @@
         Running { child, line }
     }
 
+    pub fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id().try_into().expect("a number")).expect("a process");
+        kill_process(pid, signal).expect("it is there");
+    }
+
     pub fn ready(&self) -> Ready {
         serde_json::from_str(&self.line).expect("it says where it listens")
     }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod look;
 mod orders;
+mod shadow;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -30,6 +31,7 @@
 use crate::options::GatewayOptions;
 use crate::returning::Returning;
 use crate::together::Together;
+use crate::trial::Trial;
 use transport::Outlet;
 use transport::Ticker;
 
@@ -188,6 +190,7 @@
             }
             // Before the module's timers and the rest: what is decided goes out.
             self.dirty.drain(..).for_each(|outlet| outlet.flush());
+            self.shade(now);
         }
     }
 
@@ -218,7 +221,9 @@
             }
             Message::Closed(id) => self.closed(now, id),
             Message::AssociationEnded(cntlid) => self.association_ended(cntlid),
+            Message::Ended(attempt, end) if Trial::is_copy(attempt) => self.copied(now, attempt, &end),
             Message::Ended(attempt, end) => self.over(now, attempt, end),
+            Message::Candidate(candidate) => self.try_instead(now, candidate.map(|c| *c)),
             Message::Control(request, reply) => {
                 let answer = self.control(now, request);
                 let _ = reply.send(answer); // Its asker may have gone.
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -1,4 +1,4 @@
-//! The view and the cap: fed with what the engine sees, and carried out by it.
+//! The view, the cap and the shadow: fed with what the engine sees, and carried out by it.
 //!
 //! What concerns a single request is one line where the request passes; the rest is at housekeeping, at their own times and
 //! at peers' words. Of the view nothing is on the path of a request.
@@ -26,6 +26,9 @@
         if let Some(rights) = together.rights.as_mut().filter(|r| now >= r.next_due()) {
             rights.tick(now);
         }
+        if let Some(trial) = together.trial.as_mut().filter(|t| now >= t.next_due()) {
+            trial.tick(now);
+        }
         self.agree(now, changed);
     }
 
@@ -36,6 +39,9 @@
         if let Some(rights) = &mut together.rights {
             rights.told(now, told.clone());
         }
+        if let Some(trial) = &mut together.trial {
+            trial.told(now, told.clone());
+        }
         self.agree(now, changed);
     }
 
@@ -43,12 +49,17 @@
     pub(super) fn agree(&mut self, now: Micros, changed: bool) {
         if let Some(together) = self.together.as_mut().filter(|_| changed) {
             let view = together.membership.view();
-            let others = view.members.iter().filter(|m| m.name != view.own);
+            let others = || view.members.iter().filter(|m| m.name != view.own);
             if let Some(rights) = &mut together.rights {
-                let up = others.filter(|m| m.standing == Standing::Up);
+                let up = others().filter(|m| m.standing == Standing::Up);
                 rights.peers(now, up.map(|m| m.name.clone()).collect());
             }
+            if let Some(trial) = &mut together.trial {
+                let there = others().filter(|m| m.standing != Standing::Left);
+                trial.peers(now, there.map(|m| m.name.clone()).collect());
+            }
         }
+        self.copies(now);
         self.settle(now);
     }
 
@@ -85,30 +96,42 @@
 
     /// An attempt is on its way out.
     pub(super) fn sends(&mut self, now: Micros, send: &Send) {
-        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+        let Some(together) = &mut self.together else { return };
+        if let Some(rights) = &mut together.rights {
             rights.sent(now, send);
         }
+        if let Some(trial) = &mut together.trial {
+            trial.sends(now, send);
+        }
     }
 
     /// An attempt has ended, as its link tells.
     pub(super) fn ends(&mut self, now: Micros, attempt: AttemptId, end: &End) {
-        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+        let Some(together) = &mut self.together else { return };
+        if let Some(rights) = &mut together.rights {
             rights.ended(now, attempt, end.outcome);
         }
+        if let Some(trial) = &mut together.trial {
+            trial.ended(now, attempt, end);
+        }
     }
 
     /// Nobody waits for an attempt any more.
     pub(super) fn forgets(&mut self, now: Micros, attempt: AttemptId) {
-        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+        let Some(together) = &mut self.together else { return };
+        if let Some(rights) = &mut together.rights {
             rights.ended(now, attempt, Outcome::TimedOut);
         }
+        if let Some(trial) = &mut together.trial {
+            trial.forgotten(now, attempt);
+        }
     }
 
     /// What is seen of nodes.
     pub(super) fn sights(&mut self, now: Micros) {
         let Some(together) = &mut self.together else { return };
         let view = together.membership.view();
-        let (mut sights, mut troubles) = (Vec::new(), BTreeMap::new());
+        let (mut sights, mut troubles, mut nodes) = (Vec::new(), BTreeMap::new(), Vec::new());
         let warm_after = self.options.catalogue.settings.warm_after;
         for (id, n) in self.core.node_views().iter().filter(|(_, n)| n.state != NodeState::Gone) {
             let up = self.links.get(id).is_some_and(|link| link.phase() == "up");
@@ -127,6 +150,10 @@
             let fact = view.nodes.iter().find(|f| f.node == n.name);
             let warms = cold || fact.is_some_and(|f| f.cold_for > 0 && view.at + f.cold_for > now);
             *troubles.entry(n.shard).or_insert(false) |= warms || silent_for > 0;
+            let doubted = fact.is_some_and(|f| !f.silent_for.is_empty());
+            if up && n.state == NodeState::On && !warms && silent_for == 0 && !doubted {
+                nodes.push((n.shard, n.name.clone()));
+            }
             let started = self.starts.get(id).copied().unwrap_or(0);
             sights.push(NodeSight { node: n.name.clone(), started, cold_for, silent_for });
         }
@@ -134,6 +161,10 @@
         let changed = together.membership.saw(now, sights);
         if let Some(rights) = &mut together.rights {
             rights.saw(now, troubles);
+            nodes.retain(|(shard, _)| rights.bears_copy(*shard));
+        }
+        if let Some(trial) = &mut together.trial {
+            trial.nodes(now, nodes);
         }
         self.agree(now, changed);
     }
--- a/crates/gateway/src/engine/look.rs
+++ b/crates/gateway/src/engine/look.rs
@@ -118,6 +118,7 @@
             recovery: self.returning.as_ref().map(Returning::show),
             fleet: self.fleet_status(),
             repeats: self.repeats_status(now),
+            shadow: self.shadow_status(),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,9 @@
     /// What it held before.
     #[error(transparent)]
     File(#[from] filelog::ReplaceError),
+    /// The candidate shard map.
+    #[error(transparent)]
+    Candidate(#[from] shadow::CandidateError),
     /// The file of orders from before holds something else.
     #[error("{0} is whole but holds no orders; move it away to begin without them")]
     Word(PathBuf),
@@ -114,7 +117,7 @@
             if let Some(t) = c.together {
                 let volumes = options.target.namespaces.iter().map(|ns| ns.nsid).collect();
                 let (now, seed) = (front.clock.now(), options.seed);
-                together = Some(Together::start(t, &peers, volumes, now, seed)?);
+                together = Some(Together::start(t, &peers, &folder, volumes, now, seed)?);
             }
             company = Some(peers);
         }
@@ -145,6 +148,11 @@
         self.peer_address
     }
 
+    /// Tries another candidate from now on, or none; the same one goes on. Without `[fleet]` nothing is tried.
+    pub fn try_candidate(&self, candidate: Option<shadow::ShadowOptions>) {
+        self.inbox.send(Message::Candidate(candidate.map(Box::new)));
+    }
+
     /// The fleet as this gateway sees it, if it holds a view. It asks nobody and waits for nothing.
     pub fn view(&self) -> Option<Arc<fleet::View>> {
         self.view.as_ref().map(|view| view.load_full())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod rights;
 mod status;
 mod together;
+mod trial;
 
 pub use company::CompanyOptions;
 pub use gateway::{Gateway, GatewayError};
@@ -34,6 +35,6 @@
 pub use returning::ReturnOptions;
 pub use status::{
     ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
-    RepeatsStatus, RequestStatus, Status, VolumeStatus,
+    RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
 };
 pub use together::TogetherOptions;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -36,6 +36,8 @@
     },
     /// What a peer said or did.
     Peer(peer::Told),
+    /// Another candidate is to be tried, or none.
+    Candidate(Option<Box<shadow::ShadowOptions>>),
     Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
     /// Stop; told once everything is answered.
     Stop(thread_mpsc::Sender<()>),
--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -8,7 +8,7 @@
 use decisions::Outcome;
 use nvme::IoCommand;
 use peer::{PeerName, Told};
-use repeats::{Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, key_of};
+use repeats::{Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, ShardState, key_of};
 use storage_core::{AttemptId, Micros, Send, Wanted};
 
 use crate::company::Company;
@@ -18,6 +18,8 @@
     company: Company,
     /// Shards of the attempts that are out.
     out: HashMap<AttemptId, u32>,
+    /// What is left of what the module was told that it may send, by shard.
+    allowed: BTreeMap<u32, u32>,
     /// Whether a node of a shard was seen cold, silent or refusing last.
     recovering: BTreeMap<u32, bool>,
     /// Shards of which a node refused since the last look.
@@ -36,6 +38,7 @@
             cap,
             company,
             out: HashMap::new(),
+            allowed: BTreeMap::new(),
             recovering: BTreeMap::new(),
             refused: BTreeMap::new(),
             peers: Vec::new(),
@@ -72,9 +75,29 @@
     /// An attempt is on its way out.
     pub(crate) fn sent(&mut self, now: Micros, send: &Send) {
         self.out.insert(send.attempt, send.shard.0);
+        if send.further {
+            self.spend(send.shard.0);
+        }
         self.take(now, Input::Sent { shard: send.shard.0, further: send.further });
     }
 
+    /// Whether a copy may go to a shard in the shadow: only beside normal traffic, and with a right of its own.
+    pub(crate) fn bears_copy(&self, shard: u32) -> bool {
+        self.cap.state(shard) == ShardState::Normal && self.allowed.get(&shard).is_some_and(|n| *n > 0)
+    }
+
+    /// A copy in the shadow goes out.
+    pub(crate) fn copied(&mut self, now: Micros, shard: u32) {
+        self.spend(shard);
+        self.take(now, Input::Sent { shard, further: true });
+    }
+
+    fn spend(&mut self, shard: u32) {
+        if let Some(left) = self.allowed.get_mut(&shard) {
+            *left = left.saturating_sub(1);
+        }
+    }
+
     /// An attempt has ended, or nobody waits for it any more. One that never went out has spent its right all the same: a
     /// right too many is spent, never one too few.
     pub(crate) fn ended(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
@@ -140,7 +163,10 @@
         for output in self.told.drain(..) {
             match output {
                 Output::Send { to, body } => self.company.note_to(&to, KIND, body),
-                Output::Allow(allowance) => self.allowances.push(allowance),
+                Output::Allow(allowance) => {
+                    self.allowed.insert(allowance.shard, allowance.further);
+                    self.allowances.push(allowance);
+                }
                 Output::Entered { shard, state, why } => tracing::info!(shard, ?state, why, "repeats"),
                 Output::TurnedAway { from, why } => {
                     tracing::warn!(%from, why, "something that a member said of repeats was turned away");
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -7,7 +7,7 @@
 
 use crate::options::{NodeLine, NodeLineState};
 
-pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus, RepeatsStatus};
+pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus, RepeatsStatus, ShadowStatus};
 
 /// A request on the control socket.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -164,6 +164,9 @@
     /// The cap on repeats as it holds it; none: its own budget alone holds.
     #[serde(default)]
     pub repeats: Option<RepeatsStatus>,
+    /// The candidate shard map that is tried; none: there is none.
+    #[serde(default)]
+    pub shadow: Option<ShadowStatus>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
--- a/crates/gateway/src/status/fleet.rs
+++ b/crates/gateway/src/status/fleet.rs
@@ -1,7 +1,8 @@
-//! What operators see of the fleet and the cap.
+//! What operators see of the fleet, the cap and the shadow.
 
 use repeats::ShardLook;
 use serde::{Deserialize, Serialize};
+use shadow::Verdict;
 use storage_core::Micros;
 
 use crate::membership::{name_of, word};
@@ -112,3 +113,14 @@
     /// Totals of this life.
     pub counts: repeats::Counts,
 }
+
+/// The candidate that is tried.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShadowStatus {
+    /// Its number.
+    pub number: u64,
+    /// Its digest, 16 digits: counts are added up among gateways that have the same.
+    pub digest: String,
+    /// What is known of it, over all gateways and lives.
+    pub verdict: Verdict,
+}
--- a/crates/gateway/src/together.rs
+++ b/crates/gateway/src/together.rs
@@ -1,16 +1,19 @@
 //! What a gateway does together with its fleet, by the site file.
 
 use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
 
 use decisions::NodeId;
 use fleet::Holding;
 use repeats::CapOptions;
+use shadow::ShadowOptions;
 use storage_core::Micros;
 
 use crate::company::Company;
 use crate::gateway::GatewayError;
 use crate::membership::{Membership, MembershipOptions};
 use crate::rights::Rights;
+use crate::trial::Trial;
 
 /// Settings of a gateway that acts as one with others.
 #[derive(Clone, Debug)]
@@ -19,16 +22,22 @@
     pub membership: MembershipOptions,
     /// The cap on repeats; without it each gateway has its own budget alone.
     pub repeats: Option<CapOptions>,
+    /// The candidate that is tried in the shadow.
+    pub candidate: Option<ShadowOptions>,
 }
 
 pub(crate) struct Together {
     pub(crate) membership: Membership,
     pub(crate) rights: Option<Rights>,
+    pub(crate) trial: Option<Trial>,
     /// Nodes whose links are not up, and since when.
     pub(crate) down: BTreeMap<NodeId, Micros>,
     /// It leaves, and its word of that has gone out by then.
     said_by: Option<Micros>,
     period: Micros,
+    company: Company,
+    folder: PathBuf,
+    seed: u64,
     /// Volumes that it serves.
     volumes: Vec<u32>,
     /// What tells the cap's figures from others.
@@ -39,24 +48,62 @@
     pub(crate) fn start(
         options: TogetherOptions,
         company: &Company,
+        folder: &Path,
         volumes: Vec<u32>,
         now: Micros,
         seed: u64,
     ) -> Result<Together, GatewayError> {
         let cap = options.repeats.as_ref().map_or(0, figures);
         let rights = options.repeats.map(|o| Rights::start(o, company.clone(), now, seed));
+        let trial = match options.candidate {
+            Some(o) => Some(Trial::start(o, company.clone(), folder, now, seed)?),
+            None => None,
+        };
         let period = options.membership.fleet.period;
         let membership =
             Membership::start(options.membership, company.clone(), now, seed).map_err(GatewayError::Start)?;
-        let mut together =
-            Together { membership, rights, down: BTreeMap::new(), said_by: None, period, volumes, cap };
+        let mut together = Together {
+            membership,
+            rights,
+            trial,
+            down: BTreeMap::new(),
+            said_by: None,
+            period,
+            company: company.clone(),
+            folder: folder.to_owned(),
+            seed,
+            volumes,
+            cap,
+        };
         together.hold(now);
         Ok(together)
     }
 
     /// States what this gateway holds; whether the view is another now.
     pub(crate) fn hold(&mut self, now: Micros) -> bool {
-        self.membership.hold(now, Holding { volumes: self.volumes.clone(), cap: self.cap, candidate: 0 })
+        let candidate = self.trial.as_ref().map_or(0, Trial::digest);
+        self.membership.hold(now, Holding { volumes: self.volumes.clone(), cap: self.cap, candidate })
+    }
+
+    /// Another candidate, or none, is to be tried from now on; the same one goes on.
+    ///
+    /// # Errors
+    /// It does not fit, or what was kept of it cannot be read: the one before stays.
+    pub(crate) fn try_instead(
+        &mut self,
+        now: Micros,
+        candidate: Option<ShadowOptions>,
+    ) -> Result<(), GatewayError> {
+        let Some(options) = candidate else {
+            self.trial = None;
+            return Ok(());
+        };
+        if self.trial.as_ref().is_none_or(|t| t.digest() != options.candidate.digest()) {
+            // Drawn anew for each instance: it tells it from others of this life.
+            let seed = self.seed ^ (now as u64).rotate_left(32);
+            self.trial = Some(Trial::start(options, self.company.clone(), &self.folder, now, seed)?);
+        }
+        Ok(())
     }
 
     /// It is about to leave by its own will.
@@ -76,7 +123,8 @@
     pub(crate) fn next_due(&self, now: Micros) -> Micros {
         let said = self.said_by.filter(|by| now < *by).unwrap_or(Micros::MAX);
         let rights = self.rights.as_ref().map_or(Micros::MAX, Rights::next_due);
-        self.membership.next_due().min(rights).min(said)
+        let trial = self.trial.as_ref().map_or(Micros::MAX, Trial::next_due);
+        self.membership.next_due().min(rights).min(trial).min(said)
     }
 }
 
--- a/crates/settings/src/assemble/fleet.rs
+++ b/crates/settings/src/assemble/fleet.rs
@@ -9,6 +9,7 @@
 use peer::PeerName;
 use peerlink::PeerOptions;
 use repeats::CapOptions;
+use shadow::{Candidate, ShadowOptions, VolumeMap};
 
 use super::{hash, micros, millis};
 use crate::schema::*;
@@ -73,6 +74,7 @@
         TogetherOptions {
             membership: MembershipOptions { fleet, records: None },
             repeats: self.repeats.as_ref().map(|r| self.cap_options(own, r)),
+            candidate: self.candidate_options(&own.name),
         }
     }
 
@@ -94,4 +96,48 @@
     fn shards(&self) -> BTreeSet<u32> {
         self.node.iter().map(|n| n.shard).collect()
     }
+
+    /// The candidate shard map that a gateway is to try; none without `[candidate]`.
+    pub fn candidate_options(&self, gateway: &str) -> Option<ShadowOptions> {
+        let table = self.candidate.as_ref()?;
+        let (candidate, current) = (self.candidate_map(table), self.current_map());
+        let name = PeerName(gateway.to_owned());
+        let mut options = ShadowOptions::new(name, candidate, current, self.gateway.len());
+        options.node_rate = table.node_rate;
+        // A write of unknown outcome may run for as long as recovery waits for it.
+        options.rest = micros(self.rest_ms()).max(micros(self.link.keep_alive_ms));
+        Some(options)
+    }
+
+    /// The map in force.
+    pub(crate) fn current_map(&self) -> Vec<VolumeMap> {
+        self.volume.iter().map(|v| map(v, &v.shards)).collect()
+    }
+
+    /// The map of a candidate; volumes that do not exist are left out, and told by the check.
+    pub(crate) fn candidate_map(&self, table: &CandidateTable) -> Candidate {
+        let of = |name: &str| self.volume.iter().find(|v| v.name == name);
+        let volume = |c: &CandidateVolume| {
+            let mut map = map(of(&c.name)?, &c.shards);
+            for m in &c.moved {
+                let range = m.first as usize..=m.last as usize;
+                map.shards.get_mut(range).into_iter().flatten().for_each(|shard| *shard = m.shard);
+            }
+            Some(map)
+        };
+        Candidate {
+            number: table.number,
+            slice: table.slice,
+            parts: table.parts.iter().filter_map(|(name, part)| Some((of(name)?.nsid, *part))).collect(),
+            volumes: table.volume.iter().filter_map(volume).collect(),
+        }
+    }
+}
+
+/// A volume's extents on shards in turn.
+fn map(v: &Volume, shards: &[u32]) -> VolumeMap {
+    let mut map =
+        VolumeMap { nsid: v.nsid, blocks: v.blocks, extent_blocks: v.extent_blocks, shards: Vec::new() };
+    map.shards = shards.iter().copied().cycle().take(map.extents() as usize).collect();
+    map
 }
--- a/crates/settings/src/check/fleet.rs
+++ b/crates/settings/src/check/fleet.rs
@@ -100,6 +100,11 @@
         if all > MOST_EXTENTS {
             let what = format!("{all} extents are more than a candidate is tried with, {MOST_EXTENTS}");
             self.problem("candidate".into(), what);
+        } else if self.problems.is_empty()
+            && let Err(error) = s.candidate_map(c).check(&s.current_map(), &shards)
+        {
+            // What the shadow would turn away and nothing above has named.
+            self.problem("candidate".into(), error.to_string());
         }
     }
 
