--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -10,6 +10,7 @@
 use crate::Micros;
 use crate::account::Account;
 use crate::advice::{Asking, Post};
+use crate::course::tell_module;
 use crate::lending::Lending;
 use crate::look::{Counts, ShardLook};
 use crate::options::{CapOptions, Plant, RIGHT, Terms, Trial, Way};
@@ -136,7 +137,6 @@
     pub(crate) turned: BTreeSet<(PeerName, &'static str)>,
     pub(crate) next_slice: Micros,
     pub(crate) next_step: Micros,
-    pub(crate) slices: u64,
     pub(crate) counts: Counts,
 }
 
@@ -151,7 +151,10 @@
         let terms = options.terms();
         // The same seed at all gateways must not make them draw the same.
         let seed = xxh3_64_with_seed(options.name.0.as_bytes(), seed ^ life.nonce.0);
-        let kept = if trial.plant == Some(Plant::SketchForgets) { options.window / 2 } else { terms.window };
+        let kept = match trial.plant {
+            Some(Plant::SketchForgets) => options.window / 2,
+            _ => terms.remembered,
+        };
         let mut cap = Cap {
             terms,
             trial,
@@ -161,13 +164,12 @@
             fleet: Account::full(terms, 0),
             fleet_asking: Asking::new(now, &terms),
             lending: Lending::new(terms, life, options.members, trial.plant),
-            sketch: Sketch::new(now, kept),
+            sketch: Sketch::new(now, kept, terms.window),
             peers: Vec::new(),
             heard_worth: BTreeMap::new(),
             turned: BTreeSet::new(),
-            next_slice: terms.up(now + 1),
-            next_step: now + terms.step,
-            slices: 0,
+            next_slice: terms.down(now) + terms.slice,
+            next_step: terms.next_step(now),
             counts: Counts::default(),
             options,
         };
@@ -196,7 +198,16 @@
 
     /// Takes what happened; appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
-        self.advance(now, out);
+        let stepped = self.advance(now, out);
+        // Between two steps nothing falls due, and most events touch one shard.
+        let touched = match input {
+            Input::Sent { shard, .. } | Input::Ended { shard, .. } | Input::Wanted { shard, .. }
+                if !stepped =>
+            {
+                Some(shard)
+            }
+            _ => None,
+        };
         match input {
             Input::Sent { shard, further } => self.sent(now, shard, further),
             Input::Ended { shard, served, refused: _ } => self.ended(now, shard, served),
@@ -218,7 +229,10 @@
             Input::Renewed(life) => self.renew(now, life),
             Input::Tick => {}
         }
-        self.allow(now, out);
+        match touched.map(|shard| self.posts.range_mut(shard..=shard)) {
+            Some(posts) => self.counts.allows += tell_module(now, self.terms.step, posts, out),
+            None => self.allow(now, out),
+        }
     }
 
     /// When to hand in a `Tick` at the latest.
@@ -230,7 +244,7 @@
         if lacks { next.min(self.next_step) } else { next }
     }
 
-    /// Whether a request like this ended unserved, here or at a peer, within the window. May say so falsely, never the other
+    /// Whether a request like this ended unserved, here or at a peer, within the window and the longest advice. May say so falsely, never the other
     /// way of what was heard.
     pub fn is_repeat(&self, now: Micros, key: u64) -> bool {
         self.sketch.has(now, key)
