--- a/crates/shadow/src/counts.rs
+++ b/crates/shadow/src/counts.rs
@@ -12,6 +12,8 @@
     Across,
     /// Its extent lies on the same shard, or this node, in both maps: a node compared with itself proves nothing.
     SamePlace,
+    /// A difference could not be judged: this gateway or a peer has just started, or a peer has said no word of late.
+    Unjudged,
     /// Requests were held here.
     Busy,
     /// The candidate's shard has no node that may be tried.
@@ -66,7 +68,8 @@
     NoNode,
 }
 
-pub(crate) const WHYS: [Why; 6] = [Why::Across, Why::SamePlace, Why::Busy, Why::NoNode, Why::Out, Why::Rate];
+pub(crate) const WHYS: [Why; 7] =
+    [Why::Across, Why::SamePlace, Why::Unjudged, Why::Busy, Why::NoNode, Why::Out, Why::Rate];
 pub(crate) const DOUBTS: [Doubt; 7] = [
     Doubt::First,
     Doubt::OwnWrites,
@@ -101,6 +104,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub(crate) struct Key(u8, u32, u64);
 
+impl Key {
+    /// Of a cell with this value; nothing for 0.
+    pub(crate) fn hash(self, value: u64) -> u64 {
+        if value == 0 {
+            return 0;
+        }
+        let words = [u64::from(self.0) << 32 | u64::from(self.1), self.2, value];
+        words.iter().fold(0, |hash: u64, word| {
+            let mixed = (hash ^ word).wrapping_add(0x9e37_79b9_7f4a_7c15).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            mixed ^ mixed >> 29
+        })
+    }
+}
+
 /// A key that was read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Cell {
--- a/crates/shadow/src/gossip.rs
+++ b/crates/shadow/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use peer::wire::{decode, encode};
 use peer::{Life, PeerName};
+use rand::Rng;
 use rand::seq::IndexedRandom;
 
 use crate::Micros;
@@ -20,6 +21,7 @@
             digest: self.digest,
             seat: self.seat,
             tick: self.writes.tick(),
+            blind: self.writes.is_blind(),
             have: None,
             pages: Vec::new(),
             asks: Vec::new(),
@@ -48,7 +50,7 @@
         let listed: Vec<PeerName> = self.peers.listed().cloned().collect();
         let told: Vec<&PeerName> = listed.choose_multiple(&mut self.rng, self.options.fanout).collect();
         let word = self.note();
-        let have = Note { have: Some(self.books.have()), ..word.clone() };
+        let have = Note { have: Some(self.books.reach()), ..word.clone() };
         let (word, have) = (encode(&word), encode(&have));
         for to in &listed {
             let body = if told.contains(&to) { have.clone() } else { word.clone() };
@@ -82,7 +84,8 @@
         let Some(note) = decode::<Note>(body) else {
             return self.turn_away(from, "a note cannot be read", out);
         };
-        if !self.peers.heard(now, &from, life, note.seat, note.tick) {
+        let tick = (!note.blind).then_some(note.tick);
+        if !self.peers.heard(now, &from, life, note.seat, tick) {
             return;
         }
         for said in note.said.iter().take(MOST_ASKS) {
@@ -99,7 +102,8 @@
                 self.take(now, &from, page, out);
             }
             if let Some(have) = note.have.filter(|_| self.peers.may_answer(now, &from)) {
-                pages = self.books.pages(&have, MOST_PAGES, MOST_CELLS);
+                let draw = self.rng.random();
+                pages = self.books.pages(&have, MOST_PAGES, MOST_CELLS, draw);
             }
         } else if !note.pages.is_empty() || note.have.is_some() {
             self.turn_away(from.clone(), "it holds another candidate; its counts are not added", out);
@@ -153,7 +157,7 @@
         self.books.books.get(&self.owner).is_some_and(|book| book.have > self.kept)
     }
 
-    fn keep(&mut self, now: Micros, out: &mut Vec<Output>) {
+    pub(crate) fn keep(&mut self, now: Micros, out: &mut Vec<Output>) {
         let own = self.books.books.iter().filter(|(owner, _)| owner.name == self.options.name);
         let pages = own.map(|(owner, book)| Page {
             owner: owner.clone(),
