--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod company;
 mod connection;
 mod engine;
 mod entry;
@@ -19,15 +20,23 @@
 mod journal;
 mod link;
 mod mapping;
+mod membership;
 mod message;
 mod options;
 mod returning;
+mod rights;
 mod status;
+mod together;
+mod trial;
 
+pub use company::CompanyOptions;
 pub use gateway::{Gateway, GatewayError};
 pub use mapping::{advice_index, told};
+pub use membership::{MembershipOptions, ViewLine};
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
 pub use returning::ReturnOptions;
 pub use status::{
-    ControlAnswer, ControlRequest, EndedStatus, NodeStatus, RequestStatus, Status, VolumeStatus,
+    ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
+    RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
 };
+pub use together::TogetherOptions;
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,10 +1,14 @@
 //! What the control socket carries.
 
+mod fleet;
+
 use serde::{Deserialize, Serialize};
 use storage_core::Micros;
 
 use crate::options::{NodeLine, NodeLineState};
 
+pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus, RepeatsStatus, ShadowStatus};
+
 /// A request on the control socket.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(tag = "do", rename_all = "lowercase", deny_unknown_fields)]
@@ -154,6 +158,15 @@
     /// How far it has come back; none: it has no peers, and is open at once.
     #[serde(default)]
     pub recovery: Option<recovery::Shown>,
+    /// The fleet as it sees it; none: it knows of no other gateway.
+    #[serde(default)]
+    pub fleet: Option<FleetStatus>,
+    /// The cap on repeats as it holds it; none: its own budget alone holds.
+    #[serde(default)]
+    pub repeats: Option<RepeatsStatus>,
+    /// The candidate shard map that is tried; none: there is none.
+    #[serde(default)]
+    pub shadow: Option<ShadowStatus>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
