--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -117,12 +117,15 @@
     /// Seed of the module's randomness; left out: from the clock
     #[arg(long)]
     pub seed: Option<u64>,
-    /// Folder of what it has to know after a loss of power; for a site with [recovery]. Left out: site.state/NAME
+    /// Folder of what it has to know after a loss of power; for a site with [recovery] or [fleet]. Left out: site.state/NAME
     #[arg(long)]
     pub state: Option<PathBuf>,
     /// JSON file with addresses of peers, {"NAME": "ADDRESS"}, in place of the site file's
     #[arg(long)]
     pub peers: Option<PathBuf>,
+    /// Folder for view-NAME.jsonl, a line for each change of its view; for a site with [fleet]
+    #[arg(long)]
+    pub records: Option<PathBuf>,
     /// Lock file that stands for the identity: a second gateway on it is not started
     #[arg(long)]
     pub lock: Option<PathBuf>,
--- a/crates/lab/src/replay/site.rs
+++ b/crates/lab/src/replay/site.rs
@@ -49,11 +49,19 @@
             log: Log { format: LogFormat::Text, level: LogLevel::Warn },
             appliance: settings::Appliance::default(),
             recovery: None,
+            fleet: None,
+            repeats: None,
+            candidate: None,
             class: self.classes(day),
             plan: self.plans(day, capacity),
             volume: self.volumes(),
             gateway: (0..self.gateways)
-                .map(|n| Gateway { name: format!("gw{n}"), listen: ([127, 0, 0, 1], 0).into(), peer: None })
+                .map(|n| Gateway {
+                    name: format!("gw{n}"),
+                    listen: ([127, 0, 0, 1], 0).into(),
+                    peer: None,
+                    zone: 0,
+                })
                 .collect(),
             node: speeds.iter().enumerate().map(|(n, speed)| self.node(n, *speed)).collect(),
             day: Some(Day {
