--- a/crates/world/src/bounds.rs
+++ b/crates/world/src/bounds.rs
@@ -25,8 +25,8 @@
     /// goes out up to 250 ms (`connectTimeoutUs`) after the list was learnt: three quarters of the grace are left to learn it,
     /// and 10 ms for the ways and the pieces.
     pub learns: Micros,
-    /// The part of what clients send on connections that stayed open after the word to leave, later than 0.7 s after it, that
-    /// has no answer: what crosses the closing of its connection (a way of 50 us against 20 ms of thinking, once for each).
+    /// Of what clients send to gateways that were told to leave, the part that came later than 0.7 s after the word and has no
+    /// answer: what crosses the closing of its connection (a way of 50 us against 20 ms of thinking, once for each).
     pub lost_late: f64,
     /// Calls for the list for each start and each second without discovery, beside `list_calls`: who learns within three
     /// quarters of the grace calls that often at least, 1.33 a second; drawn from half of it on, 1.6 in the mean.
--- a/crates/world/src/tally.rs
+++ b/crates/world/src/tally.rs
@@ -77,7 +77,7 @@
     pub cold_blamed: u64,
     /// The most of what a cold node bears in a window that one of them got.
     pub cold_worst: f64,
-    /// Requests that clients sent on connections that had stayed open after the word to leave.
+    /// Requests that clients sent to gateways that had been told to leave.
     pub pressed: u64,
     /// Of the requests at gateways that were told to leave, those without an answer: come within 0.7 s of that, and later.
     pub lost_early: u64,
--- a/crates/world/src/world/asking.rs
+++ b/crates/world/src/world/asking.rs
@@ -64,8 +64,9 @@
     }
 
     fn ask_on(&mut self, conn: ConnId, id: u64, text: String) {
-        if let Some(Conn { peer: Peer::Client { requests, .. }, .. }) = self.conns.get_mut(&conn) {
+        if let Some(Conn { gateway, peer: Peer::Client { requests, .. }, .. }) = self.conns.get_mut(&conn) {
             requests.push_back(id);
+            self.tally.pressed += u64::from(self.gateways[*gateway].left.is_some());
             self.line.plan(NEAR, Event::ToGateway(conn, Bytes::from(text)));
         }
     }
@@ -106,7 +107,6 @@
         self.next_request += 1;
         self.requests.insert(id, asking);
         self.tally.asked += 1;
-        self.tally.pressed += 1;
         self.line.plan(PATIENCE + SLACK, Event::GivesUp(id));
         self.ask_on(conn, id, text);
     }
