--- a/crates/repeats/src/lending.rs
+++ b/crates/repeats/src/lending.rs
@@ -26,6 +26,7 @@
 struct Open {
     sent: Micros,
     account: Option<u32>,
+    amount: u64,
     /// Whom was asked and has not given yet.
     asked: Vec<PeerName>,
 }
@@ -79,7 +80,7 @@
         while self.open.len() >= MOST_OPEN {
             self.open.pop_first();
         }
-        self.open.insert(number, Open { sent: now, account, asked: of.to_vec() });
+        self.open.insert(number, Open { sent: now, account, amount, asked: of.to_vec() });
         Want { number, shard: account, amount, worth, life: self.life }
     }
 
@@ -146,6 +147,8 @@
         for &(rights, left) in &grant.parts {
             // A giver states at most a loan's life; one that states more is held to it.
             let until = began + self.terms.kept(left.clamp(0, self.terms.loan));
+            // Nor is more taken than was asked for.
+            let rights = rights.min(open.amount - added);
             if account.borrow(now, until, rights) {
                 added += rights;
             }
--- a/crates/repeats/tests/accounts.rs
+++ b/crates/repeats/tests/accounts.rs
@@ -282,6 +282,11 @@
     assert_eq!(late.take(now + WINDOW / 8, &name, &grant, &mut account), Err(Untaken::Late));
     assert_eq!(take(&mut fleet.sides[0], now), Ok(2 * RIGHT));
     assert_eq!(take(&mut fleet.sides[0], now), Err(Untaken::Unasked));
+    let lie = Grant { parts: vec![(u64::MAX, Micros::MAX); 3], ..grant.clone() };
+    let mut asker = Lending::new(options().terms(), life(1), 3, None);
+    asker.ask(now, Some(0), RIGHT, 1.0, std::slice::from_ref(&name));
+    let lie = Grant { number: 1, ..lie };
+    assert_eq!(asker.take(now, &name, &lie, &mut account), Ok(RIGHT), "no more than was asked for");
     fleet.restart(0);
     assert_eq!(take(&mut fleet.sides[0], now), Err(Untaken::OtherLife));
     let other = PeerName::from("g9");
