--- a/crates/fleet/src/message.rs
+++ b/crates/fleet/src/message.rs
@@ -103,7 +103,8 @@
 
     /// Whether the record fitted in.
     pub(crate) fn member(&mut self, told: Told) -> bool {
-        if self.note.members.iter().any(|m| m.name == told.name) {
+        // Only the first, the receiver's own, is put in out of its turn.
+        if self.note.members.first().is_some_and(|m| m.name == told.name) {
             return true;
         }
         let fits = self.takes(&told);
--- a/crates/fleet/src/roll.rs
+++ b/crates/fleet/src/roll.rs
@@ -220,7 +220,8 @@
     pub(crate) fn stand(&mut self, now: Micros, alone: bool, grace: bool) -> u64 {
         let mut changes = 0;
         for (name, entry) in &mut self.entries {
-            let standing = entry.stands(self.span, now, alone && *name != self.own, grace, *name == self.own);
+            let own = *name == self.own;
+            let standing = entry.stands(self.span, now, alone && !own, grace, own);
             if entry.standing != standing {
                 (entry.standing, entry.since) = (standing, now);
                 self.stale = true;
