--- a/crates/judge/tests/fleet.rs
+++ b/crates/judge/tests/fleet.rs
@@ -30,6 +30,12 @@
         );
     }
     p.lines.push(DayLine::Down { t: 60 * S, gateway: "g1".into(), killed: false });
+    // Long after their start.
+    p.lines.iter_mut().for_each(|l| {
+        if let DayLine::Up { t, .. } = l {
+            *t = -100 * S;
+        }
+    });
     p
 }
 
@@ -102,6 +108,10 @@
     };
     assert_eq!(expelled(&|p| p.cut("g1", "g3", 30 * S, 40 * S)), 1);
     assert_eq!(expelled(&|_| {}), 1, "not cut at all");
+    // Back within the slack of 50 ms: a busy machine's; a moment later: the gateway's.
+    for (back, broken) in [(40_000, 0), (60_000, 1)] {
+        assert_eq!(expelled(&|p| view(p, 35 * S + back, "g1", 2, "all", &[])), broken, "{back}");
+    }
     let alone = |p: &mut Plant| {
         p.cut("g1", "g3", 30 * S, 40 * S);
         p.cut("g3", "g2", 30 * S, 40 * S);
@@ -124,6 +134,12 @@
     let mut p = fleet();
     (0..10).for_each(|n| view(&mut p, 42 * S + n * 10_000, "g2", 4 + n as u64, "all", &[]));
     assert_eq!(p.broken(), "fleet changes");
+    // A trouble shortly before is a reason for as many more, one long ago or afterwards is none.
+    for (t, fine) in [(41 * S, true), (30 * S, true), (-21 * S, false), (43 * S, false)] {
+        let mut p = p.clone();
+        p.lines.push(DayLine::Trouble { t, what: "something".into() });
+        assert_eq!(p.judge().kept(), fine, "{t}");
+    }
 }
 
 /// Ten commands served, and one that goes out so many times more, at this gateway and by another name.
--- a/crates/judge/tests/plant/mod.rs
+++ b/crates/judge/tests/plant/mod.rs
@@ -48,6 +48,7 @@
 }
 
 /// A day in the making.
+#[derive(Clone)]
 pub struct Plant {
     pub terms: Terms,
     pub clients: Vec<ClientLine>,
--- a/crates/lab/src/ground.rs
+++ b/crates/lab/src/ground.rs
@@ -74,8 +74,8 @@
         command.arg("gateway").arg("--with-parent").arg("--config").arg(&self.file).args(["--name", name]);
         command.arg("--nodes").arg(self.json(&format!("{name}.nodes.json"), start.list)?);
         command.arg("--control").arg(&control).args(["--seed", &start.seed.to_string()]);
-        // Used by a site with [recovery] alone.
-        command.arg("--state").arg(self.state(name)).arg("--mark");
+        // Used by a site with [recovery] or [fleet] alone.
+        command.arg("--state").arg(self.state(name)).arg("--mark").arg("--records").arg(&self.out);
         if let Some(peers) = &start.peers {
             command.arg("--peers").arg(self.json(&format!("{name}.peers.json"), peers)?);
         }
--- a/crates/records/src/terms.rs
+++ b/crates/records/src/terms.rs
@@ -102,7 +102,8 @@
 pub struct ViewTerms {
     /// So long after the last fault all that can reach each other hold the same.
     pub settle: Micros,
-    /// Changes of one gateway's view in any minute at most.
+    /// Changes of one gateway's view in any minute at most, and as many more for each trouble that began or ended in it or
+    /// in the time before in which a view settles.
     pub changes: u64,
 }
 
--- a/crates/settings/src/assemble/fleet.rs
+++ b/crates/settings/src/assemble/fleet.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    fn together_options(&self, own: &Gateway, table: &FleetTable) -> TogetherOptions {
+    pub(crate) fn together_options(&self, own: &Gateway, table: &FleetTable) -> TogetherOptions {
         let members = self.gateway.iter().map(|g| (PeerName(g.name.clone()), g.zone)).collect();
         let mut fleet = FleetOptions::new(PeerName(own.name.clone()), own.zone, self.number(), members);
         fleet.period = micros(table.period_ms);
--- a/crates/settings/src/day.rs
+++ b/crates/settings/src/day.rs
@@ -247,7 +247,7 @@
 impl Site {
     /// Whether gateways connect to each other.
     pub fn gateways_talk(&self) -> bool {
-        self.recovery.is_some() && self.gateway.len() > 1
+        (self.recovery.is_some() || self.fleet.is_some()) && self.gateway.len() > 1
     }
 
     /// The links between processes of a day: who connects, and to whom.
@@ -281,6 +281,7 @@
             match zone(name) {
                 Some(zone) => {
                     all.extend(self.node.iter().filter(|n| n.zone == zone).map(|n| n.name.clone()));
+                    all.extend(self.gateway.iter().filter(|g| g.zone == zone).map(|g| g.name.clone()));
                 }
                 None => {
                     all.insert(name.clone());
@@ -290,6 +291,10 @@
         all
     }
 
+    pub(crate) fn has_zone(&self, zone: u32) -> bool {
+        self.node.iter().any(|n| n.zone == zone) || self.gateway.iter().any(|g| g.zone == zone)
+    }
+
     /// Gateways that join in the course of the day.
     pub fn joins(&self) -> BTreeSet<&str> {
         let joins = self.trouble.iter().filter(|t| t.what == TroubleKind::Join);
--- a/crates/settings/src/terms.rs
+++ b/crates/settings/src/terms.rs
@@ -1,10 +1,15 @@
 //! The terms by which a day's records are judged.
 
-use records::{Budget, ClassTerms, ColdTerms, Kind, PlanTerms, Terms, VolumeTerms};
+use records::{
+    Budget, CapTerms, ClassTerms, ColdTerms, Kind, Micros, PlanTerms, Terms, ViewTerms, VolumeTerms,
+};
 
 use crate::assemble::micros;
 use crate::schema::*;
 
+/// Changes of a view, for each member, that one trouble's beginning or end may bring: it is suspected, and then gone or back.
+const CHANGES: u64 = 2;
+
 impl Site {
     /// The terms by which the day's records are judged.
     pub fn terms(&self) -> Terms {
@@ -61,8 +66,31 @@
                 share: r.budget_share,
             }),
             clock_slack: micros(self.day.as_ref().map_or(150, |d| d.clock_slack_ms)),
-            view: None,
-            cap: None,
+            view: self.view_terms(),
+            cap: self.cap_terms(),
         }
     }
+
+    /// What is promised of the view: what its own figures come to.
+    fn view_terms(&self) -> Option<ViewTerms> {
+        let together = self.together_options(self.gateway.first()?, self.fleet.as_ref()?);
+        let fleet = together.membership.fleet;
+        let settle = Micros::from(fleet.settling()) * fleet.period;
+        Some(ViewTerms { settle, changes: CHANGES * self.gateway.len() as u64 })
+    }
+
+    /// The cap on repeats. Gateways count a window by their own clocks, and at most one send each is between its booking and
+    /// its arrival when a window ends.
+    fn cap_terms(&self) -> Option<CapTerms> {
+        let together = self.together_options(self.gateway.first()?, self.fleet.as_ref()?);
+        let cap = together.repeats?;
+        Some(CapTerms {
+            window: cap.window,
+            free: cap.free,
+            share: cap.share,
+            fleet_free: cap.fleet_free,
+            fleet_share: cap.fleet_share,
+            slack: 2.0 * cap.drift * cap.free + self.gateway.len() as f64,
+        })
+    }
 }
