console and status show what a gateway holds with its fleet; a refused repeat is kept in mind only while its shard recovers

Lines for the view, the cap and the candidate under each gateway. A repeat that was turned away unsent renewed its key each time, so that the reads of a block that many want stayed repeats for ever after one time-out; now only while the shard recovers.

--- a/crates/console/src/draw.rs
+++ b/crates/console/src/draw.rs
@@ -9,6 +9,7 @@
 use steering::{Phase, State};
 
 use crate::app::{App, Page};
+use crate::fleet::fleet_lines;
 use crate::text::{head, marks, state, when};
 
 const HELP: &str = "\
@@ -169,6 +170,8 @@
             _ => Some(Color::Yellow),
         };
         rows.push((text, colour));
+        let status = app.view.gateways.iter().find(|g| g.name == p.name).and_then(|g| g.status.as_ref());
+        rows.extend(status.iter().flat_map(|s| fleet_lines(s)).map(|line| (format!("  {line}"), None)));
     }
     (head, rows)
 }
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -9,12 +9,14 @@
 
 mod app;
 mod draw;
+mod fleet;
 mod line;
 mod terminal;
 mod text;
 
 pub use app::{App, Ask, Page};
 pub use draw::draw;
+pub use fleet::fleet_lines;
 pub use line::{Line, LineError, VERBS, complete, parse};
 pub use terminal::{ConsoleError, run};
 pub use text::{nodes_text, requests_text, text, verdict_text, volumes_text, when, why};
--- a/crates/console/src/text.rs
+++ b/crates/console/src/text.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write as _;
 
+use crate::fleet::fleet_lines;
 use appliance::{NodeView, SiteView};
 use steering::{Change, Micros, Phase, Source, Verdict};
 
@@ -157,6 +158,9 @@
             ),
             None => line(&mut out, format_args!("{}: does not answer", g.name)),
         }
+        for l in g.status.iter().flat_map(|s| fleet_lines(s)) {
+            line(&mut out, format_args!("  {l}"));
+        }
     }
     for note in &view.notes {
         line(&mut out, format_args!("note of {} {}: {}", note.mark.by, when(note.mark.t), note.text));
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -90,6 +90,11 @@
             v.name, v.nsid, v.open, v.taken, v.served, v.refused, v.failed, v.units
         );
     }
+    let lines = console::fleet_lines(s);
+    if !lines.is_empty() {
+        println!();
+        lines.iter().for_each(|line| println!("{line}"));
+    }
 }
 
 /// The recovery of a gateway, and its clock.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -30,6 +30,7 @@
 use crate::message::{Inbox, Message};
 use crate::options::GatewayOptions;
 use crate::returning::Returning;
+use crate::rights::Asked;
 use crate::together::Together;
 use crate::trial::Trial;
 use transport::Outlet;
@@ -51,15 +52,6 @@
     tickets: HashMap<u16, Ticket>,
 }
 
-/// What the cap knows a command by.
-#[derive(Clone, Copy)]
-struct Asked {
-    /// Its repeats have the same, at any gateway.
-    key: u64,
-    /// One like it ended unserved of late, here or at a peer.
-    is_repeat: bool,
-}
-
 /// A command that was taken.
 struct Taken {
     connection: ConnectionId,
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -11,8 +11,8 @@
 use peer::Told;
 use storage_core::{AttemptId, End, Micros, Send, Ticket};
 
-use super::{Asked, Engine};
-use crate::rights::Rights;
+use super::Engine;
+use crate::rights::{Asked, Rights};
 use crate::status::{FleetStatus, RepeatsStatus};
 
 /// A link that is not up for so long counts as silence.
@@ -80,18 +80,18 @@
     /// What is known of a command for the cap; none without it.
     pub(super) fn asked(&self, now: Micros, command: &IoCommand) -> Option<Asked> {
         let rights = self.together.as_ref()?.rights.as_ref()?;
+        let volume = self.options.catalogue.volume(command.nsid)?;
+        let extent = (command.slba / volume.extent_blocks.max(1)) as usize;
+        let shard = volume.shards.get(extent % volume.shards.len().max(1))?.0;
         let key = Rights::key(command);
-        Some(Asked { key, is_repeat: rights.is_repeat(now, key) })
+        Some(Asked { key, shard, is_repeat: rights.is_repeat(now, key) })
     }
 
-    /// An operation ended unserved, or its client has left it. One of which nothing was ever sent is not repeated by coming again;
-    /// one that was a repeat already has been sent before.
+    /// An operation ended unserved, or its client has left it.
     pub(super) fn unserved(&mut self, now: Micros, ticket: Ticket, asked: Asked) {
         let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) else { return };
         let ended = self.core.ended_views().rev().find(|e| e.ticket == ticket);
-        if asked.is_repeat || ended.is_none_or(|e| e.attempts > 0) {
-            rights.unserved(now, asked.key);
-        }
+        rights.unserved(now, asked, ended.is_none_or(|e| e.attempts > 0));
     }
 
     /// An attempt is on its way out.
--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -13,6 +13,17 @@
 
 use crate::company::Company;
 
+/// What the cap knows a command by.
+#[derive(Clone, Copy)]
+pub(crate) struct Asked {
+    /// Its repeats have the same, at any gateway.
+    pub(crate) key: u64,
+    /// Where its first block lies.
+    pub(crate) shard: u32,
+    /// One like it ended unserved of late, here or at a peer.
+    pub(crate) is_repeat: bool,
+}
+
 pub(crate) struct Rights {
     cap: Cap,
     company: Company,
@@ -109,10 +120,17 @@
         self.take(now, Input::Ended { shard, served, refused });
     }
 
-    /// An operation ended unserved after something of it was sent: the next like it is its repeat. What was never sent is not
-    /// repeated by coming again.
-    pub(crate) fn unserved(&mut self, now: Micros, key: u64) {
-        self.take(now, Input::Unserved { key });
+    /// An operation ended unserved, after something of it was sent or before.
+    ///
+    /// What was never sent is not repeated by coming again, so that it is not kept in mind. One that was a repeat already has been
+    /// sent before, and comes once more: it is kept in mind as long as its shard recovers. Danger: were it always so, the reads of a
+    /// block that many want would be taken for repeats for ever after one of them timed out, as each that is refused would renew the
+    /// others'. Harm: a client that stays away for longer than the window comes back as a new one.
+    pub(crate) fn unserved(&mut self, now: Micros, asked: Asked, was_sent: bool) {
+        let recovers = matches!(self.cap.state(asked.shard), ShardState::Recovering | ShardState::Widening);
+        if was_sent || asked.is_repeat && recovers {
+            self.take(now, Input::Unserved { key: asked.key });
+        }
     }
 
     /// A part was turned away for want of rights.
