--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -69,7 +69,7 @@
                 extents.iter().take(8).map(|(v, e)| format!("volume {v} extent {e}")).collect();
             format!("WRONG in {} extents: {}", extents.len(), named.join(", "))
         }
-        Enough::NotYet { lacking } => format!("not enough yet, {} extents lack", lacking.len()),
+        Enough::NotYet { .. } => format!("not enough yet, {} extents lack", s.lacking),
         Enough::Enough => "enough".to_owned(),
     };
     format!(
--- a/crates/gateway/src/engine/control.rs
+++ b/crates/gateway/src/engine/control.rs
@@ -10,7 +10,12 @@
 impl Engine {
     pub(super) fn control(&mut self, now: Micros, request: ControlRequest) -> Result<ControlAnswer, String> {
         match request {
-            ControlRequest::Status => Ok(ControlAnswer::Status(Box::new(self.status(now)))),
+            ControlRequest::Status => {
+                if let Some(trial) = self.together.as_mut().and_then(|t| t.trial.as_mut()) {
+                    trial.sum_up(now);
+                }
+                Ok(ControlAnswer::Status(Box::new(self.status(now))))
+            }
             ControlRequest::Requests { most } => {
                 let views = self.core.open_views();
                 Ok(ControlAnswer::Requests(
--- a/crates/gateway/src/engine/shadow.rs
+++ b/crates/gateway/src/engine/shadow.rs
@@ -95,9 +95,8 @@
         }
     }
 
+    /// What is known of the candidate, as it was shown last.
     pub(super) fn shadow_status(&self) -> Option<ShadowStatus> {
-        let trial = self.together.as_ref()?.trial.as_ref()?;
-        let digest = format!("{:016x}", trial.digest());
-        Some(ShadowStatus { number: trial.number(), digest, verdict: trial.verdict() })
+        self.together.as_ref()?.trial.as_ref()?.shown()
     }
 }
--- a/crates/gateway/src/status/fleet.rs
+++ b/crates/gateway/src/status/fleet.rs
@@ -2,7 +2,7 @@
 
 use repeats::ShardLook;
 use serde::{Deserialize, Serialize};
-use shadow::Verdict;
+use shadow::{Enough, Verdict};
 use storage_core::Micros;
 
 use crate::membership::{name_of, word};
@@ -121,6 +121,32 @@
     pub number: u64,
     /// Its digest, 16 digits: counts are added up among gateways that have the same.
     pub digest: String,
-    /// What is known of it, over all gateways and lives.
+    /// Extents that were compared, and those that lack; the verdict names the first of them alone.
+    pub extents: usize,
+    /// See `extents`.
+    pub lacking: usize,
+    /// What is known of it, over all gateways and lives; at most a second old.
     pub verdict: Verdict,
 }
+
+/// Extents that a status names at most. Danger: a map has tens of thousands, and consoles ask several times a second. Harm: which of
+/// them lack is not all shown; those that differ come first.
+const MOST_EXTENTS: usize = 64;
+
+impl ShadowStatus {
+    pub(crate) fn of(number: u64, digest: u64, mut verdict: Verdict) -> ShadowStatus {
+        let extents = verdict.extents.len();
+        verdict.extents.sort_by_key(|e| std::cmp::Reverse(e.results.different));
+        verdict.extents.truncate(MOST_EXTENTS);
+        verdict.extents.sort_by_key(|e| (e.nsid, e.extent));
+        let lacking = match &mut verdict.enough {
+            Enough::NotYet { lacking } => {
+                let all = lacking.len();
+                lacking.truncate(MOST_EXTENTS);
+                all
+            }
+            Enough::Wrong(_) | Enough::Enough => 0,
+        };
+        ShadowStatus { number, digest: format!("{digest:016x}"), extents, lacking, verdict }
+    }
+}
--- a/crates/gateway/src/trial.rs
+++ b/crates/gateway/src/trial.rs
@@ -11,15 +11,19 @@
 use bytes::Bytes;
 use decisions::{NodeId, Outcome, RequestId};
 use peer::{PeerName, Told};
-use shadow::{Digest, Input, KIND, Output, Shadow, ShadowOptions, Tried, TryId, Verdict};
+use shadow::{Digest, Input, KIND, Output, Shadow, ShadowOptions, Tried, TryId};
 use storage_core::{AttemptId, End, Micros, Opcode, Send};
 
 use crate::company::Company;
 use crate::gateway::GatewayError;
+use crate::status::ShadowStatus;
 
 /// Numbers of copies begin here; the core's begin at nought and never come so far.
 const FIRST: u64 = 1 << 63;
 
+/// What operators see is summed up this often at most.
+const SHOWN: Micros = 1_000_000;
+
 /// A read of the slice that is out.
 struct Read {
     nsid: u32,
@@ -57,6 +61,7 @@
     nodes: Vec<(u32, String)>,
     peers: Vec<PeerName>,
     is_busy: bool,
+    shown: Option<(Micros, ShadowStatus)>,
     out: Vec<Output>,
     /// For the engine.
     pub(crate) to_send: Vec<Copy>,
@@ -93,6 +98,7 @@
             nodes: Vec::new(),
             peers: Vec::new(),
             is_busy: false,
+            shown: None,
             out: Vec::new(),
             to_send: Vec::new(),
             to_forget: Vec::new(),
@@ -112,8 +118,17 @@
         self.shadow.digest()
     }
 
-    pub(crate) fn verdict(&self) -> Verdict {
-        self.shadow.verdict()
+    /// Sums up what is known, at most once a second: it costs a pass over all counts.
+    pub(crate) fn sum_up(&mut self, now: Micros) {
+        if self.shown.as_ref().is_none_or(|(at, _)| now - at >= SHOWN) {
+            let status = ShadowStatus::of(self.number(), self.digest(), self.shadow.verdict());
+            self.shown = Some((now, status));
+        }
+    }
+
+    /// What was summed up last.
+    pub(crate) fn shown(&self) -> Option<ShadowStatus> {
+        self.shown.as_ref().map(|(_, status)| status.clone())
     }
 
     pub(crate) fn next_due(&self) -> Micros {
--- a/crates/settings/src/check/fleet.rs
+++ b/crates/settings/src/check/fleet.rs
@@ -6,7 +6,7 @@
 use crate::schema::*;
 
 /// Extents that a candidate may have in all.
-const MOST_EXTENTS: u64 = 1 << 20;
+const MOST_EXTENTS: u64 = 1 << 17;
 
 impl Check {
     pub(super) fn fleet(&mut self, s: &Site) {
