--- a/crates/crowbay/tests/shadow.rs
+++ b/crates/crowbay/tests/shadow.rs
@@ -6,8 +6,9 @@
 use common::stage::{NODES, Stage};
 use gateway::{ShadowStatus, Status};
 use load::{Found, Host};
+use relay::{Side, What};
 use rustix::process::Signal;
-use shadow::Enough;
+use shadow::{Enough, Lost};
 
 const GATEWAYS: [&str; 3] = ["g1", "g2", "g3"];
 
@@ -93,6 +94,32 @@
     });
 }
 
+#[test]
+fn a_candidate_node_that_answers_nothing_costs_a_client_nothing() {
+    let mut stage = lit(&candidate(1, [0, 2]));
+    let hosts: Vec<Host> = GATEWAYS.into_iter().map(|g| stage.host(g)).collect();
+    let out = |stage: &Stage, of: Lost| {
+        let status = stage.status("g1");
+        let looks = trial(&status).verdict.shards.iter().filter(|l| l.shard == 1);
+        looks.filter_map(|l| l.lost.get(&of)).sum::<u64>()
+    };
+    read_until(&mut stage, &hosts, "reads are compared", |s| trial(&s.status("g1")).verdict.results.same > 0);
+    // Its answers are held; the node in force answers as before.
+    stage.order("*", "node1", What::Hold(Side::Back));
+    let mut block = 0;
+    until("copies time out", || {
+        block = (block + 1) % 8;
+        for host in &hosts {
+            // At the first try, without advice to come again.
+            stage.read(host, block).expect("it is served");
+        }
+        out(&stage, Lost::TimedOut) > 0
+    });
+    for host in &hosts {
+        (0..8).for_each(|block| _ = stage.read(host, block).expect("it is served"));
+    }
+}
+
 #[test]
 fn another_candidate_is_tried_when_told_by_a_signal_and_a_wrong_file_leaves_the_old_one() {
     let mut stage = lit(&candidate(1, [0, 2]));
