Watches that are lost or doubted come back within half of the grace, drawn

Seen: in `world`, with agents that answer with an object at once as the platform's do, 21 of 24 gateways called for the list within a tenth of a second after agents refused or reset calls (0.875, bound 0.75); all come back within 0.2 s of one loss. To blame: platform::discovery, SOON. Tested: the same worlds with the spread of half of the grace. Change: the first watch after a loss or a doubt is drawn from nought to half of the grace for drains (0.5 s of 1 s), which still leaves three tries that fail before a loss counts as told at 6 s; a grace over a second counts as one, since four tries would not fit otherwise (the doc comment had not seen that).

--- a/crates/platform/src/discovery.rs
+++ b/crates/platform/src/discovery.rs
@@ -7,8 +7,8 @@
 //! - A watch is doubted [`SILENCE`] after its last byte: 2 s for the line and half a second for its being late.
 //! - Then, and whenever there is no watch that lasts, another is opened beside it, and again at a drawn pace ([`pace`]) until one of
 //!   them speaks. What was doubted is kept as long: if it speaks after all, nothing was lost but a call.
-//! - Silent at 0, doubted at 2.5 s, the next is opened by 2.7 s; if that is not answered either, others by 3.45, 4.2, 4.95
-//!   and 5.7 s (with a grace of 1 s): four that fail are made up for before 6 s are over.
+//! - Silent at 0, doubted at 2.5 s, the next is opened by 3 s; if that is not answered either, others by 3.75, 4.5, 5.25 and
+//!   6 s (with a grace of 1 s or more): three that fail are made up for before 6 s are over.
 //! - After an outage of any length the next watch is opened within three quarters of the grace; a quarter is left for its way up, the
 //!   answer and what is on its way to a node already. In the sum of 300 gateways that is 480 calls a second while an outage lasts.
 
@@ -24,21 +24,21 @@
 
 /// Nothing heard for so long makes a watch doubtful.
 const SILENCE: Micros = 2_500_000;
-/// A watch that ended, or is doubted, is followed by another within this, drawn.
-const SOON: Micros = 200_000;
 /// One that is asked and says nothing for so long is given up: an agent that has nothing new may say so by its next empty line only.
 const UNANSWERED: Micros = SILENCE;
 /// After so long of nothing but older lists, discovery counts its versions anew.
 const ANEW: Micros = 6_000_000;
-/// The grace for drains where the settings state none.
+/// The grace for drains where the settings state none, and the longest that counts here.
 const GRACE: Micros = 1_000_000;
 
-/// The pauses between two watches, drawn between these: from a half to three quarters of the grace for drains.
+/// The pauses between two watches, drawn between these: from a half to three quarters of the grace for drains, of which a second counts at
+/// most, as four have to fit between doubt and the time at which a loss counts as told. What ended or is doubted is followed by
+/// another within the shorter, drawn from nought.
 ///
 /// Danger: when discovery goes away all gateways lose their watches in one moment, and pauses of one length bring all of them back in
 /// one moment too, again and again. Harm: calls that nobody answers, while discovery is away.
 fn pace(grace: Micros) -> (Micros, Micros) {
-    let grace = if grace > 0 { grace.clamp(400_000, 4_000_000) } else { GRACE };
+    let grace = if grace > 0 { grace.clamp(400_000, GRACE) } else { GRACE };
     (grace / 2, grace * 3 / 4)
 }
 
@@ -129,7 +129,7 @@
         for open in self.watches.iter_mut().filter(|o| o.watch.is_sound()) {
             if now >= open.watch.heard() + SILENCE {
                 open.watch.doubt();
-                self.try_at = self.try_at.min(now + self.random.random_range(0..=SOON));
+                self.try_at = self.try_at.min(now + self.random.random_range(0..=self.pace.0));
             }
         }
         if self.lasts() || now < self.try_at {
@@ -195,7 +195,7 @@
             return None;
         }
         // One that ends again and again as soon as it is sound is opened anew at the usual pace.
-        let soon = now + self.random.random_range(1..=SOON);
+        let soon = now + self.random.random_range(1..=self.pace.0);
         self.try_at = soon.max(open.watch.opened() + self.pace.0);
         Some(Step::Lost)
     }
