--- a/crates/relay/tests/carried.rs
+++ b/crates/relay/tests/carried.rs
@@ -209,10 +209,15 @@
     let mut stream = TcpStream::connect(at).expect("a connection");
     stream.set_read_timeout(Some(LONG)).expect("a time-out");
     assert!(stream.read(&mut [0]).is_err(), "it is reset");
-    let lines: Vec<RelayLine> = records::read(&records).expect("its records");
-    let orders: Vec<&What> = lines
-        .iter()
-        .filter_map(|l| if let RelayLine::Order { order, .. } = l { Some(&order.what) } else { None })
-        .collect();
-    assert_eq!(orders, [&What::Hold(Side::Both), &What::Reset]);
+    // An order is written down once it is carried out: its effect may be seen first.
+    let carried_out = || -> Vec<What> {
+        let lines: Vec<RelayLine> = records::read(&records).expect("its records");
+        let order = |l| if let RelayLine::Order { order, .. } = l { Some(order.what) } else { None };
+        lines.into_iter().filter_map(order).collect()
+    };
+    let deadline = std::time::Instant::now() + LONG;
+    while carried_out().len() < 2 && std::time::Instant::now() < deadline {
+        thread::yield_now();
+    }
+    assert_eq!(carried_out(), [What::Hold(Side::Both), What::Reset]);
 }
