An attempt is begun only if it still stands at the moment of its write

Cause, by reading: what waits for a connection (on its way up, or resting after an answer) was written whatever had become of it since the decision: `Machine::withdraw` took it back only where `cancel` is permitted, `Links::up`, `cooled` and `rest` wrote the bytes made at the decision. So a client that had gone, a deadline, a key's window, a drain or a new process at the address did not stop it. A client that sent more than 16 KiB ahead was no longer read, and its end not seen; a request whose end stood behind it was taken. `make_room` and the linger closed over answers that had not gone out; an idle connection was told its end over a request that was there. An answer without a length was a fault. Requests that were taken before SIGTERM with more than 3 s left were not answered before the earliest SIGKILL.

Change: every attempt passes `Machine::begin`, which asks the module (`Scheduler::stands`) once more; what has fallen is reported as never sent and decided anew, or ends. What waits at its deadline was never sent, so a write is refused, not failed. Connections are read on behind an open request, bounded; `Part` and `GiveWay` look at the socket first; `Cut` ends what is written in part. An orderly end makes an answer without a length whole, a reset does not. `Event::Hastened`.

--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -78,6 +78,8 @@
     pub(crate) fn on_answer(&mut self, a: Answer) {
         let now = self.mem.now;
         self.observe(a.node, (a.request, a.attempt), a.outcome, a.latency, true);
+        // One that never went out although it stood found no way; another would find none either.
+        let no_way = a.outcome == Outcome::NotSent && self.stands(now, a.request, a.attempt, a.node);
         let Some(open) = self.mem.requests.get_mut(&a.request) else { return };
         let Some(attempt) = open.attempts.get_mut(a.attempt as usize) else { return };
         if let (Some(used), Some(volume)) = (a.metered, self.mem.volumes.get_mut(&open.ask.volume)) {
@@ -106,10 +108,7 @@
         }
         if a.settled || open.finished {
             self.close(a.request);
-        } else if a.outcome == Outcome::NotSent
-            || now >= open.deadline
-            || now >= open.unsent && open.unwritten()
-        {
+        } else if no_way || now >= open.deadline || now >= open.unsent && open.unwritten() {
             self.finish(a.request, 0);
         } else if !open.out() && open.place.is_none() {
             self.enqueue(a.request);
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -277,6 +277,13 @@
     Answer(Answer),
     /// The client is gone; nothing is owed.
     Withdrawn(RequestId),
+    /// Less time is left for a request than was said: its host ends before its client's time is over.
+    Hastened {
+        /// The request.
+        request: RequestId,
+        /// What is left.
+        patience: Micros,
+    },
     /// A timer set earlier is due.
     Timer(u64),
     /// What a shard bears from this host beyond first attempts, in place of what was left of an earlier such event.
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -168,7 +168,7 @@
         {
             store.add(now, -open.ask.units);
         }
-        if self.set.budget.is_some() && !open.attempts.is_empty() {
+        if self.set.budget.is_some() && open.tries() > 0 {
             self.mem.further.push_back(now);
         }
         if let (true, Some(rights)) = (open.needs_right(), self.mem.rights.get_mut(&node.shard)) {
@@ -181,8 +181,8 @@
         node.sends.push_back((now, open.ask.units));
         node.unheard.get_or_insert(now);
         node.last_send = now;
-        let attempt = Attempt { zone: node.zone, shard: node.shard, sent: now, fate: Fate::Out };
-        open.attempts.push(attempt);
+        let (zone, shard, started) = (node.zone, node.shard, node.started);
+        open.attempts.push(Attempt { zone, shard, sent: now, started, fate: Fate::Out });
         if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
             shard.last_key = open.ask.key;
         }
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -62,6 +62,13 @@
                 self.remember(id);
                 self.close(id);
             }
+            Event::Hastened { request, patience } => {
+                if let Some(open) = self.mem.requests.get_mut(&request) {
+                    open.hasten(self.mem.now + patience);
+                    let ends = [open.unsent, open.due, open.deadline];
+                    self.mem.wakes.extend(ends.map(|at| (at, Wake::Request(request))));
+                }
+            }
             Event::Allowance { shard, further, come_back } => {
                 self.mem.rights.insert(shard, Rights { left: further, come_back });
                 if further == 0 {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -27,9 +27,18 @@
     pub(crate) zone: u32,
     pub(crate) shard: ShardId,
     pub(crate) sent: Micros,
+    /// The start of its node's process, as far as it was known then.
+    pub(crate) started: Option<Micros>,
     pub(crate) fate: Fate,
 }
 
+impl Attempt {
+    /// It may have run, or may yet.
+    pub(crate) fn doubtful(&self) -> bool {
+        matches!(self.fate, Fate::Out | Fate::MayHaveRun)
+    }
+}
+
 /// Place in a shard's queue: worth first, then due time, the latest first.
 pub(crate) type Place = (i32, Micros, RequestId);
 
@@ -70,6 +79,12 @@
             streaming: false,
         }
     }
+    /// Nothing lasts beyond this any more.
+    pub(crate) fn hasten(&mut self, deadline: Micros) {
+        for at in [&mut self.unsent, &mut self.due, &mut self.deadline] {
+            *at = deadline.min(*at);
+        }
+    }
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
@@ -78,7 +93,7 @@
         self.attempts.iter().all(|a| matches!(a.fate, Fate::Unreached | Fate::NotSent))
     }
     pub(crate) fn doubt(&self) -> impl Iterator<Item = &Attempt> {
-        self.attempts.iter().filter(|a| matches!(a.fate, Fate::Out | Fate::MayHaveRun))
+        self.attempts.iter().filter(|a| a.doubtful())
     }
 }
 
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -17,9 +17,32 @@
 }
 
 impl Open {
+    /// Attempts that went out, or are to.
+    pub(crate) fn tries(&self) -> usize {
+        self.attempts.iter().filter(|a| a.fate != Fate::NotSent).count()
+    }
+
     /// Its next attempt is one of those that an allowance counts: a further one, or a client's repeat.
     pub(crate) fn needs_right(&self) -> bool {
-        !self.attempts.is_empty() || self.ask.retry
+        self.tries() > 0 || self.ask.retry
+    }
+}
+
+impl Class {
+    /// May a request of this class go to `node` although `a` may have run?
+    fn repeatable(&self, a: &Attempt, node: &Node, now: Micros) -> bool {
+        match self.repeats {
+            Repeats::Safe => true,
+            Repeats::Unsafe => false,
+            Repeats::Keyed { group, window } => {
+                let known = match group {
+                    Group::All => true,
+                    Group::Zone => a.zone == node.zone,
+                    Group::Shard => a.shard == node.shard,
+                };
+                known && now - a.sent < window - window / 50
+            }
+        }
     }
 }
 
@@ -34,15 +57,32 @@
         self.mem.rights.get(&shard).filter(|r| r.left == 0).map(|r| r.come_back)
     }
 
+    /// Whether a send still stands at the moment in which it can be begun; if not, it is answered as never sent.
+    ///
+    /// Danger: an attempt that waits for its connection is begun late: its node drains by then or is another
+    /// process, its client's time is over, or the nodes forget its key. Harm: the request waits anew.
+    pub fn stands(&self, now: Micros, id: RequestId, attempt: u32, node: NodeId) -> bool {
+        let (Some(open), Some(node)) = (self.mem.requests.get(&id), self.mem.nodes.get(&node)) else {
+            return false;
+        };
+        let (class, n) = (&self.set.classes[open.ask.class], attempt as usize);
+        let others = open.attempts.iter().enumerate().filter(|(m, a)| *m != n && a.doubtful());
+        open.attempts.get(n).is_some_and(|own| own.started == node.started)
+            && !open.finished
+            && now < open.deadline
+            && node.state == NodeState::On
+            && others.map(|(_, a)| a).all(|a| class.repeatable(a, node, now))
+    }
+
     /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
     /// else, for first attempts, retries and second copies alike.
     pub(crate) fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
         let now = self.mem.now;
         let Some(open) = self.mem.requests.get(&id) else { return Verdict::Never };
         let class = &self.set.classes[open.ask.class];
-        let tries = open.attempts.len();
-        if open.finished || open.streaming || now >= open.deadline || tries >= self.set.most_attempts as usize
-        {
+        let tries = open.tries();
+        let most = self.set.most_attempts as usize;
+        if open.finished || open.streaming || now >= open.deadline || open.attempts.len() >= most {
             return Verdict::Never;
         }
         if node.state != NodeState::On {
@@ -51,26 +91,15 @@
         if open.out() && !self.set.second_copies {
             return Verdict::Never;
         }
-        let repeatable = |a: &Attempt| match class.repeats {
-            Repeats::Safe => true,
-            Repeats::Unsafe => false,
-            Repeats::Keyed { group, window } => {
-                let known = match group {
-                    Group::All => true,
-                    Group::Zone => a.zone == node.zone,
-                    Group::Shard => a.shard == node.shard,
-                };
-                known && now - a.sent < window - window / 50
-            }
-        };
-        if !open.doubt().all(repeatable) {
+        if !open.doubt().all(|a| class.repeatable(a, node, now)) {
             return Verdict::Never;
         }
         if let (true, Some(key)) = (class.in_order, open.ask.key) {
-            let mine =
-                self.mem.turns.get(&key).is_some_and(|t| {
-                    t.line.front() == Some(&id) && (now >= t.rest || !open.attempts.is_empty())
-                });
+            let mine = self
+                .mem
+                .turns
+                .get(&key)
+                .is_some_and(|t| t.line.front() == Some(&id) && (now >= t.rest || tries > 0));
             if !mine {
                 return Verdict::Wait(None);
             }
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -35,7 +35,7 @@
         /// When nobody waits for it any more.
         due: Micros,
     },
-    /// Nobody waits for this attempt any more: it timed out here, or was cancelled, which is its outcome. Its end
+    /// Nobody waits for this attempt any more: it timed out here, or was cancelled, or never began, which is its outcome. Its end
     /// need not be reported.
     Forget(AttemptId, NodeId, Outcome),
     /// The one final answer of a request that was not served.
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,5 +1,7 @@
 //! The dispatcher: requests open, attempts out, what is due, and the nodes by number.
 
+mod waiting;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use decisions::{
@@ -43,12 +45,15 @@
     node: NodeId,
     sent: Micros,
     due: Micros,
+    /// It waits for a connection: nothing of it is written.
+    waits: bool,
 }
 
+/// Of two at one time the earlier comes first: the module must know how an attempt ended before it gives up its request.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
-    Timer(u64),
     Deadline(AttemptId),
+    Timer(u64),
 }
 
 /// The requests of one gateway.
@@ -248,8 +253,9 @@
             Due::Timer(token) => self.events.push_back(Event::Timer(token)),
             Due::Deadline(attempt) => {
                 if let Some(out) = self.out.remove(&attempt) {
-                    self.steps.push_back(Step::Forget(attempt, out.node, Outcome::TimedOut));
-                    self.over(attempt, &out, Outcome::TimedOut, None);
+                    let outcome = if out.waits { Outcome::NotSent } else { Outcome::TimedOut };
+                    self.steps.push_back(Step::Forget(attempt, out.node, outcome));
+                    self.over(attempt, &out, outcome, None);
                 }
             }
         }
@@ -287,8 +293,9 @@
                 let id = AttemptId { request, n: attempt };
                 if let Some(out) = self.out.remove(&id) {
                     self.due.remove(&(out.due, Due::Deadline(id)));
-                    self.steps.push_back(Step::Forget(id, out.node, Outcome::Cancelled));
-                    self.over(id, &out, Outcome::Cancelled, None);
+                    let outcome = if out.waits { Outcome::NotSent } else { Outcome::Cancelled };
+                    self.steps.push_back(Step::Forget(id, out.node, outcome));
+                    self.over(id, &out, outcome, None);
                 }
             }
             Action::SetTimer { after, token } => {
@@ -315,7 +322,7 @@
         self.counts.sent += 1;
         self.counts.further += u64::from(attempt.n > 0);
         let due = if patience > 0 { held.deadline.min(self.now + patience) } else { held.deadline };
-        self.out.insert(attempt, Out { node, sent: self.now, due });
+        self.out.insert(attempt, Out { node, sent: self.now, due, waits: false });
         self.due.insert((due, Due::Deadline(attempt)));
         if let Some(view) = self.nodes.get_mut(&node) {
             view.out += 1;
--- a/crates/http1/src/answer.rs
+++ b/crates/http1/src/answer.rs
@@ -21,8 +21,8 @@
     pub keep: bool,
 }
 
-/// Reads one answer after the other. An answer that does not state where it ends is a fault: whether it is whole could not
-/// be told.
+/// Reads one answer after the other. An answer that does not state where it ends lasts until its connection ends, in order
+/// ([`AnswerDecoder::end`]); after a reset nobody can tell whether it was whole, and it is not.
 #[derive(Clone, Debug)]
 pub struct AnswerDecoder {
     limits: Limits,
@@ -69,9 +69,10 @@
             let framing = match framing(&head.fields, &self.limits)? {
                 // These have no body, whatever their fields say.
                 _ if matches!(head.status, 204 | 304) => Framing::Length(0),
-                Framing::Unstated => return Err(Fault::Framing),
+                Framing::Unstated => Framing::UntilEnd,
                 stated => stated,
             };
+            let head = Answer { keep: head.keep && !matches!(framing, Framing::UntilEnd), ..head };
             self.current = Some((head, Body::new(framing)));
         }
         let Some((_, body)) = &mut self.current else { return Ok(None) };
@@ -82,6 +83,13 @@
             answer
         }))
     }
+
+    /// The connection ended in order, and everything that came on it was [polled](AnswerDecoder::poll): the answer that ends
+    /// with it, if one does. What states its length and is short of it is none.
+    pub fn end(&mut self) -> Option<Answer> {
+        let (answer, body) = self.current.take()?;
+        Some(Answer { body: body.end()?, ..answer })
+    }
 }
 
 /// The head of an answer, once it is there, taken off the input.
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -14,6 +14,8 @@
     Chunked(Chunked),
     /// Nothing says how long it is.
     Unstated,
+    /// It lasts until its connection ends, in order: an answer without a length.
+    UntilEnd,
 }
 
 /// The framing that a head states. Danger: two lengths, or a length beside a transfer coding, let a second message hide in
@@ -59,6 +61,13 @@
     pub(crate) fn read(&mut self, input: &mut BytesMut, limits: &Limits) -> Result<Option<Bytes>, Fault> {
         match &mut self.framing {
             Framing::Unstated => Ok(Some(Bytes::new())),
+            Framing::UntilEnd => {
+                if self.bytes.len() + input.len() > limits.body {
+                    return Err(Fault::BodyTooLong);
+                }
+                self.bytes.unsplit(input.split());
+                Ok(None)
+            }
             Framing::Length(length) => {
                 let length = *length;
                 // Once, in place of growing by and by: what is not written to is no memory yet.
@@ -72,6 +81,11 @@
         }
     }
 
+    /// The connection ended in order: the body, if that is where it ends.
+    pub(crate) fn end(self) -> Option<Bytes> {
+        matches!(self.framing, Framing::UntilEnd).then(|| self.bytes.freeze())
+    }
+
     /// Bytes taken in for a body that is not whole.
     pub(crate) fn held(&self) -> usize {
         self.bytes.len()
--- a/crates/http1/src/stream.rs
+++ b/crates/http1/src/stream.rs
@@ -88,7 +88,9 @@
                     self.state = State::Over;
                 }
             }
-            State::Body(Framing::Unstated) => piece.extend_from_slice(&self.input.split()),
+            State::Body(Framing::Unstated | Framing::UntilEnd) => {
+                piece.extend_from_slice(&self.input.split())
+            }
             State::Over => {}
         }
         Ok(())
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,6 +5,14 @@
 use decisions::{Micros, RequestId};
 use http1::{Limits, RequestDecoder};
 
+/// A connection that is told its end, and read on so that the peer can read what was written last.
+pub(crate) struct Leaving {
+    /// Bytes that are still read.
+    pub(crate) left: usize,
+    /// When it is closed whatever is under way.
+    pub(crate) last: Micros,
+}
+
 /// A client's connection.
 pub(crate) struct Client {
     pub(crate) decoder: RequestDecoder,
@@ -16,10 +24,12 @@
     pub(crate) open: Option<(RequestId, bool)>,
     /// It has brought a request that was taken, and has its answer.
     pub(crate) served: bool,
-    /// It is to read no further for now: it has sent more than is kept for it.
-    pub(crate) held_up: bool,
-    /// The last answer is written; what still comes is thrown away, so many bytes at most.
-    pub(crate) leaving: Option<usize>,
+    /// Bytes behind its open request that were thrown away: no further request of it can be told any more.
+    pub(crate) spilled: usize,
+    /// Its connection was to be closed and something was under way on it, which is not seen yet.
+    pub(crate) crossed: bool,
+    /// Nothing more is written to it; what still comes is thrown away.
+    pub(crate) leaving: Option<Leaving>,
 }
 
 impl Client {
@@ -30,7 +40,8 @@
             due,
             open: None,
             served: false,
-            held_up: false,
+            spilled: 0,
+            crossed: false,
             leaving: None,
         }
     }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -19,7 +19,7 @@
 use crate::machine::Machine;
 use crate::port::Port;
 use crate::sizes::Sizes;
-use crate::socket::{Output, SocketId};
+use crate::socket::{End, Output, SocketId};
 
 /// Messages handled before the time is looked at again.
 const MESSAGES: usize = 256;
@@ -66,7 +66,7 @@
     Ended {
         socket: SocketId,
         serial: u64,
-        cut: bool,
+        end: End,
     },
     Tick,
     Told(Orders),
@@ -195,9 +195,9 @@
             Message::Bytes { socket, serial, at, bytes } if self.is_current(socket, serial) => {
                 self.machine.received(now, socket, at, &bytes);
             }
-            Message::Ended { socket, serial, cut } if self.is_current(socket, serial) => {
+            Message::Ended { socket, serial, end } if self.is_current(socket, serial) => {
                 self.ports.remove(&socket);
-                self.machine.ended(now, socket, cut);
+                self.machine.ended(now, socket, end);
             }
             Message::Ended { socket, .. } => return self.closed(socket),
             Message::Up { .. } | Message::Bytes { .. } => return,
@@ -250,7 +250,7 @@
             }
             Err(error) => {
                 tracing::debug!(?socket, %error, "no connection");
-                self.machine.ended(now, socket, true);
+                self.machine.ended(now, socket, End::Cut);
             }
         }
     }
@@ -290,7 +290,7 @@
                 }
                 _ => {
                     self.close(socket);
-                    self.machine.stale(now, socket, bytes);
+                    self.machine.stale(now, socket);
                 }
             },
             Output::Finish(socket) => {
@@ -298,6 +298,29 @@
                     port.outlet.end_writing();
                 }
             }
+            Output::Part(socket) => {
+                let quiet = self.ports.get(&socket).filter(|p| p.is_quiet());
+                if let Some(port) = quiet {
+                    port.outlet.end_writing();
+                }
+                let done = quiet.is_some();
+                self.machine.parted(now, socket, done);
+            }
+            Output::GiveWay(socket) => {
+                let done = self.ports.get(&socket).is_none_or(|p| p.is_at_rest());
+                if done {
+                    self.close(socket);
+                }
+                self.machine.gave_way(now, socket, done);
+            }
+            Output::Cut(socket) => {
+                if let Some(port) = self.ports.get(&socket).filter(|p| p.outlet.is_pending()).cloned() {
+                    self.close(socket);
+                    // Only what surely was not written says so: the rest may have gone out in this moment.
+                    let end = if port.outlet.was_cut() { End::Cut } else { End::Broken };
+                    self.machine.ended(now, socket, end);
+                }
+            }
             Output::Close(socket) => self.close(socket),
             Output::Resume(socket) => {
                 if let Some(port) = self.ports.get(&socket) {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -34,4 +34,4 @@
 pub use objects::{NoObject, Objects};
 pub use outcome::{load_of, outcome_of};
 pub use sizes::Sizes;
-pub use socket::{Output, SocketId};
+pub use socket::{End, Output, SocketId};
--- a/crates/platform/src/link.rs
+++ b/crates/platform/src/link.rs
@@ -1,15 +1,16 @@
 //! Connections to storage nodes: one request each at a time, kept and used again.
 
+mod beginning;
 mod cooling;
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use decisions::{Micros, NodeId, Outcome};
 use dispatch::AttemptId;
 use http1::{Answer, AnswerDecoder, Limits};
 
+use crate::socket::End;
 use cooling::COOLING;
 
 /// A connection, by its number.
@@ -17,11 +18,11 @@
 
 enum Phase {
     /// On its way up, with the attempt that waits for it. Without one it was taken back.
-    Rising(Option<(AttemptId, Bytes)>),
+    Rising(Option<AttemptId>),
     /// An attempt is out on it.
     Busy(AttemptId),
     /// It has just brought an answer; the attempt that goes out on it next, if one waits.
-    Cooling(Option<(AttemptId, Bytes)>),
+    Cooling(Option<AttemptId>),
     Idle,
 }
 
@@ -60,8 +61,8 @@
 
 /// What is to be done to send an attempt.
 pub(crate) enum Way {
-    /// Write it on this connection, which stood idle, if that is still of use.
-    Reuse(LinkId, Bytes),
+    /// It goes out on this connection, which stood idle, if that is still of use.
+    Reuse(LinkId),
     /// It goes out on a connection that is cooling, once that is over.
     Later,
     /// Open this connection; it waits for it. Another may have to be closed first.
@@ -78,9 +79,9 @@
     /// It is of no further use.
     pub(crate) close: bool,
     /// This attempt was to go out on it and never did: it takes another way.
-    pub(crate) again: Option<(AttemptId, NodeId, Bytes)>,
-    /// It came free, and the attempt that waited longest for a connection to its node goes out on it.
-    pub(crate) next: Option<Bytes>,
+    pub(crate) again: Option<(AttemptId, NodeId)>,
+    /// It is up or came free, and this attempt waited for it: it may begin.
+    pub(crate) next: Option<AttemptId>,
 }
 
 impl Links {
@@ -146,19 +147,19 @@
     }
 
     /// Sends an attempt: on the idle connection used last, else on a new one.
-    pub(crate) fn send(&mut self, now: Micros, attempt: AttemptId, node: NodeId, bytes: Bytes) -> Way {
+    pub(crate) fn send(&mut self, now: Micros, attempt: AttemptId, node: NodeId) -> Way {
         let Some(&address) = self.addresses.get(&node) else { return Way::None(Outcome::Unreachable) };
         while let Some(id) = self.idles.get_mut(&node).and_then(Vec::pop) {
             if let Some(link) = self.links.get_mut(&id).filter(|l| l.address == address) {
                 self.due.remove(&(link.since + self.idle, id));
                 (link.phase, link.since) = (Phase::Busy(attempt), now);
                 self.by_attempt.insert(attempt, id);
-                return Way::Reuse(id, bytes);
+                return Way::Reuse(id);
             }
         }
         while let Some(id) = self.cooling.get_mut(&node).and_then(VecDeque::pop_front) {
             if let Some(link) = self.links.get_mut(&id).filter(|l| l.address == address) {
-                link.phase = Phase::Cooling(Some((attempt, bytes)));
+                link.phase = Phase::Cooling(Some(attempt));
                 self.by_attempt.insert(attempt, id);
                 return Way::Later;
             }
@@ -178,7 +179,7 @@
         }
         let id = self.next;
         self.next += 1;
-        let (phase, decoder) = (Phase::Rising(Some((attempt, bytes))), AnswerDecoder::new(self.limits));
+        let (phase, decoder) = (Phase::Rising(Some(attempt)), AnswerDecoder::new(self.limits));
         self.links.insert(id, Link { node, address, phase, since: now, decoder });
         self.by_attempt.insert(attempt, id);
         self.due.insert((now + self.rise, id));
@@ -195,65 +196,13 @@
         }
     }
 
-    /// A connection is up: what is to be written on it.
-    pub(crate) fn up(&mut self, now: Micros, id: LinkId) -> Option<Bytes> {
-        let link = self.links.get_mut(&id)?;
-        let Phase::Rising(waiting) = &mut link.phase else { return None };
-        let waiting = waiting.take();
-        self.due.remove(&(link.since + self.rise, id));
-        let node = link.node;
-        match waiting {
-            Some((attempt, bytes)) => {
-                (link.phase, link.since) = (Phase::Busy(attempt), now);
-                self.no_longer_awaited(node, id);
-                Some(bytes)
-            }
-            None => self.rest(now, id),
-        }
-    }
-
-    /// A connection came free. The attempt that waited longest for one to the same node goes out on it, and the connection
-    /// that was asked for serves a later one: opening one costs the node work, and the attempt time.
-    fn rest(&mut self, now: Micros, id: LinkId) -> Option<Bytes> {
-        let (node, address) = self.links.get(&id).map(|l| (l.node, l.address))?;
-        let awaited = self.awaited.get(&node).into_iter().flatten().copied();
-        let taken = awaited.filter(|i| self.links.get(i).is_some_and(|l| l.address == address)).min();
-        let waiting = taken.and_then(|i| match self.links.get_mut(&i).map(|l| &mut l.phase) {
-            Some(Phase::Rising(waiting)) => waiting.take(),
-            _ => None,
-        });
-        if let Some(taken) = taken {
-            self.no_longer_awaited(node, taken);
-        }
-        let link = self.links.get_mut(&id)?;
-        link.since = now;
-        if let Some((attempt, bytes)) = waiting {
-            link.phase = Phase::Busy(attempt);
-            self.by_attempt.insert(attempt, id);
-            return Some(bytes);
-        }
-        link.phase = Phase::Idle;
-        self.idles.entry(node).or_default().push(id);
-        self.due.insert((now + self.idle, id));
-        None
-    }
-
-    fn no_longer_awaited(&mut self, node: NodeId, id: LinkId) {
-        if let Some(awaited) = self.awaited.get_mut(&node) {
-            awaited.retain(|&i| i != id);
-            if awaited.is_empty() {
-                self.awaited.remove(&node);
-            }
-        }
-    }
-
     /// Bytes came on a connection.
     pub(crate) fn received(&mut self, now: Micros, id: LinkId, bytes: &[u8]) -> News {
         let Some(link) = self.links.get_mut(&id) else { return News::default() };
         let Phase::Busy(attempt) = link.phase else {
             // Danger: what comes while nothing was asked is a second answer, or noise; the next request would be served
             // with it. Covers whatever a node sends too much. Harm: a new connection.
-            return News { close: true, ..self.ended(id, true) };
+            return News { close: true, ..self.ended(id, End::Cut) };
         };
         let before = link.decoder.held();
         link.decoder.receive(bytes);
@@ -292,18 +241,24 @@
         }
     }
 
-    /// A connection ended, or never came. `cut`: not all of the request was written.
-    pub(crate) fn ended(&mut self, id: LinkId, cut: bool) -> News {
-        let Some(link) = self.remove(id) else { return News::default() };
+    /// A connection ended, or never came.
+    pub(crate) fn ended(&mut self, id: LinkId, end: End) -> News {
+        let Some(mut link) = self.remove(id) else { return News::default() };
         let node = link.node;
         let ended = match link.phase {
             Phase::Cooling(waiting) => {
-                let again = waiting.map(|(attempt, bytes)| (attempt, node, bytes));
-                return News { again, ..News::default() };
+                return News { again: waiting.map(|attempt| (attempt, node)), ..News::default() };
             }
-            Phase::Rising(Some((attempt, _))) => Some((attempt, Outcome::Unreachable, None)),
-            Phase::Busy(attempt) if cut => Some((attempt, Outcome::Unreachable, None)),
-            Phase::Busy(attempt) => Some((attempt, Outcome::Reset, None)),
+            Phase::Rising(Some(attempt)) => Some((attempt, Outcome::Unreachable, None)),
+            Phase::Busy(attempt) => Some(match end {
+                // A node that has begun to answer has seen enough of the request to have done something.
+                End::Cut if link.decoder.is_between() => (attempt, Outcome::Unreachable, None),
+                End::Cut | End::Broken => (attempt, Outcome::Reset, None),
+                End::Orderly => match link.decoder.end() {
+                    Some(answer) => (attempt, crate::outcome::outcome_of(&answer), Some(answer)),
+                    None => (attempt, Outcome::Reset, None),
+                },
+            }),
             Phase::Rising(None) | Phase::Idle => None,
         };
         News { ended, ..News::default() }
@@ -347,7 +302,7 @@
         if self.links.get(&id).is_some_and(|l| matches!(l.phase, Phase::Cooling(_))) {
             return Some((id, self.cooled(now, id)));
         }
-        Some((id, News { close: true, ..self.ended(id, true) }))
+        Some((id, News { close: true, ..self.ended(id, End::Cut) }))
     }
 
     fn remove(&mut self, id: LinkId) -> Option<Link> {
@@ -356,7 +311,7 @@
         match &link.phase {
             Phase::Rising(waiting) => {
                 self.due.remove(&(link.since + self.rise, id));
-                if let Some((attempt, _)) = waiting {
+                if let Some(attempt) = waiting {
                     self.by_attempt.remove(attempt);
                 }
                 self.no_longer_awaited(link.node, id);
@@ -366,7 +321,7 @@
             }
             Phase::Cooling(waiting) => {
                 self.due.remove(&(link.since + COOLING, id));
-                if let Some((attempt, _)) = waiting {
+                if let Some(attempt) = waiting {
                     self.by_attempt.remove(attempt);
                 }
                 self.no_longer_cooling(link.node, id);
--- a/crates/platform/src/link/cooling.rs
+++ b/crates/platform/src/link/cooling.rs
@@ -27,16 +27,16 @@
         self.no_longer_cooling(node, id);
         if self.addresses.get(&node) != self.links.get(&id).map(|l| &l.address) {
             self.links.remove(&id);
-            let again = waiting.map(|(attempt, bytes)| (attempt, node, bytes));
-            if let Some((attempt, ..)) = &again {
+            let again = waiting.map(|attempt| (attempt, node));
+            if let Some((attempt, _)) = &again {
                 self.by_attempt.remove(attempt);
             }
             return News { close: true, again, ..News::default() };
         }
         match (waiting, self.links.get_mut(&id)) {
-            (Some((attempt, bytes)), Some(link)) => {
+            (Some(attempt), Some(link)) => {
                 (link.phase, link.since) = (Phase::Busy(attempt), now);
-                News { next: Some(bytes), ..News::default() }
+                News { next: Some(attempt), ..News::default() }
             }
             _ => News { next: self.rest(now, id), ..News::default() },
         }
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -14,14 +14,14 @@
 use profile::Service;
 
 use crate::ask::{Ask, Rejection, admit};
-use crate::client::{Agenda, Client};
+use crate::client::{Agenda, Client, Leaving};
 use crate::config::Config;
 use crate::discovery::{self, Discovery};
 use crate::endpoint::{EndpointList, Zones};
 use crate::link::{Links, News, Way};
 use crate::outcome::load_of;
 use crate::sizes::Sizes;
-use crate::socket::{Output, SocketId};
+use crate::socket::{End, Output, SocketId};
 
 /// What a client or a node may send at most; the protocol's bodies hold 64 KiB.
 pub(crate) const LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 8 };
@@ -220,9 +220,8 @@
         match socket {
             SocketId::Client(_) => {}
             SocketId::Node(id) => {
-                if let Some(bytes) = self.links.up(now, id) {
-                    self.outputs.push(Output::Write(socket, bytes));
-                }
+                let news = self.links.up(now, id);
+                self.news(now, id, news, true);
             }
             SocketId::Discovery(id) => {
                 if let Some(ask) = self.discovery.up(now, id) {
@@ -232,13 +231,13 @@
         }
     }
 
-    /// A connection that stood idle was of no use when `bytes` were to be written on it; none of them was. Danger: a node may
+    /// A connection that stood idle was of no use when an attempt was to be written on it; nothing was. Danger: a node may
     /// close a connection, or send more than belongs to an answer, right behind it, and what is written then is lost with it and
     /// may have run. The attempt takes another connection: it was never out. Harm: none.
-    pub fn stale(&mut self, now: Micros, socket: SocketId, bytes: Bytes) {
+    pub fn stale(&mut self, now: Micros, socket: SocketId) {
         let SocketId::Node(id) = socket else { return };
         if let Some((attempt, node)) = self.links.stale(id) {
-            self.send_on(now, attempt, node, bytes);
+            self.send(now, attempt, node);
             self.settle(now);
         }
     }
@@ -249,7 +248,7 @@
             SocketId::Client(id) => return self.client_received(now, id, at, bytes),
             SocketId::Node(id) => {
                 let news = self.links.received(now, id, bytes);
-                self.news(now, id, news);
+                self.news(now, id, news, false);
             }
             SocketId::Discovery(id) => {
                 let steps = self.discovery.received(now, id, bytes);
@@ -259,13 +258,13 @@
         self.outputs.push(Output::Resume(socket));
     }
 
-    /// A connection ended, or never came. `cut`: something handed over was not written.
-    pub fn ended(&mut self, now: Micros, socket: SocketId, cut: bool) {
+    /// A connection ended, or never came.
+    pub fn ended(&mut self, now: Micros, socket: SocketId, end: End) {
         match socket {
             SocketId::Client(id) => self.client_gone(now, id),
             SocketId::Node(id) => {
-                let news = self.links.ended(id, cut);
-                self.news(now, id, news);
+                let news = self.links.ended(id, end);
+                self.news(now, id, news, false);
             }
             SocketId::Discovery(id) => {
                 let step = self.discovery.ended(now, id);
@@ -286,7 +285,7 @@
             self.settle(now);
         }
         while let Some((id, news)) = self.links.tick(now) {
-            self.news(now, id, news);
+            self.news(now, id, news, false);
         }
         while let Some(id) = self.agenda.pop(now) {
             self.look_at(now, id);
@@ -329,9 +328,15 @@
     /// Danger: clients whose connections close lose this gateway until it is started again, and in a fleet that is restarted
     /// by tenths nobody else has their requests. Those who stay are served until the earliest end that the platform states,
     /// with the patience that is left till then. Harm: a request that comes last has less time than its client gives.
+    ///
+    /// What was taken before and may last longer than that is answered by then too: SIGKILL waits for nobody.
     pub fn leave(&mut self, now: Micros) {
         if self.leaving.is_none() {
             self.leaving = Some(now);
+            if let Some(ends) = self.ends() {
+                self.dispatcher.hasten(now, ends);
+                self.settle(now);
+            }
         }
     }
 }
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -3,20 +3,63 @@
 use super::*;
 
 impl Machine {
-    /// What came of a connection to a node.
-    pub(super) fn news(&mut self, now: Micros, id: u64, news: News) {
+    /// What came of a connection to a node. `fresh`: it has just come up, and was never used.
+    pub(super) fn news(&mut self, now: Micros, id: u64, news: News, fresh: bool) {
         if news.close {
             self.outputs.push(Output::Close(SocketId::Node(id)));
         }
         if let Some(next) = news.next {
-            self.outputs.push(Output::Reuse(SocketId::Node(id), next));
+            self.begin(now, id, next, fresh);
         }
-        if let Some((attempt, node, bytes)) = news.again {
-            self.send_on(now, attempt, node, bytes);
-            self.settle(now);
+        if let Some((attempt, node)) = news.again {
+            self.send(now, attempt, node);
+        }
+        if let Some((attempt, outcome, answer)) = news.ended {
+            self.attempt_ended(now, attempt, outcome, answer.as_ref());
+        }
+        self.settle(now);
+    }
+
+    /// An attempt's connection is there: it is begun, if it still stands; if not, who waits for the connection next.
+    ///
+    /// Every attempt passes here at the moment of its write, whatever it waited for. Danger: one that waited is written although
+    /// its client has gone, its time is over, its node drains or is another process, or nodes have forgotten its key. Harm: it
+    /// has waited for nothing, and the module decides anew.
+    fn begin(&mut self, now: Micros, link: u64, first: AttemptId, fresh: bool) {
+        let (mut next, mut fallen) = (Some(first), Vec::new());
+        while let Some(attempt) = next.take() {
+            match self.words(now, attempt) {
+                // Danger: what was just opened may have been closed by its node at once; led round as a stale one is, it would be
+                // opened again and again. Harm: none, its end is reported.
+                Some(bytes) if fresh => self.outputs.push(Output::Write(SocketId::Node(link), bytes)),
+                Some(bytes) => self.outputs.push(Output::Reuse(SocketId::Node(link), bytes)),
+                None => {
+                    fallen.push(attempt);
+                    next = self.links.unbegun(now, link);
+                }
+            }
+        }
+        for attempt in fallen {
+            self.attempt_ended(now, attempt, Outcome::NotSent, None);
+        }
+    }
+
+    /// What is written of an attempt that begins now.
+    fn words(&mut self, now: Micros, attempt: AttemptId) -> Option<Bytes> {
+        let (node, due) = self.dispatcher.begin(now, attempt)?;
+        let pending = self.dispatcher.payload(attempt.request)?;
+        let host = self.nodes.get(&node).map_or_else(String::new, |a| a.at.to_string());
+        Some(pending.ask.forward(&host, due - now))
+    }
+
+    /// Attempts that wait for a connection and no longer stand are taken back.
+    pub(super) fn take_back_fallen(&mut self, now: Micros) {
+        for attempt in self.links.waiting() {
+            if !self.dispatcher.stands(now, attempt) {
+                self.links.forget_attempt(attempt);
+                self.attempt_ended(now, attempt, Outcome::NotSent, None);
+            }
         }
-        let Some((attempt, outcome, answer)) = news.ended else { return };
-        self.attempt_ended(now, attempt, outcome, answer.as_ref());
         self.settle(now);
     }
 
@@ -38,7 +81,7 @@
     pub(super) fn settle(&mut self, now: Micros) {
         while let Some(step) = self.dispatcher.step() {
             match step {
-                Step::Send { attempt, node, due } => self.send(now, attempt, node, due),
+                Step::Send { attempt, node, .. } => self.send(now, attempt, node),
                 Step::Forget(attempt, ..) => {
                     if let Some(id) = self.links.forget_attempt(attempt) {
                         self.outputs.push(Output::Close(SocketId::Node(id)));
@@ -52,24 +95,16 @@
         }
     }
 
-    pub(super) fn send(&mut self, now: Micros, attempt: AttemptId, node: NodeId, due: Micros) {
-        let Some(pending) = self.dispatcher.payload(attempt.request) else { return };
-        let host = self.nodes.get(&node).map_or_else(String::new, |a| a.at.to_string());
-        let bytes = pending.ask.forward(&host, due - now);
-        self.send_on(now, attempt, node, bytes);
-    }
-
-    pub(super) fn send_on(&mut self, now: Micros, attempt: AttemptId, node: NodeId, bytes: Bytes) {
-        match self.links.send(now, attempt, node, bytes) {
-            Way::Later => {}
-            Way::Reuse(id, bytes) => self.outputs.push(Output::Reuse(SocketId::Node(id), bytes)),
+    pub(super) fn send(&mut self, now: Micros, attempt: AttemptId, node: NodeId) {
+        match self.links.send(now, attempt, node) {
+            Way::Reuse(id) => self.begin(now, id, attempt, false),
+            Way::Later => self.dispatcher.waits(attempt),
             Way::Open(id, address, gives_way) => {
+                self.dispatcher.waits(attempt);
                 self.close_links(gives_way.into_iter().collect());
                 self.outputs.push(Output::Connect(SocketId::Node(id), address));
             }
-            Way::None(outcome) => {
-                self.attempt_ended(now, attempt, outcome, None);
-            }
+            Way::None(outcome) => self.attempt_ended(now, attempt, outcome, None),
         }
     }
 
@@ -98,15 +133,21 @@
     pub(super) fn withdraw(&mut self, now: Micros, request: RequestId) {
         let Some(pending) = self.dispatcher.withdraw(now, request) else { return };
         self.ids.remove(&pending.ask.id);
-        // Nobody waits for its attempts: what has not gone out never does, and a node may stop what it has not begun.
-        if self.cancel {
-            let out: Vec<AttemptId> =
-                self.dispatcher.out().map(|(a, _)| a).filter(|a| a.request == request).collect();
-            for attempt in out {
+        // Nobody waits for its attempts. What has not begun never does, whatever the settings allow; what is partly written has
+        // not begun either, and ends with its connection; what has gone out a node may stop, where that is permitted.
+        let out: Vec<AttemptId> =
+            self.dispatcher.out().map(|(a, _)| a).filter(|a| a.request == request).collect();
+        for attempt in out {
+            if self.dispatcher.is_waiting(attempt) {
+                self.links.forget_attempt(attempt);
+                self.dispatcher.ended(now, attempt, Outcome::NotSent, None);
+            } else if self.cancel {
                 if let Some(link) = self.links.forget_attempt(attempt) {
                     self.outputs.push(Output::Close(SocketId::Node(link)));
                 }
                 self.dispatcher.ended(now, attempt, Outcome::Cancelled, None);
+            } else if let Some(link) = self.links.of_attempt(attempt) {
+                self.outputs.push(Output::Cut(SocketId::Node(link)));
             }
         }
         self.settle(now);
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -5,13 +5,18 @@
 impl Machine {
     pub(super) fn client_received(&mut self, now: Micros, id: u64, at: Micros, bytes: &[u8]) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if let Some(left) = &mut client.leaving {
-            if *left < bytes.len() {
+        client.crossed = false;
+        if let Some(leaving) = &mut client.leaving {
+            if leaving.left < bytes.len() {
                 return self.drop_client(id);
             }
-            *left -= bytes.len();
+            leaving.left -= bytes.len();
             return self.outputs.push(Output::Resume(SocketId::Client(id)));
         }
+        if client.open.is_some() && (client.spilled > 0 || client.decoder.held() + bytes.len() > AHEAD) {
+            client.spilled += bytes.len();
+            return self.spilled(now, id);
+        }
         if client.is_idle() {
             // A request begins to come.
             client.since = at;
@@ -19,12 +24,25 @@
         }
         client.decoder.receive(bytes);
         self.pump(now, id, at);
+        self.outputs.push(Output::Resume(SocketId::Client(id)));
+    }
+
+    /// More has come behind an open request than is kept.
+    ///
+    /// Danger: a connection that is not read does not show its end either, and the attempts of a client that sent much and went are
+    /// begun long after. So it is read on, and what is beyond the bound thrown away: the open request's answer is the last. One
+    /// that goes on all the same is answered at once. Harm: what a client sends so far ahead of its answers it has to send again.
+    fn spilled(&mut self, now: Micros, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.open.is_some() && client.decoder.held() > AHEAD {
-            client.held_up = true;
-        } else {
-            self.outputs.push(Output::Resume(SocketId::Client(id)));
+        if client.spilled > LINGER_BYTES
+            && let Some((request, _)) = client.open.take()
+        {
+            self.rejected += 1;
+            self.withdraw(now, request);
+            let why = Bytes::from_static(b"too much was sent behind an open request\n");
+            self.write(now, id, 400, &[], why, false);
         }
+        self.outputs.push(Output::Resume(SocketId::Client(id)));
     }
 
     /// Handles the requests that a client has sent, one at a time.
@@ -48,11 +66,6 @@
                 }
             }
         }
-        let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.held_up && client.open.is_none() {
-            client.held_up = false;
-            self.outputs.push(Output::Resume(SocketId::Client(id)));
-        }
     }
 
     pub(super) fn request(&mut self, now: Micros, id: u64, at: Micros, request: Request) {
@@ -90,8 +103,11 @@
         if client.open.is_some() {
             return;
         }
-        if client.leaving.is_some() {
-            return self.drop_client(id);
+        if let Some(leaving) = &client.leaving {
+            if now >= leaving.last {
+                return self.drop_client(id);
+            }
+            return self.outputs.push(Output::GiveWay(SocketId::Client(id)));
         }
         if client.is_idle() {
             return self.let_go(now, id);
@@ -102,12 +118,52 @@
         self.write(now, id, 408, &[], Bytes::from_static(b"no whole request came in time\n"), false);
     }
 
-    /// Closes a connection on which nothing is owed.
+    /// Closes a connection on which nothing is owed, as far as is known here.
     pub(super) fn let_go(&mut self, now: Micros, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        client.leaving = Some(LINGER_BYTES);
         self.agenda.set(client, id, now + LINGER);
-        self.outputs.push(Output::Finish(SocketId::Client(id)));
+        self.outputs.push(Output::Part(SocketId::Client(id)));
+    }
+
+    /// A connection was told its end after [`Output::Part`]; or it was not, as something has come on it, which is on its way here.
+    ///
+    /// Danger: a request that is there but not read when its connection is told its end would be sent on behind that, or lost. Harm:
+    /// none; it is answered, and the connection looked at again.
+    pub fn parted(&mut self, now: Micros, socket: SocketId, done: bool) {
+        let SocketId::Client(id) = socket else { return };
+        if done && let Some(client) = self.clients.get_mut(&id) {
+            Self::leaves(now, client);
+        }
+    }
+
+    fn leaves(now: Micros, client: &mut Client) {
+        client.leaving = Some(Leaving { left: LINGER_BYTES, last: now + KEPT });
+    }
+
+    /// A connection was closed after [`Output::GiveWay`]; or it was not, as something is under way on it.
+    ///
+    /// Danger: a close over bytes that were not read resets the connection, and the answer before it may be lost with what the
+    /// system still holds; so may a request that has just come. Harm: others wait for a place until it is seen, and a client that
+    /// does not read its answer keeps one for [`KEPT`].
+    pub fn gave_way(&mut self, now: Micros, socket: SocketId, done: bool) {
+        let SocketId::Client(id) = socket else { return };
+        if done {
+            return self.forget_client(now, id);
+        }
+        if let Some(client) = self.clients.get_mut(&id) {
+            client.crossed = true;
+            if client.leaving.is_some() {
+                self.agenda.set(client, id, now + LINGER);
+            }
+        }
+        self.make_room(now);
+    }
+
+    fn forget_client(&mut self, now: Micros, id: u64) {
+        if let Some(client) = self.clients.remove(&id) {
+            self.agenda.remove(&client, id);
+            self.make_room(now);
+        }
     }
 
     /// The client has closed its connection, or it broke: what it asked is taken back.
@@ -142,14 +198,16 @@
         }
         if self.clients.len() >= self.sizes.clients {
             let may_close = |c: &Client| now - c.since >= MAY_CLOSE;
-            let gives_way = |c: &Client| c.leaving.is_some() || c.is_idle() && (!c.served || may_close(c));
+            let gives_way = |c: &Client| {
+                !c.crossed && (c.leaving.is_some() || c.is_idle() && (!c.served || may_close(c)))
+            };
             let candidates = self.clients.iter().filter(|(id, c)| **id != self.newest && gives_way(c));
             // Those that have their last answer come first.
             let rank = |c: &Client| (c.leaving.is_none(), !may_close(c), c.since);
             let Some(id) = candidates.min_by_key(|(id, c)| (rank(c), **id)).map(|(id, _)| *id) else {
                 return;
             };
-            return self.drop_client(id);
+            return self.outputs.push(Output::GiveWay(SocketId::Client(id)));
         }
         self.accepts = false;
         self.outputs.push(Output::Accept);
@@ -167,7 +225,7 @@
     ) {
         self.ids.remove(request);
         let Some(client) = self.clients.get_mut(&id) else { return };
-        let keep = client.open.take().is_some_and(|(_, keep)| keep);
+        let keep = client.open.take().is_some_and(|(_, keep)| keep) && client.spilled == 0;
         client.served = true;
         self.write(now, id, status, fields, body, keep);
         self.pump(now, id, now);
@@ -204,7 +262,7 @@
             self.agenda.set(client, id, now + kept);
             self.make_room(now);
         } else {
-            client.leaving = Some(LINGER_BYTES);
+            Self::leaves(now, client);
             self.agenda.set(client, id, now + LINGER);
             self.outputs.push(Output::Finish(socket));
         }
--- a/crates/platform/src/machine/lists.rs
+++ b/crates/platform/src/machine/lists.rs
@@ -46,6 +46,7 @@
         }
         self.close_links(idle);
         self.settle(now);
+        self.take_back_fallen(now);
     }
 
     pub(super) fn close_links(&mut self, links: Vec<u64>) {
--- a/crates/platform/src/port.rs
+++ b/crates/platform/src/port.rs
@@ -15,7 +15,7 @@
 use transport::{Held, Outlet};
 
 use crate::gateway::Message;
-use crate::socket::SocketId;
+use crate::socket::{End, SocketId};
 
 /// Bytes read at a time.
 const READ: usize = 16 << 10;
@@ -75,6 +75,19 @@
         self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Nothing more can come on it: the peer has ended it, and all before that was read.
+    fn is_over(&self) -> bool {
+        match self.stream.peek(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        }
+    }
+
+    /// Nothing is under way on it: nothing came that was not read, and all that was to be written has gone out.
+    pub(crate) fn is_at_rest(&self) -> bool {
+        !self.outlet.is_pending() && self.is_quiet()
+    }
+
     /// Starts its reader. `rising`: it reports first when the connection is up.
     pub(crate) fn start(
         self: &Arc<Self>,
@@ -84,24 +97,26 @@
     ) -> io::Result<()> {
         let port = self.clone();
         task::spawn("port", move || {
-            port.read(clock, &inbox, rising);
-            let (socket, serial, cut) = (port.socket, port.serial, port.outlet.was_cut());
+            let end = port.read(clock, &inbox, rising);
+            let end = if port.outlet.was_cut() { End::Cut } else { end };
+            let (socket, serial) = (port.socket, port.serial);
             // The engine ends last; what comes after it concerns nobody.
-            let _ = inbox.send(Message::Ended { socket, serial, cut });
+            let _ = inbox.send(Message::Ended { socket, serial, end });
         })
     }
 
-    fn read(&self, clock: Clock, inbox: &Sender<Message>, rising: bool) {
-        let Ok(io) = CoIo::new(Held(self.stream.clone())) else { return };
+    /// Reads until it ends; how it did.
+    fn read(&self, clock: Clock, inbox: &Sender<Message>, rising: bool) -> End {
+        let Ok(io) = CoIo::new(Held(self.stream.clone())) else { return End::Broken };
         *self.waker.lock().unwrap_or_else(|p| p.into_inner()) = Some(io.waker());
         let (socket, serial) = (self.socket, self.serial);
         if rising {
             loop {
                 match self.stream.take_error() {
-                    Ok(None) if self.closed.load(Ordering::SeqCst) => return,
+                    Ok(None) if self.closed.load(Ordering::SeqCst) => return End::Broken,
                     Ok(None) if self.is_up() => break,
                     Ok(None) => io.wait_io(),
-                    Ok(Some(_)) | Err(_) => return,
+                    Ok(Some(_)) | Err(_) => return End::Broken,
                 };
             }
             let _ = inbox.send(Message::Up { socket, serial });
@@ -112,7 +127,10 @@
             // A buffer for this read only: a connection on which nothing comes holds none.
             let mut buffer = vec![0; READ];
             match (&*self.stream).read(&mut buffer) {
-                Ok(0) => return,
+                Ok(0) => return End::Orderly,
+                // Danger: a client that asked and went while nobody read would be taken, and its attempt begun long after. Harm: none;
+                // one that has closed its connection waits for nothing.
+                Ok(_) if matches!(self.socket, SocketId::Client(_)) && self.is_over() => return End::Orderly,
                 Ok(n) => {
                     let bytes = Bytes::copy_from_slice(&buffer[..n]);
                     drop(buffer);
@@ -124,9 +142,10 @@
                     io.wait_io();
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return,
+                Err(_) => return End::Broken,
             }
         }
+        End::Broken
     }
 
     /// Its reader goes on.
--- a/crates/platform/src/socket.rs
+++ b/crates/platform/src/socket.rs
@@ -15,6 +15,17 @@
     Discovery(u64),
 }
 
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// Something that was handed over was surely not written, or it never came up.
+    Cut,
+    /// The peer said that nothing more would come.
+    Orderly,
+    /// It broke: what the peer may still have sent is lost.
+    Broken,
+}
+
 /// What is to be done, in this order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -27,6 +38,14 @@
     Reuse(SocketId, Bytes),
     /// Nothing more will be written: say so to the peer once all is.
     Finish(SocketId),
+    /// Nothing more is owed on it: say so to the peer, unless something has come that was not read. Whether it was done is told
+    /// by [`crate::Machine::parted`].
+    Part(SocketId),
+    /// Close, unless something has come that was not read, or not all that was to be written has gone out. Whether it was done
+    /// is told by [`crate::Machine::gave_way`].
+    GiveWay(SocketId),
+    /// Close if not all that was to be written has gone out, and report its end.
+    Cut(SocketId),
     /// Close now. Its end is not reported.
     Close(SocketId),
     /// Read on.
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -46,6 +46,11 @@
         self.spill.was_cut()
     }
 
+    /// Whether something that was to be written may not have been taken by the system yet.
+    pub fn is_pending(&self) -> bool {
+        self.spill.is_pending()
+    }
+
     /// Writes bytes, now or by and by, in the order of the calls.
     pub fn push(self: &Arc<Self>, bytes: GatherList) {
         if !bytes.is_empty() {
--- a/crates/transport/src/spill.rs
+++ b/crates/transport/src/spill.rs
@@ -57,6 +57,12 @@
         self.state().cut
     }
 
+    /// Whether something that was appended may not have gone out.
+    pub(crate) fn is_pending(&self) -> bool {
+        let state = self.state();
+        state.writing || !state.rest.is_empty()
+    }
+
     /// Appends bytes that go out with the next [`Spill::flush`]. Whether one is due.
     pub(crate) fn append(&self, write: impl FnOnce(&mut GatherList)) -> bool {
         let mut state = self.state();
--- a/crates/world/src/world/gateway.rs
+++ b/crates/world/src/world/gateway.rs
@@ -254,9 +254,23 @@
                 if self.gateways[g].sockets.contains_key(&socket) {
                     self.write(g, socket, bytes);
                 } else if let Some(machine) = &mut self.gateways[g].machine {
-                    machine.stale(now, socket, bytes);
+                    machine.stale(now, socket);
                 }
             }
+            // In the world nothing stands unread, and what is written has gone out.
+            Output::Part(socket) => {
+                self.output(g, Output::Finish(socket));
+                if let Some(machine) = &mut self.gateways[g].machine {
+                    machine.parted(now, socket, true);
+                }
+            }
+            Output::GiveWay(socket) => {
+                self.output(g, Output::Close(socket));
+                if let Some(machine) = &mut self.gateways[g].machine {
+                    machine.gave_way(now, socket, true);
+                }
+            }
+            Output::Cut(_) => {}
             Output::Finish(_) if self.ends_late(g) => {}
             Output::Close(SocketId::Client(_)) if self.ends_late(g) => {}
             Output::Finish(socket) => {
