A configuration that cannot be served is turned down at the start, with file and key

Other customers' settings were taken whatever their figures said: a class without a deadline, a keyed one without a window, an unknown group, lists that have to be asked for, a limit that passes nothing. Such a gateway started, answered /ready and refused or misjudged request by request, and nobody was told why.

--- a/crates/platform/src/config.rs
+++ b/crates/platform/src/config.rs
@@ -9,6 +9,12 @@
 
 use crate::endpoint::EndpointList;
 
+/// Descriptors with which a gateway serves at all: eight clients, eight connections to nodes, and what it needs itself
+/// (`Sizes`).
+const LEAST_SOCKETS: u64 = 32;
+/// MB in which it runs at all: one that serves little takes 9 to 12 of them.
+const LEAST_MEMORY: u64 = 16;
+
 /// Why a configuration cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -43,6 +49,25 @@
     pub sockets: u64,
 }
 
+impl MachineLimits {
+    /// Whether a gateway can run within them; else which key stands against it, and why.
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        if !(self.cores.is_finite() && self.cores > 0.0) {
+            return Err(("cores", format!("{} of a core does no work; more than 0 is wanted", self.cores)));
+        }
+        if self.memory_mb < LEAST_MEMORY {
+            let why = format!("{} MB are too few to run in; {LEAST_MEMORY} are wanted", self.memory_mb);
+            return Err(("memory_mb", why));
+        }
+        if self.sockets < LEAST_SOCKETS {
+            let why =
+                format!("{} descriptors are too few to serve with; {LEAST_SOCKETS} are wanted", self.sockets);
+            return Err(("sockets", why));
+        }
+        Ok(())
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -102,21 +127,18 @@
             text.parse::<SocketAddr>()
                 .map_err(|e| wrong(key, format!("'{text}' is no address with a port: {e}")))
         };
+        raw.settings.check().map_err(|e| wrong(&format!("settings.{}", e.key), e.why))?;
         let settings = raw.settings.settings().map_err(|e: ProfileError| wrong("settings", e.to_string()))?;
-        if settings.classes.is_empty() {
-            return Err(wrong(
-                "settings.classes",
-                "there is no class; requests could not be told apart".into(),
-            ));
-        }
-        if settings.plans.is_empty() {
-            return Err(wrong("settings.policies", "there is no plan; volumes belong to one".into()));
+        raw.limits.check().map_err(|(key, why)| wrong(&format!("limits.{key}"), why))?;
+        let discovery = address("discovery", &raw.discovery)?;
+        if discovery.port() == 0 {
+            return Err(wrong("discovery", format!("'{discovery}' has no port that could be called")));
         }
         let seed = u64::from_str_radix(&raw.seed, 16)
             .map_err(|e| wrong("seed", format!("'{}' is no hexadecimal number: {e}", raw.seed)))?;
         Ok(Config {
             listen: address("listen", &raw.listen)?,
-            discovery: address("discovery", &raw.discovery)?,
+            discovery,
             name: raw.name,
             seed,
             limits: raw.limits,
--- a/crates/profile/src/profile.rs
+++ b/crates/profile/src/profile.rs
@@ -1,10 +1,14 @@
 //! The object itself.
 
+mod check;
+
 use decisions::{Class, Group, Micros, Plan, Repeats, RetryBudget, Settings};
 use serde::Deserialize;
 
 use crate::service::{ClassName, Service};
 
+pub use check::Unservable;
+
 /// What cannot be understood in the settings.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum ProfileError {
--- /dev/null
+++ b/crates/profile/src/profile/check.rs
@@ -0,0 +1,216 @@
+//! Whether a gateway can serve by the settings at all.
+//!
+//! Danger: figures that make no sense are found out request by request: everything is refused, or decided by numbers that
+//! are none, and nobody is told why. Every figure is held against what it means, and the first wrong one is named. What no
+//! part here reads is passed over, as keys are added by and by. Harm: a customer whose settings carry a slip in a figure
+//! that no request of theirs would meet has to mend it before the gateway starts.
+
+use super::*;
+
+/// The longest span that counts as one: sums with the time of day stay within a number.
+const LONGEST: Micros = 1_000_000_000_000_000;
+
+/// A key with which nothing can be served.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("key '{key}': {why}")]
+pub struct Unservable {
+    /// The key, from the settings object on.
+    pub key: String,
+    /// Why.
+    pub why: String,
+}
+
+type Checked = Result<(), Unservable>;
+
+fn wrong(key: impl Into<String>, why: impl Into<String>) -> Checked {
+    Err(Unservable { key: key.into(), why: why.into() })
+}
+
+fn span(key: &str, value: Micros, least: Micros) -> Checked {
+    if (least..=LONGEST).contains(&value) {
+        return Ok(());
+    }
+    wrong(key, format!("{value} microseconds are not possible here; {least} to {LONGEST} are"))
+}
+
+/// From nought on.
+fn amount(key: &str, value: f64) -> Checked {
+    if value.is_finite() && value >= 0.0 {
+        return Ok(());
+    }
+    wrong(key, format!("{value} is not possible here; a number from 0 on is"))
+}
+
+/// More than nought.
+fn size(key: &str, value: f64) -> Checked {
+    if value.is_finite() && value > 0.0 {
+        return Ok(());
+    }
+    wrong(key, format!("{value} is not possible here; a number above 0 is"))
+}
+
+/// Names that stand in a list each once.
+fn names<'a>(list: &str, each: impl Iterator<Item = &'a str>, fits: impl Fn(&str) -> bool) -> Checked {
+    let mut before = Vec::new();
+    for (i, name) in each.enumerate() {
+        let key = || format!("{list}[{i}].name");
+        if !fits(name) {
+            return wrong(key(), format!("'{name}' cannot be named by a request"));
+        }
+        if before.contains(&name) {
+            return wrong(key(), format!("'{name}' stands here twice; requests could not tell them apart"));
+        }
+        before.push(name);
+    }
+    Ok(())
+}
+
+impl Profile {
+    /// Whether requests can be served by these settings where lists are pushed.
+    ///
+    /// # Errors
+    /// The first key that stands against it.
+    pub fn check(&self) -> Checked {
+        self.check_classes()?;
+        self.check_plans()?;
+        self.check_place()?;
+        self.check_limits()?;
+        self.check_family()?;
+        self.check_rules()?;
+        amount("fees.waste", self.fees.waste)
+    }
+
+    fn check_classes(&self) -> Checked {
+        if self.classes.is_empty() {
+            return wrong("classes", "there is no class; requests could not be told apart");
+        }
+        // A class stands in the path, between two slashes.
+        let in_a_path = |name: &str| {
+            !name.is_empty() && name.bytes().all(|b| b.is_ascii_graphic() && !b"/?#".contains(&b))
+        };
+        names("classes", self.classes.iter().map(|c| c.name.as_str()), in_a_path)?;
+        for (i, class) in self.classes.iter().enumerate() {
+            let key = |name: &str| format!("classes[{i}].{name}");
+            span(&key("targetUs"), class.target_us, 1)?;
+            span(&key("deadlineUs"), class.deadline_us, 1)?;
+            amount(&key("aimStretch"), class.aim_stretch.unwrap_or(0.0))?;
+            amount(&key("worth"), class.worth)?;
+            amount(&key("lateValue"), class.late_value)?;
+            match class.idempotency.as_str() {
+                "read_like" | "non_idempotent" => {}
+                "idempotency_key" => {
+                    span(&key("keyTtlUs"), class.key_ttl_us.unwrap_or(0), 1)?;
+                    if let Some(word) = &class.group
+                        && !["all", "zone", "cell"].contains(&word.as_str())
+                    {
+                        return wrong(
+                            key("group"),
+                            format!("unknown word '{word}'; all, zone or cell is wanted"),
+                        );
+                    }
+                }
+                word => {
+                    let wanted = "read_like, idempotency_key or non_idempotent is wanted";
+                    return wrong(key("idempotency"), format!("unknown word '{word}'; {wanted}"));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn check_plans(&self) -> Checked {
+        if self.policies.is_empty() {
+            return wrong("policies", "there is no plan; volumes belong to one");
+        }
+        // A plan stands in a header, whose ends are trimmed.
+        let in_a_header =
+            |name: &str| !name.is_empty() && name.trim() == name && !name.chars().any(char::is_control);
+        names("policies", self.policies.iter().map(|p| p.name.as_str()), in_a_header)?;
+        for (i, plan) in self.policies.iter().enumerate() {
+            let key = |name: &str| format!("policies[{i}].{name}");
+            amount(&key("usualRate"), plan.usual_rate)?;
+            amount(&key("floorRate"), plan.floor_rate)?;
+            amount(&key("ceilingRate"), plan.ceiling_rate)?;
+            amount(&key("limitBurst"), plan.limit_burst)?;
+            amount(&key("capSlack"), plan.cap_slack)?;
+            amount(&key("shares"), plan.shares)?;
+            amount(&key("price"), plan.price)?;
+            if plan.ceiling_rate > 0.0 && plan.limit_burst + plan.cap_slack < 1.0 {
+                return wrong(
+                    key("limitBurst"),
+                    "not even a request of one unit passes this limit; with capSlack it has to hold one",
+                );
+            }
+        }
+        Ok(())
+    }
+
+    fn check_place(&self) -> Checked {
+        if self.peers_total == 0 {
+            return wrong("peersTotal", "this gateway counts as well; 1 or more is wanted");
+        }
+        if self.index >= self.peers_total {
+            return wrong(
+                "index",
+                format!("{} is not possible among {}, counted from 0", self.index, self.peers_total),
+            );
+        }
+        match self.discovery.as_str() {
+            "push" => Ok(()),
+            "ask" => wrong(
+                "discovery",
+                "lists that have to be asked for ('ask') are not served: this gateway follows a watch ('push')",
+            ),
+            word => wrong("discovery", format!("unknown word '{word}'; push is wanted")),
+        }
+    }
+
+    fn check_limits(&self) -> Checked {
+        let limits = &self.policy_limits;
+        if limits.send_cap == 0 {
+            return wrong("policyLimits.sendCap", "without an attempt no request is served");
+        }
+        span("policyLimits.maxRetryAfterUs", limits.max_retry_after_us, 0)?;
+        span("policyLimits.connIdleUs", limits.conn_idle_us.unwrap_or(1), 1)?;
+        span("policyLimits.connectTimeoutUs", limits.connect_timeout_us.unwrap_or(1), 1)
+    }
+
+    fn check_family(&self) -> Checked {
+        let family = &self.family_info;
+        amount("familyInfo.coldBears", family.cold_bears.unwrap_or(0.0))?;
+        size("familyInfo.largest", family.largest.unwrap_or(1.0))?;
+        size("familyInfo.meanUnits", family.mean_units.unwrap_or(1.0))?;
+        amount("familyInfo.fairWorth", family.fair_worth.unwrap_or(1.0))?;
+        amount("familyInfo.idleWorth", family.idle_worth.unwrap_or(1.0))?;
+        if family.slots_total == Some(0) {
+            return wrong("familyInfo.slotsTotal", "without a shard there is no data");
+        }
+        if family.writes.len() != self.classes.len() {
+            let (told, classes) = (family.writes.len(), self.classes.len());
+            return wrong(
+                "familyInfo.writes",
+                format!(
+                    "tells of {told} classes, and there are {classes}; reads and writes are told apart by it"
+                ),
+            );
+        }
+        Ok(())
+    }
+
+    fn check_rules(&self) -> Checked {
+        let rules = &self.rules;
+        if !(0.0..=1.0).contains(&rules.cold_from) {
+            return wrong("rules.coldFrom", format!("{} is not possible here; 0 to 1 is", rules.cold_from));
+        }
+        span("rules.warmUpUs", rules.warm_up_us, 0)?;
+        span("rules.fallUs", rules.fall_us, 0)?;
+        span("rules.drainGraceUs", rules.drain_grace_us, 0)?;
+        span("rules.orderSettleUs", rules.order_settle_us.unwrap_or(0), 0)?;
+        let (spare, share) = (rules.spare_attempts.unwrap_or(0.0), rules.resend_ratio.unwrap_or(0.0));
+        amount("rules.spareAttempts", spare)?;
+        amount("rules.resendRatio", share)?;
+        // A budget without a span to count it in counts nothing.
+        let counted = spare > 0.0 || share > 0.0;
+        span("rules.lookBackUs", rules.look_back_us.unwrap_or(0), Micros::from(counted))
+    }
+}
