The platform gateway logs when its engine stood still and when an answer is overdue

The engine now logs when it was woken, or went on, more than 0.1 s too late, and each answer that goes out more than 0.1 s after its request's time, with its id, so that the next such case can be followed.

--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -23,6 +23,8 @@
 
 /// Messages handled before the time is looked at again.
 const MESSAGES: usize = 256;
+/// The engine is said to have stood still where it was woken, or went on, so much too late.
+const STILL: Micros = 100_000;
 /// How often a line on what it holds is logged.
 const SUMMARY: Micros = 10_000_000;
 
@@ -176,10 +178,18 @@
                 told = due;
             }
             let Ok(first) = messages.recv() else { return };
+            let woken = self.clock.now();
             self.message(first);
-            for _ in 1..MESSAGES {
-                let Ok(next) = messages.try_recv() else { break };
+            let mut count = 1;
+            while count < MESSAGES
+                && let Ok(next) = messages.try_recv()
+            {
                 self.message(next);
+                count += 1;
+            }
+            let (late, busy) = (woken.saturating_sub(due), self.clock.now() - woken);
+            if late > STILL || busy > STILL {
+                tracing::warn!(late, busy, count, "the engine stood still; what is due meanwhile is late");
             }
         }
     }
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -46,6 +46,8 @@
 /// platform's word.
 const COUNTED: Micros = 3_000_000;
 const KILLED: Micros = 700_000;
+/// An answer that goes out so long after its request's time is logged: something stood still.
+const OVERDUE: Micros = 100_000;
 /// Interval of forgetting nodes that are gone.
 const SWEEP: Micros = 1_000_000;
 /// Part of the nodes' idle time for which a connection to one is kept: a request must not cross its closing.
@@ -55,6 +57,9 @@
 struct Pending {
     client: u64,
     ask: Ask,
+    /// When its last byte was read, and when its time is over.
+    read: Micros,
+    until: Micros,
 }
 
 struct Address {
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -2,6 +2,16 @@
 
 use super::*;
 
+impl Pending {
+    /// Its answer goes out now.
+    fn note(&self, now: Micros) {
+        if now - self.until > OVERDUE {
+            let (id, late, open) = (&self.ask.id, now - self.until, now - self.read);
+            tracing::warn!(id, late, open, "an answer goes out after its request's time");
+        }
+    }
+}
+
 impl Machine {
     /// What came of a connection to a node. `fresh`: it has just come up, and was never used.
     pub(super) fn news(&mut self, now: Micros, id: u64, news: News, fresh: bool) {
@@ -73,6 +83,7 @@
         let load = answer.and_then(load_of);
         if let Some(pending) = self.dispatcher.ended(now, attempt, outcome, load) {
             let body = answer.map(|a| a.body.clone()).unwrap_or_default();
+            pending.note(now);
             self.answer(now, pending.client, &pending.ask.id, 200, &[], body);
         }
     }
@@ -111,6 +122,7 @@
     /// The module has given up: its answer goes at once.
     pub(super) fn over(&mut self, now: Micros, pending: &Pending, verdict: Verdict) {
         let (client, id) = (pending.client, pending.ask.id.as_str());
+        pending.note(now);
         match verdict {
             Verdict::Refused { come_back } if come_back > 0 => {
                 let after = format!("{}.{:06}", come_back / 1_000_000, come_back % 1_000_000);
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -89,7 +89,8 @@
         if let Some(ends) = self.ends() {
             taken.patience = taken.patience.min(ends - now).max(0);
         }
-        let request = self.dispatcher.take(now, taken, Pending { client: id, ask });
+        let until = now + taken.patience;
+        let request = self.dispatcher.take(now, taken, Pending { client: id, ask, read: at, until });
         if let Some(client) = self.clients.get_mut(&id) {
             client.open = Some((request, keep));
             self.agenda.remove(client, id);
