--- a/crates/crowbay/tests/stage/mod.rs
+++ b/crates/crowbay/tests/stage/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod customer;
 pub mod discovery;
 
 use std::io::{Read, Write};
