--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -139,7 +139,8 @@
         Stage::of(&config, ROOMY)
     }
 
-    fn of(config: &Config, sizes: Sizes) -> Self {
+    /// One on a configuration.
+    pub fn of(config: &Config, sizes: Sizes) -> Self {
         let now = 1_000_000_000;
         let mut stage = Stage {
             machine: Machine::new(now, config, sizes),
