Crossings of clients' and nodes' ends are forced over loopback by stand-ins on command

Added under the tests' stage: a node whose every answer, end, reset and late way up its test decides, one that refuses until it listens, clients that go, flood, read slowly or ask as usual, what the system knows of a connection's two ends, a process that stands still, and the most that a process holds.

--- a/crates/crowbay/tests/stage/mod.rs
+++ b/crates/crowbay/tests/stage/mod.rs
@@ -2,12 +2,28 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
+pub mod address;
+pub mod asked;
+pub mod departure;
 pub mod discovery;
+pub mod figure;
+pub mod flood;
+pub mod gauge;
+pub mod kernel;
+pub mod late;
+pub mod pause;
+pub mod puppet;
+pub mod refusing;
+pub mod request;
+pub mod script;
+pub mod slow;
+pub mod starting;
+pub mod usual;
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, ExitStatus};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,9 +33,11 @@
 use nix::unistd::Pid;
 use serde_json::{Value, json};
 
-const LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 4 };
+pub const LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 4 };
 /// Nothing here takes that long; a test that waits longer has failed.
 pub const LONG: Duration = Duration::from_secs(20);
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_micros(500);
 
 /// Serves connections of a listener, each on a thread of its own.
 pub fn serve(each: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
@@ -144,28 +162,7 @@
 impl Process {
     /// Starts the gateway on a configuration; it listens where its log says.
     pub fn start(config: &Value) -> Process {
-        let folder = tempfile::tempdir().expect("a folder");
-        std::fs::write(folder.path().join("config.json"), config.to_string()).expect("a file");
-        let mut child = Command::new(env!("CARGO_BIN_EXE_crowbay"))
-            .arg("platform")
-            .env("PROXY_CONFIG", folder.path().join("config.json"))
-            .stdin(Stdio::null())
-            .stderr(Stdio::piped())
-            .spawn()
-            .expect("a process");
-        let mut log = std::io::BufReader::new(child.stderr.take().expect("its log"));
-        let (tell, told) = std::sync::mpsc::channel();
-        thread::spawn(move || {
-            let mut line = String::new();
-            while std::io::BufRead::read_line(&mut log, &mut line).is_ok_and(|n| n > 0) {
-                if let Some(at) = line.split("address=").nth(1).and_then(|rest| rest.split(' ').next()) {
-                    let _ = tell.send(at.trim().parse::<SocketAddr>());
-                }
-                line.clear();
-            }
-        });
-        let address = told.recv_timeout(LONG).expect("it listens").expect("an address");
-        Process { child, address, folder }
+        starting::Starting::new(config, &[]).up()
     }
 
     pub fn file(&self) -> PathBuf {
@@ -183,7 +180,7 @@
                 return status;
             }
             assert!(Instant::now() < deadline, "it does not end");
-            thread::yield_now();
+            thread::sleep(LOOK);
         }
     }
 }
@@ -236,6 +233,7 @@
     let deadline = Instant::now() + LONG;
     while !met() {
         assert!(Instant::now() < deadline, "never: {what}");
-        thread::yield_now();
+        // Dozens may wait at a time, and those they wait for need the cores.
+        thread::sleep(LOOK);
     }
 }
