--- a/crates/crowbay/tests/closings.rs
+++ b/crates/crowbay/tests/closings.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
 use nix::sys::signal::Signal;
@@ -13,10 +14,14 @@
 use stage::pause::Pause;
 use stage::puppet::Puppet;
 use stage::request::{self, ONCE, READ};
+use stage::slow::Slow;
 use stage::*;
 
 /// The longest body of the protocol.
 const LARGE: usize = 64 << 10;
+/// A client that reads nothing for this long is slow, and no more.
+const SLOW: Duration = Duration::from_millis(1200);
+
 fn site(node: SocketAddr) -> Value {
     let nobody = SocketAddr::from(([127, 0, 0, 1], 1));
     request::site(nobody, &list(1, &[("a", node)]), true)
@@ -156,6 +161,79 @@
     assert!(is_served || said.starts_with("HTTP/1.1 4") && !was_sent, "sent on {was_sent}, and got {said:?}");
 }
 
+/// The whole of the large answer came.
+fn is_whole(said: &[u8]) -> bool {
+    let head = said.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
+    said.starts_with(b"HTTP/1.1 200 ") && head.is_some_and(|head| said.len() - head == LARGE)
+}
+
+#[test]
+fn a_client_that_reads_its_last_answer_slowly_gets_it_whole() {
+    let (at, seen) = node();
+    let process = Process::start(&site(at));
+    let behind = |bytes: usize| {
+        let one = request::text(ONCE, "behind", 8000, "", "");
+        one.repeat(bytes / one.len())
+    };
+    let cases = [("nothing", 0), ("a little", 1 << 10), ("some", 100 << 10), ("much", 400 << 10)];
+    let running: Vec<_> = cases
+        .map(|(name, bytes)| {
+            let mut slow = Slow::new(process.address);
+            let text = request::text(READ, &format!("large-{bytes}"), 8000, "Connection: close\r\n", "");
+            slow.say(&(text + &behind(bytes)));
+            slow.until_answered();
+            (name, thread::spawn(move || slow.read_after(SLOW)))
+        })
+        .into_iter()
+        .collect();
+    let mut wrong = Vec::new();
+    for (name, reads) in running {
+        let (said, in_order) = reads.join().expect("no panic");
+        if !is_whole(&said) {
+            wrong.push(format!("{name} behind it: {} bytes, ended in order {in_order}", said.len()));
+        }
+    }
+    assert!(!seen.lock().expect("seen").contains(&"behind".to_owned()), "it was sent on");
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+#[test]
+fn a_client_that_reads_slowly_while_others_crowd_in_gets_its_answer_whole() {
+    let (at, _) = node();
+    let mut settings = site(at);
+    // Places for 24 clients.
+    settings["limits"]["sockets"] = json!(64);
+    let process = Process::start(&settings);
+    let crowd: Vec<TcpStream> = (0..22).map(|_| sent(process.address, "")).collect();
+    settle(process.address);
+    let mut slow = Slow::new(process.address);
+    slow.say(&request::text(READ, "large", 8000, "", ""));
+    slow.until_answered();
+    let more: Vec<TcpStream> = (0..30).map(|_| sent(process.address, "")).collect();
+    let (said, in_order) = slow.read_after(SLOW);
+    assert!(is_whole(&said), "{} bytes, ended in order {in_order}", said.len());
+    drop((crowd, more));
+}
+
+#[test]
+fn a_client_that_reads_slowly_at_the_end_of_a_gateway_gets_its_answer_whole() {
+    let (at, _) = node();
+    let mut settings = site(at);
+    for class in settings["settings"]["classes"].as_array_mut().expect("classes") {
+        class["deadlineUs"] = json!(1_500_000);
+        class["targetUs"] = json!(1_400_000);
+    }
+    let mut process = Process::start(&settings);
+    process.signal(Signal::SIGTERM);
+    settle(process.address);
+    let mut slow = Slow::new(process.address);
+    slow.say(&request::text(READ, "large", 1400, "Connection: close\r\n", ""));
+    slow.until_answered();
+    let (said, in_order) = slow.read_after(Duration::from_millis(800));
+    assert!(is_whole(&said), "{} bytes, ended in order {in_order}", said.len());
+    assert_eq!(process.end().code(), Some(0));
+}
+
 #[test]
 fn what_comes_behind_a_request_that_ends_its_connection_is_not_taken() {
     let (at, seen) = node();
--- a/crates/crowbay/tests/endings.rs
+++ b/crates/crowbay/tests/endings.rs
@@ -72,6 +72,18 @@
     ),
 ];
 
+/// The same without a length: they are whole by their orderly end.
+const WHOLE_BY_END: &[(&str, Script)] = &[
+    ("no length", script(&["HTTP/1.1 200 OK\r\n\r\nwhole"], End::Orderly)),
+    ("no length, in pieces", script(&["HTTP/1.1 200 OK\r\n", "\r\n", "who", "le"], End::Orderly)),
+    ("no length, close", script(&["HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwh", "ole"], End::Orderly)),
+    ("no length, of the older version", script(&["HTTP/1.0 200 OK\r\n\r\nwhole"], End::Orderly)),
+    (
+        "1xx ahead of no length",
+        script(&["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nwhole"], End::Orderly),
+    ),
+];
+
 /// Answers that were cut off; each is played with an orderly end and with both resets.
 const CUT: &[(&str, &[&str])] = &[
     ("nothing", &[]),
@@ -154,6 +166,11 @@
     none_fails(WHOLE, |(name, script)| is_served(name, *script));
 }
 
+#[test]
+fn an_answer_without_a_length_is_whole_by_its_orderly_end() {
+    none_fails(WHOLE_BY_END, |(name, script)| is_served(name, *script));
+}
+
 /// Not served by this alone: where it may not run again it has failed, and is asked for once; where it may, only the good answer
 /// to a further attempt is served.
 fn never_served(name: &str, script: Script) -> Result<(), String> {
@@ -316,6 +333,12 @@
     comes_behind(false);
 }
 
+/// Danger: what a reader has taken from its socket, and the machine has not heard of yet, can't be seen by looking at the socket.
+#[test]
+fn nor_does_what_comes_at_the_same_time_as_the_next_request() {
+    comes_behind(true);
+}
+
 #[test]
 fn nothing_is_asked_on_a_connection_whose_answer_said_close() {
     let answers: [&str; 3] = [
--- a/crates/crowbay/tests/floods.rs
+++ b/crates/crowbay/tests/floods.rs
@@ -152,6 +152,13 @@
     all_get_theirs("silent connections", &owed, OWED);
 }
 
+#[test]
+fn hundreds_of_connections_with_half_a_request() {
+    let site = Site::new("half requests");
+    let owed = site.bears(|at| crowd(300, |_| flood(at, "GET /look/00", b"", 0)));
+    all_get_theirs("half requests", &owed, OWED);
+}
+
 #[test]
 fn clients_that_send_much_at_once_and_go() {
     let site = Site::new("much at once");
