Turns at cold nodes are drawn so that the sum over the fleet keeps to chance

Cause: turns beyond the even deal were drawn with a mean of all that a cold node bears, so that their sum over the gateways, which come in groups (the hosts of a volume), passed N + 2 root N + 2 in a window; repeats of one request also counted as knowing a shard well, which made gateways that had just started think that few share a node.

--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -28,7 +28,7 @@
             n.state == NodeState::On
                 && !n.silent(self.mem.now)
                 && n.failures == 0
-                && self.cold(n, open.ask.units).is_none()
+                && self.cold(n, &open.ask).is_none()
         };
         let best = self.mem.nodes.values().filter(usable).min_by(|a, b| fill(a).total_cmp(&fill(b)));
         best.or(self.mem.nodes.values().find(|n| n.state == NodeState::On)).map(|n| n.shard)
@@ -42,7 +42,8 @@
         };
         let shard = self.mem.shards.entry(shard_id).or_insert_with(|| Shard::new(SMOOTHING));
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
-        if open.ask.shard.is_some() {
+        // Of repeats only what meets a shard first: they would make few shards look like all that there are.
+        if open.ask.shard.is_some() && (shard.asks == 0 || !open.needs_right()) {
             shard.asks += 1;
             self.mem.asks += 1;
             match shard.asks {
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -92,7 +92,7 @@
                 return if at >= open.deadline { Verdict::Never } else { Verdict::Wait(Some(at)) };
             }
         }
-        if let Some(at) = self.cold(node, open.ask.units) {
+        if let Some(at) = self.cold(node, &open.ask) {
             return Verdict::Wait(Some(at));
         }
         let v = self.view();
