--- a/crates/world/src/agent.rs
+++ b/crates/world/src/agent.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list, and an agent on each gateway's machine that is told of changes late.
 
 use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 use serde_json::{Value, json};
 
@@ -81,5 +82,11 @@
     chunk
 }
 
+/// Where discovery is from the word that it is elsewhere on.
+pub(crate) const ELSEWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 255, 0, 3)), 80);
+/// What an agent answers that fails.
+pub(crate) const FAILED: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 5\r\n\r\ndown\n";
+/// What an agent writes that is out of its mind: an object, but no list.
+pub(crate) const GARBLED: &str = "{\"error\": {\"code\": 13, \"retry\": true}}\n";
 /// The head of a watch's answer.
 pub(crate) const WATCHED: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/crates/world/src/scenario.rs
+++ b/crates/world/src/scenario.rs
@@ -22,6 +22,12 @@
     Refuses,
     /// Watches end, calls come up and are reset once they ask.
     Resets,
+    /// Watches fall silent, calls never come up.
+    Hangs,
+    /// Watches end, calls are answered with an error.
+    Fails,
+    /// Watches bring what is no list, and so does the answer to each call; all stay open.
+    Garbles,
 }
 
 /// What ails a node.
@@ -97,6 +103,13 @@
         /// Their later watches fall silent too, so long after they were answered.
         again: Option<Micros>,
     },
+    /// All gateways are told (SIGHUP), one after the other, that discovery is elsewhere; the one before ends what is open 1.5 s later.
+    Moves {
+        /// From when.
+        at: Micros,
+        /// Over how long.
+        lasts: Micros,
+    },
     /// Something ails a part of the nodes.
     Ails {
         /// The part, 0 to 1.
@@ -120,6 +133,7 @@
             | Trouble::Roll { at, .. }
             | Trouble::NoDiscovery { at, .. }
             | Trouble::Mute { at, .. }
+            | Trouble::Moves { at, .. }
             | Trouble::Ails { at, .. } => at,
         }
     }
@@ -152,6 +166,8 @@
     pub lag: (Micros, Micros),
     /// How agents write.
     pub writing: Writing,
+    /// All agents write their empty lines in one moment.
+    pub in_step: bool,
     /// From the word that a node drains to its end; until then it serves.
     pub drain: Micros,
     /// A gateway that starts again has the list of the world's beginning in its configuration, not what its agent knows.
@@ -199,6 +215,7 @@
             places: 700,
             lag: (300_000, 2_000_000),
             writing: Writing::default(),
+            in_step: false,
             drain: 2_000_000,
             old_known: false,
             persist: false,
--- a/crates/world/src/world.rs
+++ b/crates/world/src/world.rs
@@ -67,6 +67,7 @@
     Start(usize),
     Discovery,
     Mute(ConnId),
+    Moves(usize),
     /// A list begins to come; it has come whole.
     Begins(usize),
     Heard(usize, u64),
@@ -143,7 +144,7 @@
             world.start(g);
             world.next_asks(g);
             let first = world.rng.random_range(0..BEAT);
-            world.line.plan(first, Event::Beat(g));
+            world.line.plan(if world.scenario.in_step { 0 } else { first }, Event::Beat(g));
             if plant == Plant::Polls {
                 world.line.plan(first, Event::Polls(g));
             }
@@ -199,6 +200,7 @@
             }
             Event::Discovery => self.outage_ends(),
             Event::Mute(conn) => self.mute(conn),
+            Event::Moves(g) => self.moves(g),
             Event::Begins(g) => self.gateways[g].begins(),
             Event::Heard(g, revision) => self.heard(g, revision),
             Event::Ails(n, ill) => self.ails(n, ill),
--- a/crates/world/src/world/discovery.rs
+++ b/crates/world/src/world/discovery.rs
@@ -7,7 +7,7 @@
 
 use super::conn::{Conn, Peer, Watch};
 use super::{BEAT, Event, NEAR, World};
-use crate::agent::{WATCHED, chunk};
+use crate::agent::{ELSEWHERE, FAILED, GARBLED, WATCHED, chunk};
 use crate::learning::Change;
 use crate::node::ConnId;
 use crate::scenario::{Outage, Trouble};
@@ -19,16 +19,21 @@
 const PUT_OFF: Micros = 2_000_000;
 /// Between a planted mistake's calls.
 const POLLS: Micros = 200_000;
+/// After SIGHUP the discovery before ends what is open.
+const OLD_ENDS: Micros = 1_500_000;
 
 impl World {
     pub(super) fn call(&mut self, g: usize, socket: SocketId) {
         let now = self.line.now();
         let first = !std::mem::replace(&mut self.gateways[g].called, true);
         self.tally.list_call(now, first);
-        let watch = Watch { mute: self.outage == Some(Outage::Silent), ..Watch::default() };
-        let conn = self.add_conn(g, Some(socket), Peer::Agent(watch));
-        let refused = self.outage == Some(Outage::Refuses);
-        self.line.plan(NEAR, if refused { Event::EndAtGateway(conn) } else { Event::Up(conn) });
+        let mute = matches!(self.outage, Some(Outage::Silent | Outage::Hangs));
+        let conn = self.add_conn(g, Some(socket), Peer::Agent(Watch { mute, ..Watch::default() }));
+        match self.outage {
+            Some(Outage::Hangs) => {}
+            Some(Outage::Refuses) => self.line.plan(NEAR, Event::EndAtGateway(conn)),
+            _ => self.line.plan(NEAR, Event::Up(conn)),
+        }
     }
 
     /// A planted mistake: one call more, of which nothing comes.
@@ -45,12 +50,19 @@
         });
         let outage = self.outage;
         let Some(Conn { peer: Peer::Agent(watch), .. }) = self.conns.get_mut(&conn) else { return };
-        if outage == Some(Outage::Resets) {
-            return self.line.plan(NEAR, Event::EndAtGateway(conn));
-        }
         if watch.mute {
             return;
         }
+        match outage {
+            Some(Outage::Resets) => return self.line.plan(NEAR, Event::EndAtGateway(conn)),
+            Some(Outage::Fails) => return self.tell_bytes(conn, FAILED.as_bytes()),
+            Some(Outage::Garbles) => {
+                watch.mute = true;
+                self.tell_bytes(conn, WATCHED.as_bytes());
+                return self.tell_bytes(conn, &chunk(GARBLED.as_bytes()));
+            }
+            _ => {}
+        }
         watch.told = Some(after.unwrap_or(0));
         // A watch that is answered is none that fell silent: from here on what the agent has counts at once.
         self.gateways[g].learning.silent = None;
@@ -196,9 +208,14 @@
         (self.outage, self.outage_until) = (Some(how), self.line.now() + lasts);
         let watches = self.conns_where(|c| matches!(c.peer, Peer::Agent(_)));
         for conn in watches {
-            if how != Outage::Silent {
+            if !matches!(how, Outage::Silent | Outage::Hangs | Outage::Garbles) {
                 self.line.plan(NEAR, Event::EndAtGateway(conn));
-            } else if let Some(Conn { peer: Peer::Agent(watch), .. }) = self.conns.get_mut(&conn) {
+                continue;
+            }
+            if how == Outage::Garbles {
+                self.tell_bytes(conn, &chunk(GARBLED.as_bytes()));
+            }
+            if let Some(Conn { peer: Peer::Agent(watch), .. }) = self.conns.get_mut(&conn) {
                 watch.mute = true;
             }
         }
@@ -218,6 +235,16 @@
         }
     }
 
+    /// A gateway is told of another discovery.
+    pub(super) fn moves(&mut self, g: usize) {
+        let now = self.line.now();
+        let open = self.conns_where(|c| c.gateway == g && matches!(c.peer, Peer::Agent(_)));
+        open.into_iter().for_each(|c| self.line.plan(OLD_ENDS, Event::EndAtGateway(c)));
+        let Some(machine) = &mut self.gateways[g].machine else { return };
+        machine.reconfigured(now, ELSEWHERE);
+        self.drive(g);
+    }
+
     /// A node drains and a cold one takes its place: one version of the list says both.
     pub(super) fn change(&mut self, drains: Option<usize>, starts: usize) {
         self.changes.insert(self.register.revision(), Change { drains, starts });
--- a/crates/world/src/world/trouble.rs
+++ b/crates/world/src/world/trouble.rs
@@ -47,6 +47,11 @@
                 let gateways = self.drawn(self.gateways.len(), part);
                 self.mute_some(gateways, again);
             }
+            Trouble::Moves { lasts, .. } => {
+                let count = self.gateways.len();
+                (0..count)
+                    .for_each(|g| self.line.plan(lasts * g as Micros / count as Micros, Event::Moves(g)));
+            }
             Trouble::Ails { part, ill, lasts, .. } => {
                 for n in self.drawn(self.nodes.len(), part) {
                     self.ails(n, Some(ill));
--- a/crates/world/tests/lists.rs
+++ b/crates/world/tests/lists.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use common::{caught, lists, play, small};
-use world::{Outage, Plant, Scenario, Trouble, Writing};
+use common::{caught, lists, play, play_within, small};
+use world::{Bounds, Outage, Plant, Scenario, Trouble, Writing};
 
 const SECOND: i64 = 1_000_000;
 const IN_PIECES: Writing = Writing { indented: true, piece: 48 };
@@ -84,6 +84,48 @@
     learnt(&outage(Outage::Resets));
 }
 
+#[test]
+fn what_agents_have_that_hung_is_learnt_as_they_are_back() {
+    learnt(&outage(Outage::Hangs));
+}
+
+#[test]
+fn what_agents_have_that_failed_is_learnt_as_they_are_back() {
+    learnt(&outage(Outage::Fails));
+}
+
+#[test]
+fn what_agents_have_that_wrote_no_lists_is_learnt_as_they_are_back() {
+    learnt(&outage(Outage::Garbles));
+}
+
+#[test]
+fn what_discovery_has_elsewhere_is_learnt_from_there() {
+    let moves = Trouble::Moves { at: SECOND, lasts: SECOND };
+    learnt(&lists(1_500_000).with(moves));
+    // Discovery goes away as it moves, or right after, and is back with a list that changes then.
+    for at in [1_100_000, 2_300_000] {
+        let away = Trouble::NoDiscovery { how: Outage::Hangs, at, lasts: 4 * SECOND };
+        learnt(&lists(at + 4 * SECOND).with(moves).with(away));
+    }
+}
+
+/// All agents of 300 gateways write their lines in one moment and cannot be used from one moment on, for five seconds.
+#[test]
+fn three_hundred_gateways_whose_agents_go_in_one_moment_do_not_call_in_step() {
+    for how in [Outage::Silent, Outage::Refuses, Outage::Hangs, Outage::Garbles] {
+        let calm = Scenario { load: 0.02, ..Scenario::calm(common::SEED, 300, 40) };
+        let calm = Scenario { length: 9 * SECOND, lag: (0, 0), drain: 60 * SECOND, in_step: true, ..calm };
+        let away = Trouble::NoDiscovery { how, at: 2_500_000, lasts: 5 * SECOND };
+        let drains = Trouble::Replace { part: 0.2, at: 7_400_000, lasts: 200_000 };
+        // So few requests rarely find a connection that is open.
+        let bounds = Bounds { at_once: 0.35, connects: 1.0, ..Bounds::default() };
+        let (tally, broken) = play_within(&bounds, &calm.with(away).with(drains), Plant::None);
+        assert_eq!(broken, [""; 0], "{how:?}");
+        assert!(tally.learning.len() >= 300, "{how:?}: somebody was told nothing");
+    }
+}
+
 #[test]
 fn a_reader_that_ends_a_list_at_each_line_is_caught() {
     let indented = Writing { indented: true, piece: 0 };
