--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -57,7 +57,7 @@
         self.mem.rights.get(&shard).filter(|r| r.left == 0).map(|r| r.come_back)
     }
 
-    /// Whether a send still stands at the moment in which it can be begun; if not, it is answered as never sent.
+    /// Whether a send still stands at the moment in which it can be begun; if not, it was never sent.
     ///
     /// Danger: an attempt that waits for its connection is begun late: its node drains by then or is another
     /// process, its client's time is over, or the nodes forget its key. Harm: the request waits anew.
