Idle clients that fill 64 descriptors while discovery is down keep nobody out: shown on a process

The users let idle clients fill the descriptors while discovery is down, and nothing showed what the gateway does then. A process under `ulimit -n 64` with 64 in its configuration serves by what it remembers, its agent takes calls and says nothing, and more clients than there are places say nothing, ask only `/ready`, were served, or begin a request, and rest; or nodes hold requests beside them. No mend was needed.

--- a/crates/crowbay/tests/stage/discovery.rs
+++ b/crates/crowbay/tests/stage/discovery.rs
@@ -24,6 +24,8 @@
     /// Raised with each silence: connections of before say nothing more.
     epoch: u64,
     calls: usize,
+    /// Lists and lines written whole.
+    told: usize,
 }
 
 /// The agent of one gateway.
@@ -67,6 +69,11 @@
         self.state.lock().expect("its state").calls
     }
 
+    /// Lists and lines written so far.
+    pub fn told(&self) -> usize {
+        self.state.lock().expect("its state").told
+    }
+
     fn watch(&self, mut stream: TcpStream) {
         let Some(request) = next_request(&mut stream, &mut RequestDecoder::new(LIMITS)) else { return };
         let mut told: u64 =
@@ -97,6 +104,7 @@
                 return;
             }
             state = self.state.lock().expect("its state");
+            state.told += 1;
             let nothing = |s: &mut State| s.revision == told && !s.silent && s.epoch == epoch;
             state = self.changed.wait_timeout_while(state, LINE, nothing).expect("its state").0;
         }
