Units of a send that waits are charged to its volume's limit when it begins

Change: `Event::Waits` tells the module that an attempt waits and when it begins; until then its units are kept back and not charged, and what never began is charged anew.

--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -91,6 +91,9 @@
             Outcome::NotSent => Fate::NotSent,
             _ => Fate::MayHaveRun,
         };
+        if let Some(volume) = self.mem.volumes.get_mut(&open.ask.volume) {
+            volume.give_back(attempt, open.ask.units);
+        }
         if a.outcome == Outcome::Served
             && let Some(shard) = self.mem.shards.get_mut(&attempt.shard)
         {
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -284,6 +284,15 @@
         /// What is left.
         patience: Micros,
     },
+    /// A sent attempt waits for its connection, or is begun after that. Without this event it is begun when it is sent.
+    Waits {
+        /// The request.
+        request: RequestId,
+        /// The attempt's number.
+        attempt: u32,
+        /// It waits; else it is begun.
+        waits: bool,
+    },
     /// A timer set earlier is due.
     Timer(u64),
     /// What a shard bears from this host beyond first attempts, in place of what was left of an earlier such event.
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -155,6 +155,16 @@
         }
     }
 
+    /// Danger: a send that waits for its connection is charged to its volume's limit early and comes late,
+    /// when the store has filled again. Its units are kept back, and charged as it begins. Harm: none.
+    pub(crate) fn waits(&mut self, id: RequestId, attempt: u32, waits: bool) {
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
+        let volume = self.mem.volumes.get_mut(&open.ask.volume);
+        if let (Some(volume), Some(attempt)) = (volume, open.attempts.get_mut(attempt as usize)) {
+            volume.waits(self.mem.now, attempt, open.ask.units, waits);
+        }
+    }
+
     fn send(&mut self, id: RequestId, node_id: NodeId) {
         let (now, v) = (self.mem.now, self.view());
         self.dequeue(id);
@@ -162,8 +172,8 @@
         else {
             return;
         };
-        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
-        if first
+        let charged = open.uncharged();
+        if charged
             && let Some(volume) = self.mem.volumes.get_mut(&open.ask.volume)
             && let Some(store) = &mut volume.limit
         {
@@ -183,7 +193,15 @@
         node.unheard.get_or_insert(now);
         node.last_send = now;
         let (zone, shard, started) = (node.zone, node.shard, node.started);
-        open.attempts.push(Attempt { zone, shard, sent: now, started, fate: Fate::Out });
+        open.attempts.push(Attempt {
+            zone,
+            shard,
+            sent: now,
+            started,
+            charged,
+            waits: false,
+            fate: Fate::Out,
+        });
         if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
             shard.last_key = open.ask.key;
         }
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -62,6 +62,7 @@
                 self.remember(id);
                 self.close(id);
             }
+            Event::Waits { request, attempt, waits } => self.waits(request, attempt, waits),
             Event::Hastened { request, patience } => {
                 if let Some(open) = self.mem.requests.get_mut(&request) {
                     open.hasten(self.mem.now + patience);
@@ -183,6 +184,7 @@
             },
             seen: now,
             used: 0.0,
+            kept: 0.0,
             phase: 0.0,
             asked: Fading::over(SMOOTHING),
         });
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -29,6 +29,9 @@
     pub(crate) sent: Micros,
     /// The start of its node's process, as far as it was known then.
     pub(crate) started: Option<Micros>,
+    /// Its units are charged to its volume's limit; while it waits for a connection they are only kept back.
+    pub(crate) charged: bool,
+    pub(crate) waits: bool,
     pub(crate) fate: Fate,
 }
 
@@ -92,6 +95,10 @@
     pub(crate) fn unwritten(&self) -> bool {
         self.attempts.iter().all(|a| matches!(a.fate, Fate::Unreached | Fate::NotSent))
     }
+    /// No attempt of it counts against its volume's limit.
+    pub(crate) fn uncharged(&self) -> bool {
+        self.attempts.iter().all(|a| !a.charged)
+    }
     pub(crate) fn doubt(&self) -> impl Iterator<Item = &Attempt> {
         self.attempts.iter().filter(|a| a.doubtful())
     }
@@ -176,6 +183,31 @@
     /// Units that it asked for here lately.
     pub(crate) asked: Fading,
     pub(crate) seen: Micros,
+    /// Units of sends that wait for their connection.
+    pub(crate) kept: f64,
+}
+
+impl Volume {
+    /// An attempt waits for its connection, or begins at last: its units are charged from then on.
+    pub(crate) fn waits(&mut self, now: Micros, attempt: &mut Attempt, units: f64, waits: bool) {
+        if !attempt.charged || attempt.waits == waits {
+            return;
+        }
+        attempt.waits = waits;
+        let kept = if waits { units } else { -units };
+        self.kept = (self.kept + kept).max(0.0);
+        if let Some(store) = &mut self.limit {
+            store.add(now, kept);
+        }
+    }
+
+    /// An attempt ended: if it never began, its units are free again, and the next one is charged.
+    pub(crate) fn give_back(&mut self, attempt: &mut Attempt, units: f64) {
+        if attempt.charged && attempt.waits {
+            self.kept = (self.kept - units).max(0.0);
+        }
+        attempt.charged &= !attempt.waits && attempt.fate != Fate::NotSent;
+    }
 }
 
 /// An attempt out at a node.
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -107,12 +107,11 @@
         if tries > 0 && !self.budget_left() || open.needs_right() && self.barred(node.shard).is_some() {
             return Verdict::Never;
         }
-        let first = open.attempts.iter().all(|a| a.fate == Fate::NotSent);
-        let volume = self.mem.volumes.get(&open.ask.volume);
-        if let (true, Some(store)) = (first, volume.and_then(|v| v.limit)) {
+        let volume = self.mem.volumes.get(&open.ask.volume).filter(|_| open.uncharged());
+        if let Some((store, kept)) = volume.and_then(|v| v.limit.map(|store| (store, v.kept))) {
             // An even part of the shared store: sums of even parts never pass the whole.
             let slack = self.set.plans[open.ask.plan].limit_slack / f64::from(open.ask.hosts.max(1));
-            let short = open.ask.units - slack - store.read(now);
+            let short = open.ask.units - slack - store.read(now) + kept;
             if open.ask.units > slack + store.cap {
                 return Verdict::Never;
             }
--- a/crates/dispatch/src/dispatcher/waiting.rs
+++ b/crates/dispatch/src/dispatcher/waiting.rs
@@ -9,8 +9,10 @@
     /// An attempt waits for a connection: until [`Dispatcher::begin`] nothing of it is written, and if its time is up before
     /// that it was never sent.
     pub fn waits(&mut self, attempt: AttemptId) {
-        if let Some(out) = self.out.get_mut(&attempt) {
+        if let Some(out) = self.out.get_mut(&attempt).filter(|o| !o.waits) {
             out.waits = true;
+            let AttemptId { request, n } = attempt;
+            self.events.push_back(Event::Waits { request, attempt: n, waits: true });
         }
     }
 
@@ -34,7 +36,10 @@
             return None;
         }
         let out = self.out.get_mut(&attempt)?;
-        out.waits = false;
+        if std::mem::take(&mut out.waits) {
+            let AttemptId { request, n } = attempt;
+            self.events.push_back(Event::Waits { request, attempt: n, waits: false });
+        }
         Some((out.node, out.due))
     }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -18,6 +18,8 @@
     pub(crate) decoder: RequestDecoder,
     /// Since when it owes us something: when it was accepted, or its last answer went out, or a request began to come.
     pub(crate) since: Micros,
+    /// For how long from then a whole request is waited for.
+    pub(crate) patience: Micros,
     /// When it is looked at next.
     pub(crate) due: Micros,
     /// The request that is owed an answer, and whether the connection is kept after it.
@@ -33,11 +35,12 @@
 }
 
 impl Client {
-    pub(crate) fn new(now: Micros, limits: Limits, due: Micros) -> Self {
+    pub(crate) fn new(now: Micros, limits: Limits, patience: Micros) -> Self {
         Client {
             decoder: RequestDecoder::new(limits),
             since: now,
-            due,
+            patience,
+            due: now,
             open: None,
             served: false,
             spilled: 0,
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -33,6 +33,10 @@
 const CROWDED: usize = 8;
 /// A client that has not brought a whole request by then is let go; it is owed that within 3 s of connecting.
 const PATIENCE: Micros = 2_000_000;
+/// One that comes while others wait for a place has waited itself, unseen, and is owed the same within what is left; this much at least.
+const LEAST_PATIENCE: Micros = PATIENCE / 4;
+/// Nobody waits to be accepted where leave to accept was not used for so long.
+const UNUSED: Micros = 50_000;
 /// A connection without an open request may be closed after this, by the platform's word.
 const MAY_CLOSE: Micros = 2_000_000;
 /// One that has been used is kept for this long where there is room.
@@ -89,6 +93,11 @@
     sweep: Micros,
     /// One more connection may be accepted, once there is room.
     accepts: bool,
+    /// When leave to accept was given last, and since when places have been short for whoever waits to be accepted.
+    admitted: Micros,
+    queued: Option<Micros>,
+    /// There was no descriptor for the last one.
+    exhausted: bool,
     leaving: Option<Micros>,
     unlistened: bool,
     /// Its time is up: answers end their connections.
@@ -131,6 +140,9 @@
             ),
             sweep: now + SWEEP,
             accepts: true,
+            admitted: now,
+            queued: None,
+            exhausted: false,
             leaving: None,
             unlistened: false,
             ending: false,
@@ -202,16 +214,24 @@
     /// A client's connection was accepted.
     pub fn accepted(&mut self, now: Micros, id: u64) {
         self.newest = id;
-        let mut client = Client::new(now, LIMITS, now + PATIENCE);
-        self.agenda.set(&mut client, id, now + PATIENCE);
+        if now - self.admitted > UNUSED {
+            self.queued = None;
+        }
+        let waited = self.queued.map_or(0, |since| now - since);
+        let patience = (PATIENCE - waited).max(LEAST_PATIENCE);
+        let mut client = Client::new(now, LIMITS, patience);
+        self.agenda.set(&mut client, id, now + patience / 2);
         self.clients.insert(id, client);
         self.accepts = true;
         self.make_room(now);
     }
 
-    /// A connection could not be accepted: it is tried again by and by.
+    /// A connection could not be accepted: it is tried again when one has ended, or by and by.
+    ///
+    /// Danger: without a descriptor leave that is given again at once fails again at once, and the gateway does nothing else. Harm:
+    /// the next client waits for up to [`SWEEP`].
     pub fn not_accepted(&mut self) {
-        self.accepts = true;
+        (self.accepts, self.exhausted) = (true, true);
     }
 
     /// What had come is accepted, and the listener is closed. Danger: whoever ends before that loses connections which the
@@ -265,6 +285,7 @@
 
     /// A connection ended, or never came.
     pub fn ended(&mut self, now: Micros, socket: SocketId, end: End) {
+        self.exhausted = false;
         match socket {
             SocketId::Client(id) => self.client_gone(now, id),
             SocketId::Node(id) => {
@@ -299,6 +320,7 @@
         self.follow(now, steps);
         if now >= self.sweep {
             self.sweep = now + SWEEP;
+            self.exhausted = false;
             for node in self.dispatcher.forget_gone() {
                 self.nodes.remove(&node);
                 let idle = self.links.forget(node);
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -8,7 +8,7 @@
         client.crossed = false;
         if let Some(leaving) = &mut client.leaving {
             if leaving.left < bytes.len() {
-                return self.drop_client(id);
+                return self.drop_client(now, id);
             }
             leaving.left -= bytes.len();
             return self.outputs.push(Output::Resume(SocketId::Client(id)));
@@ -20,7 +20,10 @@
         if client.is_idle() {
             // A request begins to come.
             client.since = at;
-            self.agenda.set(client, id, at + PATIENCE);
+            if client.served {
+                client.patience = PATIENCE;
+            }
+            self.agenda.set(client, id, at + client.patience / 2);
         }
         client.decoder.receive(bytes);
         // First, so that these bytes do not count as under way any more.
@@ -101,21 +104,29 @@
 
     /// A client's connection is due to be looked at: it brought no request in time, or was idle for long enough.
     pub(super) fn look_at(&mut self, now: Micros, id: u64) {
+        let pressed = self.accepts && self.clients.len() >= self.sizes.clients;
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.open.is_some() {
             return;
         }
         if let Some(leaving) = &client.leaving {
             if now >= leaving.last {
-                return self.drop_client(id);
+                return self.drop_client(now, id);
             }
             return self.outputs.push(Output::GiveWay(SocketId::Client(id)));
         }
+        // Danger: connections that say nothing, or half a request, hold a descriptor each for ever, and where places are short keep out
+        // others which are owed as much. Harm: a client that takes longer than that to send one request, or half as long where
+        // others wait for its place, must send it again.
+        let last = client.since + client.patience;
+        let rests = client.served && client.is_idle();
+        if !rests && now < last && !pressed {
+            let again = (now + client.patience / 8).min(last);
+            return self.agenda.set(client, id, again);
+        }
         if client.is_idle() {
             return self.let_go(now, id);
         }
-        // Danger: connections that say nothing, or half a request, hold a descriptor each for ever. Harm: a client that
-        // takes longer than that to send one request must send it again.
         self.rejected += 1;
         self.write(now, id, 408, &[], Bytes::from_static(b"no whole request came in time\n"), false);
     }
@@ -179,15 +190,9 @@
         self.make_room(now);
     }
 
-    pub(super) fn drop_client(&mut self, id: u64) {
-        if let Some(client) = self.clients.remove(&id) {
-            self.agenda.remove(&client, id);
-        }
+    pub(super) fn drop_client(&mut self, now: Micros, id: u64) {
         self.outputs.push(Output::Close(SocketId::Client(id)));
-        if self.accepts && self.clients.len() < self.sizes.clients {
-            self.accepts = false;
-            self.outputs.push(Output::Accept);
-        }
+        self.forget_client(now, id);
     }
 
     /// Accepts one more connection if there is room, or if one can give way: the one that has been idle longest, if that is long
@@ -195,7 +200,7 @@
     /// hundred and say nothing, or ask only whether we are ready, keep the others out; but one that has just come may have its first request on the way, which would be lost.
     /// Harm: a client that takes its time before its first word may lose its connection.
     pub(super) fn make_room(&mut self, now: Micros) {
-        if !self.accepts {
+        if !self.accepts || self.exhausted {
             return;
         }
         if self.clients.len() >= self.sizes.clients {
@@ -207,11 +212,12 @@
             // Those that have their last answer come first.
             let rank = |c: &Client| (c.leaving.is_none(), !may_close(c), c.since);
             let Some(id) = candidates.min_by_key(|(id, c)| (rank(c), **id)).map(|(id, _)| *id) else {
+                self.queued.get_or_insert(now);
                 return;
             };
             return self.outputs.push(Output::GiveWay(SocketId::Client(id)));
         }
-        self.accepts = false;
+        (self.accepts, self.admitted) = (false, now);
         self.outputs.push(Output::Accept);
     }
 
