The interleavings hold that what says it is at rest has written all

It is held now in all interleavings: where nothing is said to be under way all bytes are out, and nothing stays under way for ever.

--- a/crates/interleavings/tests/spill.rs
+++ b/crates/interleavings/tests/spill.rs
@@ -106,7 +106,10 @@
         let writer = lock(&outlet.writers).pop();
         match writer {
             Some(writer) => writer.join().expect("it wrote"),
-            None => return outlet.spill.way().wire().bytes.clone(),
+            None => {
+                assert!(!outlet.spill.is_pending(), "it says that something is under way for ever");
+                return outlet.spill.way().wire().bytes.clone();
+            }
         }
     }
 }
@@ -122,6 +125,10 @@
         append(&outlet, answer);
         flush(&outlet);
     }
+    // Who closes when nothing is said to be under way must not cut anything off.
+    if !outlet.spill.is_pending() {
+        assert_eq!(outlet.spill.way().wire().bytes, b"abcdef");
+    }
     last(&outlet, how);
     assert!(!outlet.spill.append(|rest| rest.copy(b"late")));
     assert_eq!(settle(&outlet), b"abcdef", "what was accepted was not written once and in order");
