The usual clients of the floods' stage read by one pattern

The lints turn a match with one arm down, which stopped the whole check; nothing else changes in what the stand-in does. Lints of the workspace are clean over all targets.

--- a/crates/crowbay/tests/stage/usual.rs
+++ b/crates/crowbay/tests/stage/usual.rs
@@ -63,15 +63,12 @@
         for _ in 0..2 {
             let Some(own) = client.take().or_else(|| Client::new(to).ok()) else { continue };
             let mut own: Client = own;
-            match own.ask(&text) {
-                Ok(Some(answer)) => {
-                    let is_right = answer.status == 200 && &answer.body[..] == id.as_bytes();
-                    assert!(is_right || answer.status == 503, "{id}: {} {:?}", answer.status, answer.body);
-                    served += usize::from(is_right && begun.elapsed() < PATIENCE);
-                    client = answer.keep.then_some(own);
-                    break;
-                }
-                Ok(None) | Err(_) => {}
+            if let Ok(Some(answer)) = own.ask(&text) {
+                let is_right = answer.status == 200 && &answer.body[..] == id.as_bytes();
+                assert!(is_right || answer.status == 503, "{id}: {} {:?}", answer.status, answer.body);
+                served += usize::from(is_right && begun.elapsed() < PATIENCE);
+                client = answer.keep.then_some(own);
+                break;
             }
         }
     }
