Slopes of cost: the rows that measurements give

Needed for docs/CAPACITY.md: each role's cost at four sizes or more, the largest at least 16 times the smallest. The package so far holds the form of a question and its points; measurements, fit and report follow.

--- /dev/null
+++ b/crates/capacity/src/lib.rs
@@ -0,0 +1,17 @@
+//! Slopes: what a role holds, sends and computes for each gateway, node, shard, client connection, request or change, measured
+//! at four sizes or more, fitted, and carried to the size that the users are heading for.
+//!
+//! - A [`Measure`] plays one question at several sizes and gives [`Row`]s of points.
+//! - `fit` draws the line through them and says what it leaves over.
+//! - `report` writes JSON and a chart.
+//!
+//! What it is not: a benchmark of one figure, or a model. A row that was not measured is not in it.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod parts;
+pub mod processes;
+mod row;
+
+pub use row::{Ask, Measure, MeasureError, Role, Row};
--- /dev/null
+++ b/crates/capacity/src/parts.rs
@@ -0,0 +1,6 @@
+//! Measurements within one process: modules without I/O, driven directly.
+
+use crate::Measure;
+
+/// All of them, by name.
+pub const ALL: &[(&str, Measure)] = &[];
