--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -13,6 +13,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod channel;
 mod life;
 mod mesh;
 mod session;
