--- a/crates/plane/src/index.rs
+++ b/crates/plane/src/index.rs
@@ -1,11 +1,9 @@
 //! A region's latest entries by version, deletions among them: what has changed behind a cursor.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::ops::Bound;
 use std::sync::Arc;
 
-use hashbrown::HashMap;
-
 use crate::entry::{Entry, Key, Version};
 
 /// Deletions kept beside a quarter of the live entries.
