--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -17,6 +17,8 @@
 /// Versions of this protocol that are spoken here: least and most.
 pub const VERSIONS: (u16, u16) = (1, 1);
 const HEAD: usize = 8;
+/// Bytes of room that a connection keeps between frames.
+const KEPT: usize = 16 << 10;
 
 /// A gateway's name, the same at all its peers.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -217,6 +219,10 @@
     pub(crate) fn receive(&mut self, bytes: &[u8]) {
         self.bytes.drain(..self.read);
         self.read = 0;
+        // A connection keeps no more for good than its usual frames need: there may be thousands.
+        if self.bytes.is_empty() && self.bytes.capacity() > KEPT {
+            self.bytes = Vec::new();
+        }
         self.bytes.extend_from_slice(bytes);
     }
 
--- a/crates/plane/src/copy/terms.rs
+++ b/crates/plane/src/copy/terms.rs
@@ -26,6 +26,9 @@
 /// Why a message was turned away. What was held before is held on, whole.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
+    /// It cannot be read.
+    #[error("what was kept cannot be read")]
+    Form,
     /// It is about a region that is not followed.
     #[error("region {0} is not followed here")]
     Region(u16),
@@ -116,21 +119,21 @@
         entries: Vec<Arc<Entry>>,
         /// Live entries of before that are no more, as they were.
         gone: Vec<Arc<Entry>>,
-        /// How many of the live ones are other than before.
-        changed: usize,
+        /// The live ones that are other than before, in the order of versions.
+        changed: Vec<Arc<Entry>>,
+        /// What was held was of an epoch that its writer lost the end of, with its disk: the later epoch goes before it.
+        abandoned: bool,
     },
     /// Kept until the rest has come.
     Staged,
     /// It was held already.
     Known,
-    /// The sender knows less, or has another line of history: nothing changes.
+    /// The sender knows less: nothing changes.
     Behind {
         /// The region.
         region: Region,
         /// What the sender has.
         at: Cursor,
-        /// Whether neither is a part of the other.
-        diverged: bool,
     },
     /// The sender serves as many as it may.
     Busy(crate::Micros),
--- a/crates/plane/src/digest.rs
+++ b/crates/plane/src/digest.rs
@@ -1,5 +1,7 @@
 //! Digests of a region's live entries: a sum, so that a change costs the change.
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -51,3 +53,9 @@
         Digest::from_number(self.number().wrapping_sub(entry.number()))
     }
 }
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}{:016x}", self.high, self.low)
+    }
+}
--- a/crates/plane/src/epochs.rs
+++ b/crates/plane/src/epochs.rs
@@ -51,6 +51,13 @@
         Some(Version(next.1.0.saturating_sub(1)))
     }
 
+    /// Whether a change can have been written on this line: within its epoch's versions.
+    pub fn wrote(&self, stamp: Cursor) -> bool {
+        let began = self.0.iter().find(|(epoch, _)| *epoch == stamp.epoch).map(|(_, first)| *first);
+        let older = self.0.first().is_none_or(|(first, _)| stamp.epoch < *first);
+        self.holds(stamp) && began.map_or(older, |first| stamp.version >= first)
+    }
+
     /// Whether a cursor that is not ahead of this line lies on it.
     pub fn holds(&self, cursor: Cursor) -> bool {
         self.end_of(cursor.epoch).is_none_or(|end| cursor.version <= end)
--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -13,6 +13,8 @@
 use crate::io::{Conn, Counts};
 use crate::message::{Message, WireEntry};
 
+/// Deltas that are kept for others who stand at the same cursor.
+const MADE: usize = 64;
 /// Whole states of a region that are held for their readers at a time.
 const FROZEN: usize = 2;
 
@@ -127,9 +129,11 @@
         self.subscribers.contains_key(&conn)
     }
 
-    /// A copy asks for regions behind cursors. What it is told if it cannot be served.
-    pub fn subscribe(&mut self, conn: Conn, wanted: Vec<(Region, Cursor)>) -> Option<Message> {
-        if !self.subscribers.contains_key(&conn) && self.subscribers.len() >= self.options.subscribers {
+    /// A copy asks for regions behind cursors. What it is told if it cannot be served; for a machine of the site there is always
+    /// a place, as the others' state comes through it.
+    pub fn subscribe(&mut self, conn: Conn, wanted: Vec<(Region, Cursor)>, reserved: bool) -> Option<Message> {
+        let full = !reserved && self.subscribers.len() >= self.options.subscribers;
+        if !self.subscribers.contains_key(&conn) && full {
             return Some(Message::Busy { pause: self.options.pause });
         }
         let subscriber = self.subscribers.entry(conn).or_default();
@@ -169,6 +173,20 @@
         }
     }
 
+    /// A region was replaced by a whole state: what was made of the one before is no more, and all who stood at its end are told
+    /// the digest of this one, so that those who hold other content ask for all of it.
+    pub fn replaced(&mut self, region: Region) {
+        self.frozen.remove(&region);
+        for subscriber in self.subscribers.values_mut() {
+            if let Some(stand) = subscriber.stands.get_mut(&region)
+                && let Stand::At(cursor) = *stand
+            {
+                *stand = Stand::Asked(cursor);
+            }
+        }
+        self.advanced(region);
+    }
+
     /// When it wants to send next; none while nobody waits.
     pub fn next_due(&self) -> Option<Micros> {
         if self.line.is_empty() {
@@ -182,8 +200,15 @@
     /// back to be ended.
     pub(crate) fn pump(&mut self, now: Micros, source: &Source, write: &mut dyn FnMut(Conn, Arc<[u8]>)) -> Vec<Conn> {
         let most = (self.options.rate / 10).max(2 * PIECE as u64) as i64;
-        let filled = (now - self.filled).clamp(0, 1_000_000) * self.options.rate as i64 / 1_000_000;
-        (self.tokens, self.filled) = ((self.tokens + filled).min(most), now.max(self.filled));
+        let rate = self.options.rate.max(1) as i64;
+        if now - self.filled >= 1_000_000 {
+            (self.tokens, self.filled) = (most, now);
+        } else if now > self.filled {
+            let bytes = (now - self.filled) * rate / 1_000_000;
+            // Time that is less than a byte is kept for the next.
+            self.filled += bytes * 1_000_000 / rate;
+            self.tokens = (self.tokens + bytes).min(most);
+        }
         let mut ended = Vec::new();
         while self.tokens > 0 {
             let Some(conn) = self.line.pop_front() else { break };
@@ -241,13 +266,14 @@
         let at = source.copy.cursor(region);
         let (cursor, asked) = match stand {
             Stand::At(cursor) => (cursor, false),
-            Stand::Ahead(cursor) if cursor > at => return None,
+            Stand::Ahead(cursor) if cursor > at || at == Cursor::default() => return None,
             Stand::Ahead(cursor) | Stand::Asked(cursor) => (cursor, true),
             Stand::Whole(frozen, number) => {
                 let frame = frozen.borrow_mut().frame(number)?;
                 let upto = frozen.borrow().upto;
                 let last = number + 1 == frozen.borrow().len();
-                return Some((if last { Stand::At(upto) } else { Stand::Whole(frozen, number + 1) }, frame));
+                // Then its level, with the digest, as for whoever asks anew.
+                return Some((if last { Stand::Asked(upto) } else { Stand::Whole(frozen, number + 1) }, frame));
             }
         };
         if cursor > at || at == Cursor::default() {
@@ -257,18 +283,14 @@
                 .flatten()
                 .map(|f| (Stand::Ahead(cursor), f));
         }
-        let epochs = source.copy.epochs(region);
-        if !epochs.holds(cursor) {
-            return asked
-                .then(|| Message::Diverged { region, at }.frame())
-                .flatten()
-                .map(|f| (Stand::Ahead(Stamp { epoch: crate::Epoch(u64::MAX), ..cursor }), f));
-        }
         if cursor == at && !asked {
             return None;
         }
         let index = source.indexes.get(&region)?;
-        if cursor == Cursor::default() || cursor.version < index.floor() {
+        // Danger: a cursor on a line that was lost with its writer's disk has changes that this region does not have. It gets the
+        // region as it is.
+        let strayed = !source.copy.epochs(region).holds(cursor);
+        if cursor == Cursor::default() || cursor.version < index.floor() || strayed {
             let frozen = self.freeze(region, source, ended)?;
             self.counts.wholes += 1;
             return self.step(region, Stand::Whole(frozen, 0), source, ended);
@@ -277,6 +299,9 @@
             return Some((Stand::At(made.upto), made.frame.clone()));
         }
         let made = self.delta(region, cursor, source)?;
+        if self.made.len() >= MADE {
+            self.made.clear();
+        }
         self.made.insert((region, cursor), made.clone());
         Some((Stand::At(made.upto), made.frame))
     }
@@ -312,8 +337,9 @@
         let all = self.frozen.entry(region).or_default();
         if let Some(last) = all.back() {
             let upto = last.borrow().upto;
-            let behind = index.behind(upto.version).count();
-            if upto.version >= index.floor() && behind <= last.borrow().count() / 4 {
+            let most = last.borrow().count() / 4;
+            let behind = index.behind(upto.version).take(most + 1).count();
+            if upto.version >= index.floor() && behind <= most {
                 return Some(last.clone());
             }
         }
--- a/crates/plane/src/io.rs
+++ b/crates/plane/src/io.rs
@@ -61,14 +61,16 @@
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
-    /// Connect to a machine; answered by `Dialled` or `NotDialled`.
+    /// Connect to a machine; answered by `Dialled` or `NotDialled`, within a second or so: nothing else is tried meanwhile.
     Dial(PeerName),
     /// Write.
     Write(Conn, Arc<[u8]>),
     /// End a connection once what was to be written is written; there is no `Ended` for it.
     Close(Conn),
-    /// Keep the body of a message behind those kept before. With `sync`, answer `Kept` once it is durable; without, it may be
-    /// handed to the system now and be durable later.
+    /// Keep the body of a message behind those kept before. With `sync`, make it durable and say `Kept`, or `NotKept`, before
+    /// anything else is told to the machine; without, it may be handed to the system now and be durable later.
+    ///
+    /// Danger: what is kept whole in between would not have it. Harm: a change that was answered is on no disk.
     Keep {
         /// The body.
         body: Vec<u8>,
--- a/crates/plane/src/machine.rs
+++ b/crates/plane/src/machine.rs
@@ -81,13 +81,17 @@
     writer: Option<Writer>,
     /// Links to other machines that it follows.
     uplinks: Vec<Subscription>,
-    /// While its writer recovers: a link to each other machine of the region that has not said yet what it holds.
+    /// While its writer recovers: a link to each other machine of the region.
     asking: BTreeMap<PeerName, Subscription>,
+    /// Those of them that have said what they hold.
+    heard: BTreeSet<PeerName>,
     /// What the writer has given to the disk.
     flying: Option<Message>,
     /// The disk turned something down; nothing is given to it before.
     held: Micros,
     clients: BTreeMap<Conn, Client>,
+    /// What was turned away and told.
+    told: BTreeSet<String>,
     /// When its clients are looked through next.
     sweep: Micros,
     now: Micros,
@@ -109,9 +113,11 @@
             writer: writes.then(|| Writer::new(region)),
             uplinks: Vec::new(),
             asking: BTreeMap::new(),
+            heard: BTreeSet::new(),
             flying: None,
             held: now,
             clients: BTreeMap::new(),
+            told: BTreeSet::new(),
             sweep: now,
             now,
             counts: Counts::default(),
@@ -126,10 +132,7 @@
     /// # Errors
     /// It cannot follow what was restored before it.
     pub fn restore(&mut self, body: &[u8]) -> Result<(), Refusal> {
-        let Some(message) = Message::read(body) else {
-            return Err(Refusal::Versions { region: self.region.0, what: "a record that cannot be read" });
-        };
-        let taken = self.copy.take(message, None)?;
+        let taken = self.copy.restore(body, None)?;
         self.index(&taken);
         Ok(())
     }
@@ -166,7 +169,7 @@
 
     /// Other machines that its writer still waits for.
     pub fn waits_for(&self) -> BTreeSet<String> {
-        self.asking.keys().map(|name| name.0.clone()).collect()
+        self.asking.keys().filter(|name| !self.heard.contains(*name)).map(|name| name.0.clone()).collect()
     }
 
     /// Copies that it serves.
@@ -184,16 +187,25 @@
         self.uplinks.iter().filter_map(|link| link.machine().cloned()).collect()
     }
 
-    /// Counts since the start, of what it serves.
+    /// Counts since the start: of what it serves, and of its links to other machines but those of a recovery that is over.
     pub fn counts(&self) -> Counts {
         let (own, feed) = (self.counts, self.feed.counts());
-        Counts {
+        let mut counts = Counts {
             bytes_out: own.bytes_out + feed.bytes_out,
             notes_out: own.notes_out + feed.notes_out,
             entries_out: feed.entries_out,
             wholes: feed.wholes,
             ..own
+        };
+        for link in self.uplinks.iter().chain(self.asking.values()).map(Subscription::counts) {
+            counts.bytes_in += link.bytes_in;
+            counts.bytes_out += link.bytes_out;
+            counts.notes_in += link.notes_in;
+            counts.notes_out += link.notes_out;
+            counts.entries_in += link.entries_in;
+            counts.turned_away += link.turned_away;
         }
+        counts
     }
 
     /// When it wants to be told the time at the latest.
@@ -204,9 +216,7 @@
 
     /// An operator says that the machines which have not answered will not: what they alone held of the region is lost.
     pub fn release(&mut self, now: Micros, out: &mut Vec<Output>) {
-        for link in std::mem::take(&mut self.asking).values() {
-            out.extend(link.conn().map(Output::Close));
-        }
+        self.hang_up(out);
         self.handle(now, Input::Tick, out);
     }
 
@@ -239,7 +249,7 @@
     /// What the writer gave to the disk is durable, so that it may be said.
     fn kept(&mut self, out: &mut Vec<Output>) {
         let Some(message) = self.flying.take() else { return };
-        match self.copy.take(message, None) {
+        match self.copy.take(message, Conn(0), None) {
             Ok(taken) => {
                 self.in_force(&taken);
                 out.push(Output::InForce(taken));
@@ -288,8 +298,10 @@
 
     fn in_force(&mut self, taken: &Taken) {
         self.index(taken);
-        if let Taken::Delta { region, .. } | Taken::Whole { region, .. } = taken {
-            self.feed.advanced(*region);
+        match taken {
+            Taken::Delta { region, .. } => self.feed.advanced(*region),
+            Taken::Whole { region, .. } => self.feed.replaced(*region),
+            _ => {}
         }
     }
 
--- a/crates/plane/src/machine/clients.rs
+++ b/crates/plane/src/machine/clients.rs
@@ -4,6 +4,7 @@
 use peer::{Kind, PeerName};
 
 use super::Machine;
+use crate::entry::{Cursor, Region};
 use crate::io::{Conn, Output};
 use crate::message::{Message, Proposal, ProposalError, Proposed};
 use crate::{KIND, Micros};
@@ -12,6 +13,8 @@
 const BESIDE: usize = 64;
 /// Bytes that may wait for one who asks and takes no answer.
 const UNTAKEN: usize = 1 << 20;
+/// What was turned away that is remembered as told.
+const TOLD: usize = 256;
 /// Entries of one subscription, more than there are regions.
 const REGIONS: usize = 1024;
 
@@ -101,20 +104,11 @@
         if wanted.len() > REGIONS {
             return self.turn_away(conn, "a subscription to more regions than there are".into(), out);
         }
-        let own = self.copy.cursor(self.region);
-        if let Some(writer) = &mut self.writer {
-            let later = wanted.iter().filter(|(region, cursor)| *region == writer.region() && *cursor > own);
-            let seen = later.map(|(_, cursor)| *cursor).max();
-            // Danger: a writer that stood still while another life of it wrote, or whose disk was put back, would give versions
-            // that readers have seen with other content. They turn it away; it has to know.
-            if let Some(seen) = seen.filter(|_| writer.is_open()) {
-                writer.saw(seen.epoch);
-                let why = format!("a copy holds {seen} of this writer's region, and it wrote no further than {own}");
-                out.push(Output::TurnedAway { from: None, why });
-            }
-        }
+        let from = self.clients.get(&conn).and_then(|client| client.name.clone());
+        let machine = from.as_ref().is_some_and(|name| self.options.machines.iter().any(|m| m.name == *name));
+        self.beyond(from, machine, &wanted, out);
         let known = wanted.into_iter().filter(|(region, _)| self.indexes.contains_key(region)).collect();
-        if let Some(busy) = self.feed.subscribe(conn, known) {
+        if let Some(busy) = self.feed.subscribe(conn, known, machine) {
             let bytes = channel::note(KIND, busy.body()).unwrap_or_default();
             self.say(conn, bytes, out);
             out.push(Output::Close(conn));
@@ -122,6 +116,36 @@
         }
     }
 
+    /// What somebody holds of this writer's region that it does not know.
+    ///
+    /// Danger: a writer that stood still while another life of it wrote, or whose disk was put back, would give versions that
+    /// others have seen with other content. They turn it away; it has to know. Any gateway's word only raises the number of its
+    /// next epoch: one that is damaged must not be able to stop a region's changes. A machine's word ends its writing.
+    fn beyond(
+        &mut self,
+        from: Option<PeerName>,
+        machine: bool,
+        wanted: &[(Region, Cursor)],
+        out: &mut Vec<Output>,
+    ) {
+        let (region, own) = (self.region, self.copy.cursor(self.region));
+        let Some(writer) = &mut self.writer else { return };
+        let later = wanted.iter().filter(|(of, cursor)| *of == region && cursor.epoch > own.epoch);
+        let Some(seen) = later.map(|(_, cursor)| *cursor).max() else { return };
+        let answers = writer.saw(seen.epoch, machine);
+        self.answer(answers, out);
+        let why = format!("it holds {seen} of this writer's region, which wrote no further than {own}");
+        self.tell(from, why, out);
+    }
+
+    fn tell(&mut self, from: Option<PeerName>, why: String, out: &mut Vec<Output>) {
+        self.counts.turned_away += 1;
+        // Danger: somebody who comes again and again would fill the log.
+        if self.told.len() < TOLD && self.told.insert(format!("{from:?} {why}")) {
+            out.push(Output::TurnedAway { from, why });
+        }
+    }
+
     fn on_ask(&mut self, conn: Conn, id: u64, kind: Kind, body: &[u8], out: &mut Vec<Output>) {
         if kind != KIND {
             return self.say(conn, channel::pass(id), out);
@@ -135,7 +159,9 @@
                 let writer = self.options.machines.iter().find(writes).map(|m| m.name.0.clone());
                 Some(Err(ProposalError::NotWriter { region: region.0, writer: writer.unwrap_or_default() }))
             }
-            (Some(proposal), Some(writer)) => writer.propose(conn, id, proposal, &bounds, &waits),
+            (Some(proposal), Some(writer)) => {
+                writer.propose(conn, id, proposal, &self.copy, &bounds, &waits)
+            }
         };
         self.answer(answer.map(|answer| (conn, id, answer)).into_iter().collect(), out);
     }
@@ -148,9 +174,8 @@
     }
 
     fn turn_away(&mut self, conn: Conn, why: String, out: &mut Vec<Output>) {
-        self.counts.turned_away += 1;
         let from = self.clients.get(&conn).and_then(|client| client.name.clone());
-        out.push(Output::TurnedAway { from, why });
+        self.tell(from, why, out);
         out.push(Output::Close(conn));
         self.forget(conn);
     }
--- a/crates/plane/src/machine/uplinks.rs
+++ b/crates/plane/src/machine/uplinks.rs
@@ -3,10 +3,14 @@
 use peer::PeerName;
 
 use super::Machine;
+use crate::Micros;
 use crate::entry::Region;
 use crate::io::{Conn, Input, Output};
 use crate::subscription::{Subscription, SubscriptionOptions, order};
 
+/// A machine looks for the first of those it may follow again after a drawn time between these.
+const HOME: (Micros, Micros) = (1_000_000, 3_000_000);
+
 impl Machine {
     /// Makes the links to other machines.
     pub(super) fn link(&mut self, seed: u64) {
@@ -34,6 +38,8 @@
             seeds = seeds.wrapping_add(0x9e37_79b9_7f4a_7c15);
             let mut options = SubscriptionOptions::new(greeting.clone(), regions, machines);
             options.spread = spread;
+            // The others of a region are linked with each other while its writer is away, and hear nothing new there.
+            options.home = HOME;
             Subscription::new(options, now, seeds)
         };
         self.uplinks = links.into_iter().map(|(regions, machines)| made(regions, machines)).collect();
@@ -77,15 +83,24 @@
                 link.handle(now, Input::Tick, &mut self.copy, None, &mut said);
             }
         }
-        let region = self.region;
-        self.asking.retain(|_, link| {
-            let heard = link.has_heard(region);
-            if heard {
-                said.extend(link.conn().map(Output::Close));
-            }
-            !heard
-        });
         self.carry(said, out);
+        let heard = self.asking.iter().filter(|(_, link)| link.has_heard(self.region));
+        self.heard.extend(heard.map(|(name, _)| name.clone()));
+        // Danger: one that is let go could still learn changes of the line that is about to end from one that was not asked
+        // yet. All are kept until all have said what they hold.
+        if !self.asking.is_empty() && self.waits_for().is_empty() {
+            self.hang_up(out);
+        }
+    }
+
+    /// Nobody has to be asked any more.
+    pub(super) fn hang_up(&mut self, out: &mut Vec<Output>) {
+        for link in std::mem::take(&mut self.asking).values() {
+            if let Some(conn) = link.conn() {
+                self.copy.drop_staging(conn);
+                out.push(Output::Close(conn));
+            }
+        }
     }
 
     /// What links want done, with what came into force on the way to those that are served.
--- a/crates/plane/src/message.rs
+++ b/crates/plane/src/message.rs
@@ -104,13 +104,6 @@
         /// Up to where the sender has it.
         at: Cursor,
     },
-    /// The receiver's cursor is on no line of history that the sender knows.
-    Diverged {
-        /// The region.
-        region: Region,
-        /// Up to where the sender has it.
-        at: Cursor,
-    },
     /// The sender serves as many as it may: come back later or go elsewhere.
     Busy {
         /// Not before this, in microseconds.
--- a/crates/plane/src/subscription.rs
+++ b/crates/plane/src/subscription.rs
@@ -110,9 +110,11 @@
     /// When it wants to be told the time at the latest.
     pub fn next_due(&self) -> Micros {
         let Some(link) = &self.link else {
-            return if self.dialling.is_some() { Micros::MAX } else { self.next };
+            let waits = self.dialling.is_some() || self.options.machines.is_empty();
+            return if waits { Micros::MAX } else { self.next };
         };
-        let behind = link.behind.values().min().map_or(Micros::MAX, |since| since + self.patience());
+        let elsewhere = link.behind.values().min().filter(|_| self.options.machines.len() > 1);
+        let behind = elsewhere.map_or(Micros::MAX, |since| since + self.patience());
         let home = if self.dialling.is_some() { Micros::MAX } else { self.home };
         (link.heard + self.options.silence).min(link.spoke + self.options.beat).min(behind).min(home)
     }
@@ -148,7 +150,7 @@
     fn up(&mut self, now: Micros, conn: Conn, copy: &mut Copy, out: &mut Vec<Output>) {
         let Some(at) = self.dialling.take() else { return };
         if let Some(before) = self.link.take() {
-            copy.drop_staging(&self.options.regions);
+            copy.drop_staging(before.conn);
             out.push(Output::Close(before.conn));
         }
         let channel = Channel::new(self.options.greeting.site);
@@ -234,7 +236,8 @@
             Message::Delta { region, .. } => held(copy, *region),
             _ => Cursor::default(),
         };
-        let taken = match copy.take(message, pool) {
+        let Some(conn) = self.conn() else { return };
+        let taken = match copy.take(message, conn, pool) {
             Ok(taken) => taken,
             Err(refusal) => return self.turn_away(now, sort(&refusal), refusal.to_string(), copy, out),
         };
@@ -294,8 +297,9 @@
 
     /// The link is gone; another is dialled after a pause at least, at a drawn moment.
     fn lost(&mut self, now: Micros, pause: Micros, copy: &mut Copy) {
-        copy.drop_staging(&self.options.regions);
-        self.link = None;
+        if let Some(link) = self.link.take() {
+            copy.drop_staging(link.conn);
+        }
         if self.dialling.is_none() {
             self.elsewhere(now, pause);
         }
@@ -350,6 +354,7 @@
 /// What is told once of each machine.
 fn sort(refusal: &Refusal) -> &'static str {
     match refusal {
+        Refusal::Form => "a form",
         Refusal::Region(_) => "a region",
         Refusal::Gap { .. } => "a gap",
         Refusal::Backward { .. } => "a way back",
--- a/crates/plane/src/writer.rs
+++ b/crates/plane/src/writer.rs
@@ -14,6 +14,8 @@
 const WAITING: usize = 20_000;
 /// Changes that go to the disk together, so that their message fits a frame.
 const TOGETHER: usize = 1000;
+/// Epochs that a writer may come to; what is said of later ones is damage.
+const SANE: u64 = 1 << 40;
 /// Bytes of them.
 const TOGETHER_BYTES: usize = 128 << 10;
 
@@ -44,6 +46,8 @@
 pub struct Writer {
     region: Region,
     stage: Stage,
+    /// The latest epoch that anybody was seen to hold.
+    seen: Epoch,
     waiting: VecDeque<(Conn, u64, Vec<Change>)>,
     changes: usize,
     flying: Option<Batch>,
@@ -52,7 +56,8 @@
 impl Writer {
     /// A writer that has just started and writes nothing yet.
     pub fn new(region: Region) -> Writer {
-        Writer { region, stage: Stage::Recovering, waiting: VecDeque::new(), changes: 0, flying: None }
+        let seen = Epoch(0);
+        Writer { region, stage: Stage::Recovering, seen, waiting: VecDeque::new(), changes: 0, flying: None }
     }
 
     /// Its region.
@@ -70,9 +75,20 @@
         self.stage == Stage::Recovering
     }
 
-    /// Somebody holds a later epoch of the region than this one: whoever wrote it goes before.
-    pub fn saw(&mut self, epoch: Epoch) {
+    /// Somebody holds a later epoch of the region than this one. The next epoch is above it; if a machine said so and this one
+    /// writes, whoever wrote it goes before, and this one writes no more: answers to those who wait.
+    pub fn saw(&mut self, epoch: Epoch, machine: bool) -> Vec<(Conn, u64, Proposed)> {
+        if epoch.0 >= SANE {
+            return Vec::new();
+        }
+        self.seen = self.seen.max(epoch);
+        if !machine || self.stage == Stage::Recovering {
+            return Vec::new();
+        }
         self.stage = Stage::Superseded(epoch);
+        self.changes = 0;
+        let over = |(conn, id, _)| (conn, id, Err(ProposalError::Superseded(epoch.0)));
+        self.waiting.drain(..).map(over).collect()
     }
 
     /// All that others hold of the region is in the copy: a new epoch begins, once the given message is durable.
@@ -81,7 +97,7 @@
             return None;
         }
         let after = copy.cursor(self.region);
-        let epoch = Epoch(after.epoch.0 + 1);
+        let epoch = Epoch(after.epoch.max(self.seen).0 + 1);
         self.stage = Stage::Opening(epoch);
         let mut epochs = Epochs::default();
         epochs.begin(epoch, Version(after.version.0 + 1));
@@ -101,10 +117,11 @@
         conn: Conn,
         id: u64,
         proposal: Proposal,
+        copy: &Copy,
         bounds: &Bounds,
         waits: &BTreeSet<String>,
     ) -> Option<Proposed> {
-        if let Err(error) = self.check(&proposal, bounds, waits) {
+        if let Err(error) = self.check(&proposal, copy, bounds, waits) {
             return Some(Err(error));
         }
         self.changes += proposal.changes.len();
@@ -115,6 +132,7 @@
     fn check(
         &self,
         proposal: &Proposal,
+        copy: &Copy,
         bounds: &Bounds,
         waits: &BTreeSet<String>,
     ) -> Result<(), ProposalError> {
@@ -146,6 +164,17 @@
                 return Err(ProposalError::Twice(key()));
             }
         }
+        // Danger: what is durable and then over a bound would be on the disk and nowhere else. What waits counts as new.
+        let new: Vec<_> = proposal.changes.iter().filter(|change| change.value.is_some()).collect();
+        let size = |c: &&Change| size_of::<Entry>() + c.name.len() + c.value.as_ref().map_or(0, |v| v.len());
+        let bytes: usize = new.iter().map(size).sum();
+        let waiting = self.changes * (size_of::<Entry>() + bounds.name + bounds.value).min(1024);
+        if !new.is_empty() && copy.len() + self.changes + new.len() > bounds.entries {
+            return Err(bound("the state's entries", bounds.entries));
+        }
+        if !new.is_empty() && copy.bytes() + waiting + bytes > bounds.bytes {
+            return Err(bound("the state's bytes", bounds.bytes));
+        }
         if self.changes + proposal.changes.len() > WAITING {
             return Err(ProposalError::Busy);
         }
@@ -191,6 +220,10 @@
             return Vec::new();
         }
         let Some(batch) = self.flying.take() else { return Vec::new() };
+        if let Stage::Superseded(epoch) = self.stage {
+            let over = |(conn, id, _)| (conn, id, Err(ProposalError::Superseded(epoch.0)));
+            return batch.askers.into_iter().map(over).collect();
+        }
         let mut stamps = batch.entries.iter().map(|entry| entry.stamp);
         let answer = |(conn, id, count): (Conn, u64, usize)| (conn, id, Ok(stamps.by_ref().take(count).collect()));
         batch.askers.into_iter().map(answer).collect()
