The link that an input concerns is found before the input is given to it

The closure that looks for it borrows the input for as long as the search's temporaries live, which would be the whole match. Found by reading; not compiled yet.

--- a/crates/plane/src/machine/uplinks.rs
+++ b/crates/plane/src/machine/uplinks.rs
@@ -62,7 +62,8 @@
         };
         let (mut links, mut asking) = (std::mem::take(&mut self.uplinks), std::mem::take(&mut self.asking));
         let mut said = Vec::new();
-        match links.iter_mut().chain(asking.values_mut()).find(|link| concerns(link)) {
+        let found = links.iter_mut().chain(asking.values_mut()).find(|link| concerns(link));
+        match found {
             Some(link) => link.handle(self.now, input, &mut self.copy, None, &mut said),
             None => {
                 if let Input::Dialled { conn, .. } = input {
