--- a/crates/plane/src/copy/terms.rs
+++ b/crates/plane/src/copy/terms.rs
@@ -43,7 +43,9 @@
         held: Cursor,
     },
     /// It comes from an earlier epoch, or another line of history, than what is held.
-    #[error("region {region}: it ends at {upto}, which is before {held} that is held or on another line of history")]
+    #[error(
+        "region {region}: it ends at {upto}, which is before {held} that is held or on another line of history"
+    )]
     Backward {
         /// The region.
         region: u16,
--- a/crates/plane/src/copy/whole.rs
+++ b/crates/plane/src/copy/whole.rs
@@ -111,7 +111,8 @@
         if table.digest() != staging.digest {
             return Err(Refusal::Digest { region: region.0, upto });
         }
-        let (count, bytes) = (all.0 - part.table.len() + table.len(), all.1 - part.table.bytes() + table.bytes());
+        let (count, bytes) =
+            (all.0 - part.table.len() + table.len(), all.1 - part.table.bytes() + table.bytes());
         if count > bounds.entries.max(all.0) {
             return Err(Refusal::Bound { region: region.0, what: "entries", most: bounds.entries });
         }
--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -131,7 +131,12 @@
 
     /// A copy asks for regions behind cursors. What it is told if it cannot be served; for a machine of the site there is always
     /// a place, as the others' state comes through it.
-    pub fn subscribe(&mut self, conn: Conn, wanted: Vec<(Region, Cursor)>, reserved: bool) -> Option<Message> {
+    pub fn subscribe(
+        &mut self,
+        conn: Conn,
+        wanted: Vec<(Region, Cursor)>,
+        reserved: bool,
+    ) -> Option<Message> {
         let full = !reserved && self.subscribers.len() >= self.options.subscribers;
         if !self.subscribers.contains_key(&conn) && full {
             return Some(Message::Busy { pause: self.options.pause });
@@ -198,7 +203,12 @@
 
     /// Sends what may go out now, one message to each in turn; connections that hold a whole state for too long are given
     /// back to be ended.
-    pub(crate) fn pump(&mut self, now: Micros, source: &Source, write: &mut dyn FnMut(Conn, Arc<[u8]>)) -> Vec<Conn> {
+    pub(crate) fn pump(
+        &mut self,
+        now: Micros,
+        source: &Source,
+        write: &mut dyn FnMut(Conn, Arc<[u8]>),
+    ) -> Vec<Conn> {
         let most = (self.options.rate / 10).max(2 * PIECE as u64) as i64;
         let rate = self.options.rate.max(1) as i64;
         if now - self.filled >= 1_000_000 {
@@ -273,7 +283,10 @@
                 let upto = frozen.borrow().upto;
                 let last = number + 1 == frozen.borrow().len();
                 // Then its level, with the digest, as for whoever asks anew.
-                return Some((if last { Stand::Asked(upto) } else { Stand::Whole(frozen, number + 1) }, frame));
+                return Some((
+                    if last { Stand::Asked(upto) } else { Stand::Whole(frozen, number + 1) },
+                    frame,
+                ));
             }
         };
         if cursor > at || at == Cursor::default() {
@@ -352,8 +365,7 @@
         // two is ended, and asks anew.
         while all.len() > FROZEN {
             let Some(old) = all.pop_front() else { break };
-            let holds =
-                |s: &Subscriber| matches!(s.stands.get(&region), Some(Stand::Whole(f, _)) if Rc::ptr_eq(f, &old));
+            let holds = |s: &Subscriber| matches!(s.stands.get(&region), Some(Stand::Whole(f, _)) if Rc::ptr_eq(f, &old));
             ended.extend(self.subscribers.iter().filter(|(_, s)| holds(s)).map(|(conn, _)| *conn));
         }
         Some(frozen)
--- a/crates/plane/src/machine.rs
+++ b/crates/plane/src/machine.rs
@@ -225,7 +225,9 @@
         self.now = now.max(self.now);
         match input {
             Input::Dialled { .. } | Input::NotDialled { .. } => self.uplink(input, out),
-            Input::Bytes { conn, .. } | Input::Ended { conn } if self.is_uplink(conn) => self.uplink(input, out),
+            Input::Bytes { conn, .. } | Input::Ended { conn } if self.is_uplink(conn) => {
+                self.uplink(input, out)
+            }
             Input::Accepted { conn } => self.accept(conn, out),
             Input::Bytes { conn, bytes } => self.hear(conn, &bytes, out),
             Input::Taken { conn, bytes } => self.taken(conn, bytes),
--- a/crates/plane/src/machine/clients.rs
+++ b/crates/plane/src/machine/clients.rs
@@ -159,16 +159,15 @@
                 let writer = self.options.machines.iter().find(writes).map(|m| m.name.0.clone());
                 Some(Err(ProposalError::NotWriter { region: region.0, writer: writer.unwrap_or_default() }))
             }
-            (Some(proposal), Some(writer)) => {
-                writer.propose(conn, id, proposal, &self.copy, &bounds, &waits)
-            }
+            (Some(proposal), Some(writer)) => writer.propose(conn, id, proposal, &self.copy, &bounds, &waits),
         };
         self.answer(answer.map(|answer| (conn, id, answer)).into_iter().collect(), out);
     }
 
     pub(super) fn answer(&mut self, answers: Vec<(Conn, u64, Proposed)>, out: &mut Vec<Output>) {
         for (conn, id, proposed) in answers {
-            let bytes = channel::answer(id, peer::wire::encode(&proposed)).unwrap_or_else(|| channel::pass(id));
+            let bytes =
+                channel::answer(id, peer::wire::encode(&proposed)).unwrap_or_else(|| channel::pass(id));
             self.say(conn, bytes, out);
         }
     }
--- a/crates/plane/src/message.rs
+++ b/crates/plane/src/message.rs
@@ -166,7 +166,9 @@
     #[error("the writer recovers; it still waits for {0}")]
     Recovering(String),
     /// A later epoch of this region was seen: another has written since.
-    #[error("a later epoch ({0}) of this region was seen; this writer takes nothing until it is started anew")]
+    #[error(
+        "a later epoch ({0}) of this region was seen; this writer takes nothing until it is started anew"
+    )]
     Superseded(u64),
     /// A change of another region's key.
     #[error("key {key} belongs to region {owner}; ask its writer")]
--- a/crates/plane/src/pool.rs
+++ b/crates/plane/src/pool.rs
@@ -20,7 +20,8 @@
     pub fn share(&mut self, entry: Entry) -> Arc<Entry> {
         let digest = entry.digest();
         let hash = digest.low();
-        let found = self.entries.find(hash, |(other, _)| *other == digest).and_then(|(_, weak)| weak.upgrade());
+        let found =
+            self.entries.find(hash, |(other, _)| *other == digest).and_then(|(_, weak)| weak.upgrade());
         if let Some(there) = found.filter(|there| **there == entry) {
             return there;
         }
--- a/crates/plane/src/writer.rs
+++ b/crates/plane/src/writer.rs
@@ -144,7 +144,8 @@
             Stage::Superseded(epoch) => return Err(ProposalError::Superseded(epoch.0)),
             Stage::Open => {}
         }
-        let bound = |what: &str, most: usize| ProposalError::Bound { what: what.to_owned(), most: most as u64 };
+        let bound =
+            |what: &str, most: usize| ProposalError::Bound { what: what.to_owned(), most: most as u64 };
         if proposal.changes.is_empty() || proposal.changes.len() > CHANGES {
             return Err(bound("a proposal without changes, or with too many", CHANGES + 1));
         }
@@ -190,7 +191,8 @@
         let mut batch = Batch { upto: after, ..Batch::default() };
         let mut bytes = 0;
         while let Some((_, _, changes)) = self.waiting.front() {
-            let size: usize = changes.iter().map(|c| c.name.len() + c.value.as_ref().map_or(0, |v| v.len())).sum();
+            let size: usize =
+                changes.iter().map(|c| c.name.len() + c.value.as_ref().map_or(0, |v| v.len())).sum();
             let full = batch.entries.len() + changes.len() > TOGETHER || bytes + size > TOGETHER_BYTES;
             // One that is larger than that goes alone.
             if full && !batch.entries.is_empty() {
@@ -225,7 +227,8 @@
             return batch.askers.into_iter().map(over).collect();
         }
         let mut stamps = batch.entries.iter().map(|entry| entry.stamp);
-        let answer = |(conn, id, count): (Conn, u64, usize)| (conn, id, Ok(stamps.by_ref().take(count).collect()));
+        let answer =
+            |(conn, id, count): (Conn, u64, usize)| (conn, id, Ok(stamps.by_ref().take(count).collect()));
         batch.askers.into_iter().map(answer).collect()
     }
 
