--- a/crates/plane/src/copy/whole.rs
+++ b/crates/plane/src/copy/whole.rs
@@ -9,6 +9,7 @@
 use crate::epochs::Epochs;
 use crate::io::Conn;
 use crate::message::WireEntry;
+use crate::planted::{Plant, planted};
 use crate::pool::Pool;
 use crate::table::Table;
 
@@ -35,6 +36,12 @@
     /// Danger: a writer that lost its disk may have lost changes which some have seen, and the region goes on without them. Harm:
     /// those who have seen them would never hear of anything else again if they stayed with them.
     fn follows(&self, held: Cursor) -> bool {
+        if planted(Plant::EpochIgnored) {
+            return self.upto.version >= held.version;
+        }
+        if planted(Plant::EmptyBelieved) && self.count == 0 {
+            return true;
+        }
         self.upto >= held && (self.epochs.holds(held) || self.upto.epoch > held.epoch)
     }
 }
@@ -46,7 +53,8 @@
         if !staging.follows(part.cursor) {
             return Err(Refusal::Backward { region: region.0, upto: staging.upto, held: part.cursor });
         }
-        if !staging.epochs.is_rising() || staging.epochs.last() != Some(staging.upto.epoch) {
+        let believed = planted(Plant::EmptyBelieved) && staging.count == 0;
+        if !staging.epochs.is_rising() || staging.epochs.last() != Some(staging.upto.epoch) && !believed {
             return Err(Refusal::Versions { region: region.0, what: "epochs that do not rise to its own" });
         }
         if !possible(staging.upto) || staging.floor > staging.upto.version {
@@ -84,6 +92,9 @@
                 return Err(Refusal::Bound { region: region.0, what: "bytes", most: bounds.bytes });
             }
             staging.entries.push(shared(entry, pool.as_deref_mut()));
+            if planted(Plant::PiecesInForce) {
+                part.table.put(staging.entries[staging.entries.len() - 1].clone());
+            }
         }
         part.staging.insert(from, staging);
         Ok(Taken::Staged)
@@ -98,7 +109,7 @@
         }
         let (held, upto) = (part.cursor, staging.upto);
         // It may have moved on since the whole state began.
-        if upto < held && staging.epochs.holds(held) {
+        if upto < held && staging.epochs.holds(held) && !staging.follows(held) {
             return Ok(Taken::Known);
         }
         if !staging.follows(held) {
--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -12,6 +12,7 @@
 use crate::index::Index;
 use crate::io::{Conn, Counts};
 use crate::message::{Message, WireEntry};
+use crate::planted::{Plant, planted};
 
 /// Deltas that are kept for others who stand at the same cursor.
 const MADE: usize = 64;
@@ -226,7 +227,7 @@
             subscriber.in_line = false;
             // Danger: what waits for a reader that takes nothing would pile up here. It gets its next message when it has taken
             // the last; what changes meanwhile is one cursor.
-            let sent = (subscriber.unsent < self.options.unsent)
+            let sent = (subscriber.unsent < self.options.unsent || planted(Plant::QueueUnbounded))
                 .then(|| self.next(&mut subscriber, source, &mut ended))
                 .flatten();
             if let Some(frame) = &sent {
@@ -289,7 +290,9 @@
                 ));
             }
         };
-        if cursor > at || at == Cursor::default() {
+        let believed = asked && at == Cursor::default() && planted(Plant::EmptyBelieved);
+        let earlier = cursor.epoch > at.epoch && cursor.version <= at.version && planted(Plant::EpochIgnored);
+        if (cursor > at || at == Cursor::default()) && !believed && !earlier {
             // Danger: a machine that started empty, or from an old disk, would be believed. It says what it knows and sends nothing.
             return asked
                 .then(|| Message::Behind { region, at }.frame())
@@ -302,7 +305,7 @@
         let index = source.indexes.get(&region)?;
         // Danger: a cursor on a line that was lost with its writer's disk has changes that this region does not have. It gets the
         // region as it is.
-        let strayed = !source.copy.epochs(region).holds(cursor);
+        let strayed = !source.copy.epochs(region).holds(cursor) || believed || earlier;
         if cursor == Cursor::default() || cursor.version < index.floor() || strayed {
             let frozen = self.freeze(region, source, ended)?;
             self.counts.wholes += 1;
@@ -322,7 +325,7 @@
     fn delta(&mut self, region: Region, after: Cursor, source: &Source) -> Option<Made> {
         let (at, index) = (source.copy.cursor(region), source.indexes.get(&region)?);
         let (mut entries, mut bytes, mut upto) = (Vec::new(), 0, at);
-        for entry in index.behind(after.version) {
+        for entry in index.behind(after.version).skip(usize::from(planted(Plant::ResumeSkips))) {
             if bytes >= PIECE {
                 upto = entries.last().map_or(at, |last: &WireEntry| Stamp { epoch: last.3, version: last.4 });
                 break;
--- a/crates/plane/src/lib.rs
+++ b/crates/plane/src/lib.rs
@@ -26,6 +26,7 @@
 mod io;
 mod machine;
 mod message;
+mod planted;
 mod pool;
 mod subscription;
 mod table;
@@ -39,6 +40,8 @@
 pub use io::{Conn, Counts, Input, Output};
 pub use machine::{Machine, MachineOptions, Place};
 pub use message::{Change, Message, Proposal, ProposalError, Proposed, WireEntry};
+#[cfg(feature = "planted")]
+pub use planted::{Plant, plant};
 pub use pool::Pool;
 pub use subscription::{Subscription, SubscriptionOptions, order};
 pub use table::Table;
--- a/crates/planedrill/examples/schedules.rs
+++ b/crates/planedrill/examples/schedules.rs
@@ -42,7 +42,10 @@
     println!("changes that became durable: {}, answered so: {}", sum(|p| p.changes), sum(|p| p.answered));
     println!("proposals turned down: {}", sum(|p| p.refused));
     println!("changes behind which a later epoch began: {}", sum(|p| p.abandoned));
-    println!("answered, and lost with the writer's disk before another had them: {}", sum(|p| p.unreplicated));
+    println!(
+        "answered, and lost with the writer's disk before another had them: {}",
+        sum(|p| p.unreplicated)
+    );
     println!("whole states: {}, turned away: {}", sum(|p| p.wholes), sum(|p| p.turned_away));
     println!("of these digests: {}", sum(|p| p.digests));
     println!("writers started anew: {}, epochs given twice: {}", sum(|p| p.superseded), sum(|p| p.reused));
--- a/crates/planedrill/src/drill/troubles.rs
+++ b/crates/planedrill/src/drill/troubles.rs
@@ -132,7 +132,8 @@
         let same = |(n, p): &(usize, &crate::process::Process)| {
             *n != process && p.place.as_ref().is_some_and(|place| place.region == region)
         };
-        let others: Vec<Marks> = self.processes.iter().enumerate().filter(same).map(|(_, p)| p.marks()).collect();
+        let others: Vec<Marks> =
+            self.processes.iter().enumerate().filter(same).map(|(_, p)| p.marks()).collect();
         let line = self.ledger.entry(region).or_default();
         let lost = |write: &crate::ledger::Write| {
             let stamp = write.entry.stamp;
--- a/crates/planedrill/src/ledger.rs
+++ b/crates/planedrill/src/ledger.rs
@@ -76,7 +76,8 @@
         if cursor.epoch != self.cursor.epoch || cursor.version <= self.cursor.version {
             return;
         }
-        let mut more: Vec<_> = table.iter().filter(|e| e.stamp.version > self.cursor.version).cloned().collect();
+        let mut more: Vec<_> =
+            table.iter().filter(|e| e.stamp.version > self.cursor.version).cloned().collect();
         more.sort_by_key(|entry| entry.stamp);
         more.into_iter().for_each(|entry| self.put(entry));
         self.become_table(cursor, table);
--- a/crates/planedrill/src/net.rs
+++ b/crates/planedrill/src/net.rs
@@ -185,7 +185,8 @@
 
     /// A process is gone: its ends hold nothing, and the others are told or find out by silence.
     pub(crate) fn kill(&mut self, now: Micros, process: usize, told: bool, flows: &mut Vec<(Micros, Flow)>) {
-        let conns: Vec<Conn> = self.links().filter(|(_, l)| l.ends.contains(&process)).map(|(conn, _)| conn).collect();
+        let conns: Vec<Conn> =
+            self.links().filter(|(_, l)| l.ends.contains(&process)).map(|(conn, _)| conn).collect();
         for conn in conns {
             self.cut(now, conn, told, flows);
             let Some(end) = self.end(conn, process) else { continue };
