--- a/crates/capacity/src/parts/caps.rs
+++ b/crates/capacity/src/parts/caps.rs
@@ -79,7 +79,9 @@
          {REQUESTS} requests a second drawn evenly over the shards; one window, after a half in which it was so."
     );
     let usual = format!("{play} One request of {ONE_IN} ends unserved, nothing is in trouble.");
-    let trouble = format!("{play} All requests to one shard end unserved; each is sent again if there is a right to it.");
+    let trouble = format!(
+        "{play} All requests to one shard end unserved; each is sent again if there is a right to it."
+    );
     let even = format!(
         "A cap with `free` {}: what one shard bears beside its load (docs/fleet/cap.md: free / W + share x load < capacity - load), calculated \
          for {} requests a second at a shard of {SHARD_NODES} nodes that are loaded to {LOAD}, an assumption. What `Cap::look` tells as left of a rested cap, and its \
@@ -105,10 +107,22 @@
     Ok(vec![
         row("repeats_notes", notes, a, control, &usual),
         row("repeats_notes_trouble", notes, b, control, &trouble),
-        row("repeats_tick", "processor time of a tick that ends a slice and tells all peers, us", c, None, &usual),
+        row(
+            "repeats_tick",
+            "processor time of a tick that ends a slice and tells all peers, us",
+            c,
+            None,
+            &usual,
+        ),
         row("repeats_hearing", heard, d, None, &usual),
         row("repeats_hearing_trouble", heard, e, None, &trouble),
-        row("repeats_even", "gateways that have one right of the even part between them", f, Some(1.0), &even),
+        row(
+            "repeats_even",
+            "gateways that have one right of the even part between them",
+            f,
+            Some(1.0),
+            &even,
+        ),
     ])
 }
 
@@ -156,7 +170,12 @@
             a,
             "64 ticks, one for each of the cap's steps, 16 of which end a slice.",
         ),
-        row("repeats_shards_request", "processor time of one request, us", b, "Two events: sent, and ended served."),
+        row(
+            "repeats_shards_request",
+            "processor time of one request, us",
+            b,
+            "Two events: sent, and ended served.",
+        ),
         row(
             "repeats_shards_due",
             "processor time of asking when it is due, us",
--- a/crates/capacity/src/parts/fleets.rs
+++ b/crates/capacity/src/parts/fleets.rs
@@ -7,7 +7,7 @@
 use super::timing::{median, sizes};
 
 const SIZES: [usize; 6] = [10, 20, 40, 80, 160, 320];
-/// Runs of which the median is taken.
+/// Runs of which the median is taken; a look takes one.
 const RUNS: u64 = 3;
 /// Periods at rest that are counted, and those before.
 const REST: i64 = 60;
@@ -39,9 +39,9 @@
 pub(super) fn measure(ask: &Ask) -> Result<Vec<Row>, MeasureError> {
     const ROWS: usize = 6;
     let mut points: [Vec<(f64, f64)>; ROWS] = Default::default();
+    let seeds = if ask.look { 1 } else { RUNS };
     for &members in sizes(&SIZES, ask.look) {
-        let runs: Vec<Run> =
-            (0..RUNS).map(|n| play(members, ask.seed + n)).collect::<Result<_, _>>()?;
+        let runs: Vec<Run> = (0..seeds).map(|n| play(members, ask.seed + n)).collect::<Result<_, _>>()?;
         let of: [fn(&Run) -> f64; ROWS] = [
             |r| r.rest.bytes,
             |r| r.merge.bytes,
@@ -57,7 +57,7 @@
     let how = |what: &str| {
         format!(
             "Package `fleet` in virtual time, defaults of its options (period 1 s), notes 0.2 to 2 ms under way, no volumes held and \
-             no node seen; median of {RUNS} seeds. {what}"
+             no node seen; median of {seeds} seeds. {what}"
         )
     };
     let row = |name, cost, points, budget, what: &str| Row {
--- a/crates/capacity/src/parts/lists.rs
+++ b/crates/capacity/src/parts/lists.rs
@@ -130,11 +130,19 @@
         points,
         at: NODES as f64,
         budget: None,
-        how: format!("`platform::Machine` without sockets or clients, shards of 3 nodes; from the bytes of the watch on, JSON read. {what}"),
+        how: format!(
+            "`platform::Machine` without sockets or clients, shards of 3 nodes; from the bytes of the watch on, JSON read. {what}"
+        ),
     };
-    let change = format!("One node drains or is in service again: median of {CHANGES} such lists of one line.");
-    let whole = format!("The whole list anew, in pieces of {} KiB as a socket brings it: median of {WHOLES}.", READ >> 10);
-    let second = format!("`tick` once a second, when nodes that are gone are forgotten; none is: median of {SECONDS}.");
+    let change =
+        format!("One node drains or is in service again: median of {CHANGES} such lists of one line.");
+    let whole = format!(
+        "The whole list anew, in pieces of {} KiB as a socket brings it: median of {WHOLES}.",
+        READ >> 10
+    );
+    let second = format!(
+        "`tick` once a second, when nodes that are gone are forgotten; none is: median of {SECONDS}."
+    );
     Ok(vec![
         row("list_change", "processor time of one change, us", changes, change),
         row("list_whole", "processor time of a whole list, us", wholes, whole),
--- a/crates/capacity/src/parts/memory.rs
+++ b/crates/capacity/src/parts/memory.rs
@@ -127,7 +127,8 @@
 /// No such kind, or what is to be measured went wrong.
 pub fn child(name: &str, size: usize, seed: u64) -> Result<f64, MeasureError> {
     let kind = KINDS.iter().find(|k| k.name == name);
-    let kind = kind.ok_or_else(|| MeasureError::Failed(format!("no memory is measured under the name {name}")))?;
+    let kind =
+        kind.ok_or_else(|| MeasureError::Failed(format!("no memory is measured under the name {name}")))?;
     (kind.bytes)(size, seed)
 }
 
--- a/crates/capacity/src/parts/module.rs
+++ b/crates/capacity/src/parts/module.rs
@@ -121,7 +121,9 @@
         let request = timed(|| stand.batch(BATCH)) / BATCH as f64;
         let ends = SWEEP * (span as Micros + 1);
         if stand.now >= ends {
-            return Err(MeasureError::Failed(format!("a batch of {BATCH} requests does not fit between two sweeps")));
+            return Err(MeasureError::Failed(format!(
+                "a batch of {BATCH} requests does not fit between two sweeps"
+            )));
         }
         stand.run_to(ends - 1);
         let sweep = timed(|| stand.run_to(ends));
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -180,8 +180,8 @@
     /// A file that cannot be written, or a chart that cannot be drawn.
     pub fn save(&self, folder: &Path) -> Result<(), ReportError> {
         std::fs::create_dir_all(folder).map_err(io(folder))?;
-        let json = serde_json::to_string_pretty(self)
-            .map_err(|e| ReportError::Io(folder.join(JSON), e.into()))?;
+        let json =
+            serde_json::to_string_pretty(self).map_err(|e| ReportError::Io(folder.join(JSON), e.into()))?;
         for (name, text) in
             [(JSON, json + "\n"), ("slopes.md", self.markdown()), ("slopes.svg", self.chart()?)]
         {
--- a/crates/capacity/src/report/chart.rs
+++ b/crates/capacity/src/report/chart.rs
@@ -32,8 +32,7 @@
     let budget = entry.budget.filter(|b| *b > 0.0)?;
     let scaled = |(size, cost): (f64, f64)| (size / entry.at, cost / budget);
     // A cost of nought has no place on this scale.
-    let measured: Vec<_> =
-        entry.points.iter().copied().filter(|p| p.1 > 0.0).map(scaled).collect();
+    let measured: Vec<_> = entry.points.iter().copied().filter(|p| p.1 > 0.0).map(scaled).collect();
     let last = entry.points.last()?.0;
     let mut ahead = Vec::new();
     if let Some(fit) = entry.fit
--- a/crates/capacity/src/report/table.rs
+++ b/crates/capacity/src/report/table.rs
@@ -50,7 +50,8 @@
 }
 
 fn line(entry: &Entry) -> String {
-    let point = |p: Option<&(f64, f64)>| p.map_or("-".into(), |p| format!("{}: {}", figure(p.0), figure(p.1)));
+    let point =
+        |p: Option<&(f64, f64)>| p.map_or("-".into(), |p| format!("{}: {}", figure(p.0), figure(p.1)));
     let (fit, worst, there) = match entry.fit {
         Some(fit) => (form(fit.form), format!("{:.1} %", 100.0 * fit.worst), figure(fit.value_at)),
         None => ("none".into(), "-".into(), "-".into()),
@@ -111,7 +112,9 @@
         }
     }
     if !report.failed.is_empty() {
-        text.push_str("\n## Failed\n\nThe last run of these came to nothing; rows of theirs above are of before.\n\n");
+        text.push_str(
+            "\n## Failed\n\nThe last run of these came to nothing; rows of theirs above are of before.\n\n",
+        );
         for failed in &report.failed {
             let _ = writeln!(text, "- `{}`: {} (`{}`)", failed.measure, failed.why, failed.taken.command);
         }
