--- a/crates/filelog/src/lib.rs
+++ b/crates/filelog/src/lib.rs
@@ -1,9 +1,9 @@
 //! A file of records for what must outlive a loss of power: a gateway's own lives and work in hand, a node's blocks.
 //!
-//! A record counts once [`Log::sync`] has returned after it was appended. What a cut leaves behind the last sync may be
-//! missing, half there, or full of holes; opening cuts that off. Damage inside what was durable is told apart from that and
-//! refused by its place, because what follows it would be replayed onto the wrong state. A small file is replaced as a whole
-//! by [`replace`].
+//! A record counts once [`Log::sync`] has returned after it was appended; [`Log::hand_over`] is for those that need to outlive
+//! the process only. What a cut leaves behind the last sync may be missing, half there, or full of holes; opening cuts that
+//! off. Damage inside what was durable is told apart from that and refused by its place, because what follows it would be
+//! replayed onto the wrong state. A small file is replaced as a whole by [`replace`].
 //!
 //! What it is not: a data base. It has no index, no readers beside its one writer and no opinion of what a record means.
 //!
--- a/crates/filelog/src/log.rs
+++ b/crates/filelog/src/log.rs
@@ -63,6 +63,8 @@
     number: u64,
     /// Length with all that was appended.
     length: u64,
+    /// Up to here the system has it.
+    handed: u64,
     /// Up to here it is on the disk.
     durable: u64,
     /// Appended and not yet handed to the system.
@@ -113,6 +115,7 @@
             file,
             number,
             length: whole,
+            handed: whole,
             durable: whole,
             pending: Vec::new(),
             mark: None,
@@ -137,12 +140,13 @@
         Ok(())
     }
 
-    /// Makes durable all that was appended, in one group.
+    /// Gives what was appended to the system, without waiting for the disk: it outlives the process from now on, and a loss of
+    /// power only after the next [`Log::sync`].
     ///
     /// # Errors
-    /// It could not be written, for want of space for one. What was appended since the last sync doesn't count, and the file is
-    /// as it was; only if that could not be brought about either does the log take nothing more.
-    pub fn sync(&mut self) -> Result<(), LogError> {
+    /// It could not be written, for want of space for one. What was appended since the last sync or handing over doesn't count,
+    /// and the file is as it was; only if that could not be brought about either does the log take nothing more.
+    pub fn hand_over(&mut self) -> Result<(), LogError> {
         if self.broken {
             return Err(LogError::Broken(self.path.clone()));
         }
@@ -150,24 +154,42 @@
             return Ok(());
         }
         let pending = std::mem::take(&mut self.pending);
-        let written = self.file.write_all(&pending).and_then(|()| self.file.sync_data());
-        if let Err(error) = written {
-            self.length = self.durable;
-            // Danger: a system that failed to sync may have dropped the bytes and call the next sync done; and half a group left
-            // behind would be taken for part of the next. Cut back to what is known, or nothing more is taken.
-            let back = self
-                .file
-                .set_len(self.durable)
-                .and_then(|()| self.file.seek(SeekFrom::End(0)))
-                .and_then(|_| self.file.sync_all());
-            self.broken = back.is_err();
-            return Err(LogError::Io { what: "cannot write", path: self.path.clone(), error });
+        if let Err(error) = self.file.write_all(&pending) {
+            // Danger: half a group left behind would be taken for part of the next.
+            return Err(self.cut_back(self.handed, error));
+        }
+        self.handed = self.length;
+        Ok(())
+    }
+
+    /// Makes durable all that was appended, in one group.
+    ///
+    /// # Errors
+    /// It could not be written, as in [`Log::hand_over`]; or not be made durable: then nothing counts that was appended since the
+    /// last sync, even if it was handed over, and the file is as it was then.
+    pub fn sync(&mut self) -> Result<(), LogError> {
+        self.hand_over()?;
+        if self.durable == self.length {
+            return Ok(());
+        }
+        if let Err(error) = self.file.sync_data() {
+            // Danger: a system that failed to sync may have dropped the bytes and call the next sync done. Cut back to what is known,
+            // or nothing more is taken.
+            return Err(self.cut_back(self.durable, error));
         }
         self.durable = self.length;
         self.note();
         Ok(())
     }
 
+    /// Cuts off what lies behind a place after a write failed.
+    fn cut_back(&mut self, to: u64, error: io::Error) -> LogError {
+        (self.length, self.handed) = (to, to);
+        let end = self.file.set_len(to).and_then(|()| self.file.seek(SeekFrom::End(0)));
+        self.broken = end.and_then(|_| self.file.sync_all()).is_err();
+        LogError::Io { what: "cannot write", path: self.path.clone(), error }
+    }
+
     /// Puts other records in place of all: on a cut either the old ones are there or the new.
     ///
     /// # Errors
@@ -177,6 +199,23 @@
         number: u64,
         records: impl IntoIterator<Item = &'a [u8]>,
     ) -> Result<(), LogError> {
+        let new = Log::create(&self.path, number, records)?;
+        let mark = self.mark.take();
+        *self = Log { mark, ..new };
+        self.note();
+        Ok(())
+    }
+
+    /// Makes a log of these records, durably, in place of the file of that name if there is one: on a cut either that is there or
+    /// the new one. `number` names the file: it should be drawn anew each time.
+    ///
+    /// # Errors
+    /// The new file could not be written; what was there before is.
+    pub fn create<'a>(
+        path: &Path,
+        number: u64,
+        records: impl IntoIterator<Item = &'a [u8]>,
+    ) -> Result<Log, LogError> {
         let mut bytes = prelude(number);
         for payload in records {
             if payload.len() > MOST {
@@ -186,15 +225,42 @@
             // The file gets its name only once all of it is durable: each record attests what stands before it.
             record::encode(number, place, place, payload, &mut bytes);
         }
-        let failed = |error| LogError::Io { what: "cannot replace", path: self.path.clone(), error };
-        write_new(&self.path, &bytes).map_err(failed)?;
-        let mut file = File::options().read(true).write(true).open(&self.path).map_err(failed)?;
+        let failed = |error| LogError::Io { what: "cannot replace", path: path.to_owned(), error };
+        write_new(path, &bytes).map_err(failed)?;
+        let mut file = File::options().read(true).write(true).open(path).map_err(failed)?;
         file.seek(SeekFrom::End(0)).map_err(failed)?;
-        (self.file, self.number, self.broken) = (file, number, false);
-        self.pending.clear();
-        (self.length, self.durable) = (bytes.len() as u64, bytes.len() as u64);
-        self.note();
-        Ok(())
+        let length = bytes.len() as u64;
+        Ok(Log {
+            path: path.to_owned(),
+            file,
+            number,
+            length,
+            handed: length,
+            durable: length,
+            pending: Vec::new(),
+            mark: None,
+            broken: false,
+        })
+    }
+
+    /// Whether it takes nothing more, as what is on the disk behind the last sync is not known.
+    pub fn is_broken(&self) -> bool {
+        self.broken
+    }
+
+    /// The number that names its file.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Length in bytes as far as the system has it.
+    pub fn handed(&self) -> u64 {
+        self.handed
+    }
+
+    /// Length in bytes as far as it is durable.
+    pub fn durable(&self) -> u64 {
+        self.durable
     }
 
     /// Length in bytes, with what is not durable yet.
