--- a/crates/planelink/src/gateway.rs
+++ b/crates/planelink/src/gateway.rs
@@ -53,7 +53,7 @@
     pub(crate) link: Subscription,
     pub(crate) copy: Copy,
     store: Store,
-    /// Where machines listen.
+    /// The machine that is being dialled.
     dialling: Option<PeerName>,
     /// The body that was to be kept last, until it is known of which region it is.
     body: Option<Vec<u8>>,
