planelink compiles against the mended plane

The control plane's contract asks that a writer's change is durable before its machine is told anything else, and its whole states tell what they change. The machine's process keeps to it, and a copy that begins from nothing writes one line for a region in place of all entries.

--- a/crates/planelink/src/copy_records.rs
+++ b/crates/planelink/src/copy_records.rs
@@ -1,7 +1,7 @@
 //! Lines of what came into force in copies: where a copy stood at a start, each entry, and where it stood then.
 //!
 //! ```text
-//! S t gateway life region epoch version count digest   from its own disk, at a start
+//! S t gateway life region epoch version count digest   from its own disk, at a start; or by a whole state where nothing was held
 //! E t gateway life epoch version key hash|-            an entry, by a delta
 //! X t gateway life epoch version key hash|-            an entry, by a whole state, that is other than before
 //! G t gateway life key                                 a key that is gone by a whole state
@@ -16,7 +16,7 @@
 use std::path::Path;
 
 use peer::PeerName;
-use plane::{Copy, Cursor, Entry, Key, Micros, Region, Taken};
+use plane::{Copy, Cursor, Digest, Entry, Key, Micros, Region, Taken};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::error::RunError;
@@ -97,15 +97,27 @@
         if !self.file.is_on() {
             return;
         }
-        let (name, life) = (&holder.name, holder.life);
         for region in copy.regions() {
-            let (at, table) = (copy.cursor(region), copy.table(region));
+            let table = copy.table(region);
             let (count, digest) = table.map_or_else(Default::default, |table| (table.len(), table.digest()));
-            let (region, epoch, version) = (region.0, at.epoch.0, at.version.0);
-            self.file.line(format_args!("{letter} {t} {name} {life} {region} {epoch} {version} {count} {digest}"));
+            self.stand_at(letter, t, holder, (region, copy.cursor(region)), (count, digest));
         }
     }
 
+    fn stand_at(
+        &mut self,
+        letter: char,
+        t: Micros,
+        holder: &Holder,
+        (region, at): (Region, Cursor),
+        (count, digest): (usize, Digest),
+    ) {
+        let (name, life) = (&holder.name, holder.life);
+        let (region, epoch, version) = (region.0, at.epoch.0, at.version.0);
+        self.file
+            .line(format_args!("{letter} {t} {name} {life} {region} {epoch} {version} {count} {digest}"));
+    }
+
     /// What came into force.
     pub(crate) fn in_force(&mut self, t: Micros, holder: &mut Holder, taken: &Taken) {
         let (Taken::Delta { region, upto, .. } | Taken::Whole { region, upto, .. }) = taken else { return };
@@ -118,16 +130,17 @@
             Taken::Delta { changed, .. } => {
                 changed.iter().for_each(|entry| self.entry('E', t, holder, entry));
             }
-            Taken::Whole { entries, gone, changed, .. } => {
+            // A copy that begins would write down the whole state, once for each gateway.
+            Taken::Whole { entries, .. } if before == Cursor::default() => {
+                let live = || entries.iter().filter(|entry| entry.value.is_some());
+                let digest = live().fold(Digest::default(), |sum, entry| sum.with(entry.digest()));
+                self.stand_at('S', t, holder, (*region, *upto), (live().count(), digest));
+            }
+            Taken::Whole { gone, changed, .. } => {
                 for entry in gone {
                     self.file.line(format_args!("G {t} {name} {life} {}", KeyText(&entry.key)));
                 }
-                let live = || entries.iter().filter(|entry| entry.value.is_some());
-                let later = |entry: &&std::sync::Arc<Entry>| entry.stamp.version > before.version;
-                // Danger: where something was held that the sender never had, versions don't tell what is other than before. Then
-                // all of it is written down.
-                let all = live().filter(later).count() != *changed;
-                live().filter(|entry| all || later(entry)).for_each(|entry| self.entry('X', t, holder, entry));
+                changed.iter().for_each(|entry| self.entry('X', t, holder, entry));
             }
             _ => {}
         }
--- a/crates/planelink/src/follower.rs
+++ b/crates/planelink/src/follower.rs
@@ -241,15 +241,13 @@
     }
 
     fn dialled(&mut self, now: Micros, conn: Option<Conn>) {
-        let mut around =
-            Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
+        let mut around = Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
         self.gateway.dialled(now, conn, &self.link, &mut around);
         self.after();
     }
 
     fn handle(&mut self, now: Micros, input: Input) {
-        let mut around =
-            Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
+        let mut around = Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
         self.gateway.handle(now, input, &self.link, &mut around);
         self.after();
     }
--- a/crates/planelink/src/gateway.rs
+++ b/crates/planelink/src/gateway.rs
@@ -9,10 +9,10 @@
 use plane::{Subscription, SubscriptionOptions, order};
 
 use crate::error::RunError;
+use crate::life;
 use crate::net::Net;
 use crate::options::LinkOptions;
 use crate::store::{self, Store, StoreError};
-use crate::life;
 
 /// A store that failed is tried again after this.
 const AGAIN: Micros = 10_000_000;
@@ -73,12 +73,12 @@
         folder: &Path,
         options: &LinkOptions,
         (now, seed): (Micros, u64),
-        mut pool: Option<&mut Pool>,
+        pool: Option<&mut Pool>,
         restored: &mut Option<Restored>,
     ) -> Result<Gateway, RunError> {
         let life = life::begin(folder)?;
         let store::Opened { store, base, tail } = Store::read(folder)?;
-        let copy = restore(folder, options, base, &tail, pool.as_deref_mut(), restored)?;
+        let copy = restore(folder, options, base, &tail, pool, restored)?;
         let greeting = Greeting { site: options.site, name: name.clone(), life };
         let machines = order(name, &options.near, &options.far);
         let mut link = SubscriptionOptions::new(greeting, options.regions.clone(), machines);
@@ -104,7 +104,13 @@
     }
 
     /// Takes what happened.
-    pub(crate) fn handle(&mut self, now: Micros, input: Input, options: &LinkOptions, around: &mut Around<'_>) {
+    pub(crate) fn handle(
+        &mut self,
+        now: Micros,
+        input: Input,
+        options: &LinkOptions,
+        around: &mut Around<'_>,
+    ) {
         let mut out = std::mem::take(around.out);
         self.link.handle(now, input, &mut self.copy, around.pool.as_deref_mut(), &mut out);
         for output in out.drain(..) {
@@ -261,15 +267,14 @@
         }
     };
     take(&mut copy, tail, pool).map_err(failed)?;
-    copy.drop_staging(&options.regions);
+    // A whole state that a kill cut off is never completed.
+    copy.drop_staging(Conn(0));
     Ok(copy)
 }
 
 fn take(copy: &mut Copy, bodies: &[Vec<u8>], mut pool: Option<&mut Pool>) -> Result<(), Refusal> {
     for body in bodies {
-        let unreadable = Refusal::Versions { region: 0, what: "a record that cannot be read" };
-        let message = Message::read(body).ok_or(unreadable)?;
-        copy.take(message, pool.as_deref_mut())?;
+        copy.restore(body, pool.as_deref_mut())?;
     }
     Ok(())
 }
--- a/crates/planelink/src/net.rs
+++ b/crates/planelink/src/net.rs
@@ -141,7 +141,9 @@
 
     /// Ends a connection once what was to be written is written.
     pub(crate) fn close(&mut self, conn: Conn, now: Micros) {
-        let Some(connection) = self.connections.get_mut(&conn.0).filter(|c| c.stage == Stage::Up) else { return };
+        let Some(connection) = self.connections.get_mut(&conn.0).filter(|c| c.stage == Stage::Up) else {
+            return;
+        };
         // Danger: one that takes nothing would hold its descriptor for ever.
         let until = now + CLOSING;
         (connection.stage, connection.held) = (Stage::Closing(until), false);
@@ -166,7 +168,8 @@
         if self.acceptable {
             until = until.min(self.accept_at);
         }
-        let waits = self.later.is_empty() && self.failed.is_empty() && self.due.is_empty() && self.line.is_empty();
+        let waits =
+            self.later.is_empty() && self.failed.is_empty() && self.due.is_empty() && self.line.is_empty();
         let wait = if waits { until.saturating_sub(now).clamp(0, LONGEST) } else { 0 };
         match self.poll.poll(&mut self.events, Some(Duration::from_micros(wait as u64))) {
             Err(error) if error.kind() != ErrorKind::Interrupted => return Err(error),
@@ -208,7 +211,9 @@
             if let Some((at, id)) = self.deadlines.first().copied().filter(|(at, _)| *at <= now) {
                 self.deadlines.remove(&(at, id));
                 match self.remove(id) {
-                    Some(Connection { stage: Stage::Rising(_), tag, .. }) => return Some(Event::Failed { tag }),
+                    Some(Connection { stage: Stage::Rising(_), tag, .. }) => {
+                        return Some(Event::Failed { tag });
+                    }
                     _ => continue,
                 }
             }
@@ -325,7 +330,8 @@
         while let Some(id) = self.due.pop_front() {
             let Some(connection) = self.connections.get_mut(&id) else { continue };
             connection.is_due = false;
-            let (conn, tag, closing) = (Conn(id), connection.tag, matches!(connection.stage, Stage::Closing(_)));
+            let (conn, tag, closing) =
+                (Conn(id), connection.tag, matches!(connection.stage, Stage::Closing(_)));
             match connection.flush() {
                 Ok(bytes) => {
                     self.bytes_out += bytes as u64;
--- a/crates/planelink/src/options.rs
+++ b/crates/planelink/src/options.rs
@@ -101,7 +101,10 @@
 
 impl fmt::Debug for MachineRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("MachineRun").field("name", &self.name).field("listen", &self.listen).finish_non_exhaustive()
+        f.debug_struct("MachineRun")
+            .field("name", &self.name)
+            .field("listen", &self.listen)
+            .finish_non_exhaustive()
     }
 }
 
--- a/crates/planelink/src/proposer.rs
+++ b/crates/planelink/src/proposer.rs
@@ -79,7 +79,8 @@
         let end = Instant::now() + timeout;
         self.asked += 1;
         let asked = self.asked;
-        let question = channel::ask(asked, KIND, peer::wire::encode(proposal)).ok_or(ProposeError::TooLong)?;
+        let question =
+            channel::ask(asked, KIND, peer::wire::encode(proposal)).ok_or(ProposeError::TooLong)?;
         self.write(&question)?;
         loop {
             match self.word(end)? {
--- a/crates/planelink/src/record_file.rs
+++ b/crates/planelink/src/record_file.rs
@@ -24,8 +24,7 @@
         let path = folder.join(name);
         let failed = |error| RunError::Records { path: path.clone(), error };
         std::fs::create_dir_all(folder).map_err(failed)?;
-        let mut file =
-            File::options().read(true).append(true).create(true).open(&path).map_err(failed)?;
+        let mut file = File::options().read(true).append(true).create(true).open(&path).map_err(failed)?;
         let whole = end_of_lines(&mut file).map_err(failed)?;
         file.set_len(whole).map_err(failed)?;
         Ok(RecordFile { file: Some((path, file)), lines: Vec::new() })
--- a/crates/planelink/src/store.rs
+++ b/crates/planelink/src/store.rs
@@ -137,7 +137,8 @@
     /// Whether the base that bears the name now is of this number, or that cannot be found out.
     fn has_number(&self, number: u64) -> bool {
         let mut head = [0; 16];
-        let read = std::fs::File::open(&self.base).and_then(|mut file| io::Read::read_exact(&mut file, &mut head));
+        let read =
+            std::fs::File::open(&self.base).and_then(|mut file| io::Read::read_exact(&mut file, &mut head));
         match read {
             Ok(()) => head[8..] == number.to_le_bytes(),
             Err(error) => error.kind() != io::ErrorKind::NotFound,
