--- a/crates/planelink/examples/copy_cost.rs
+++ b/crates/planelink/examples/copy_cost.rs
@@ -67,9 +67,10 @@
     for nodes in NODES {
         let folder = tempfile::tempdir()?;
         child(&["make", &nodes.to_string()], folder.path())?;
+        // Before changes are kept behind it.
+        let whole: Cost = serde_json::from_str(&child(&["whole"], folder.path())?)?;
         let mut cost: Cost = serde_json::from_str(&child(&["hold"], folder.path())?)?;
         (cost.nodes, cost.shards, cost.members) = (nodes, nodes / 3, nodes / 6);
-        let whole: Cost = serde_json::from_str(&child(&["whole"], folder.path())?)?;
         (cost.whole_cpu_us, cost.whole_wire_bytes) = (whole.whole_cpu_us, whole.whole_wire_bytes);
         println!("{}", serde_json::to_string(&cost)?);
     }
