No delta of the control plane is ever cut: what one message does not hold is served whole

Cause: feed.rs, delta(), the break at PIECE. Now all behind a cursor goes into one frame or the whole state is sent.

--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -7,12 +7,14 @@
 
 use crate::Micros;
 use crate::copy::Copy;
-use crate::entry::{Cursor, Region, Stamp};
+use crate::entry::{Cursor, Entry, Region};
 use crate::frozen::{Frozen, PIECE, weight};
 use crate::index::Index;
 use crate::io::{Conn, Counts};
 use crate::message::{Message, WireEntry};
 
+/// Bytes of entries in a delta, about: with what is around them it fits a frame.
+const DELTA: usize = 160 << 10;
 /// Deltas that are kept for others who stand at the same cursor.
 const MADE: usize = 64;
 /// Whole states of a region that are held for their readers at a time.
@@ -304,14 +306,14 @@
         // region as it is.
         let strayed = !source.copy.epochs(region).holds(cursor);
         if cursor == Cursor::default() || cursor.version < index.floor() || strayed {
-            let frozen = self.freeze(region, source, ended)?;
-            self.counts.wholes += 1;
-            return self.step(region, Stand::Whole(frozen, 0), source, ended);
+            return self.whole(region, source, ended);
         }
         if let Some(made) = self.made.get(&(region, cursor)) {
             return Some((Stand::At(made.upto), made.frame.clone()));
         }
-        let made = self.delta(region, cursor, source)?;
+        let Some(made) = self.delta(region, cursor, source) else {
+            return self.whole(region, source, ended);
+        };
         if self.made.len() >= MADE {
             self.made.clear();
         }
@@ -319,22 +321,27 @@
         Some((Stand::At(made.upto), made.frame))
     }
 
+    fn whole(
+        &mut self,
+        region: Region,
+        source: &Source,
+        ended: &mut Vec<Conn>,
+    ) -> Option<(Stand, Arc<[u8]>)> {
+        let frozen = self.freeze(region, source, ended)?;
+        self.counts.wholes += 1;
+        self.step(region, Stand::Whole(frozen, 0), source, ended)
+    }
+
+    /// All that changed behind a cursor, if one message holds it.
+    ///
+    /// Danger: each key comes once, at its latest version. A reader that had a part of it would hold a state that never was, without
+    /// the keys whose versions of before are in none of the parts, and would serve it on. Harm: who missed much gets the whole state.
     fn delta(&mut self, region: Region, after: Cursor, source: &Source) -> Option<Made> {
-        let (at, index) = (source.copy.cursor(region), source.indexes.get(&region)?);
-        let (mut entries, mut bytes, mut upto) = (Vec::new(), 0, at);
-        for entry in index.behind(after.version) {
-            if bytes >= PIECE {
-                upto = entries.last().map_or(at, |last: &WireEntry| Stamp { epoch: last.3, version: last.4 });
-                break;
-            }
-            bytes += weight(entry);
-            entries.push(WireEntry::from_entry(entry));
-        }
+        let (upto, index) = (source.copy.cursor(region), source.indexes.get(&region)?);
+        let entries: Vec<WireEntry> = fitting(index, after)?.into_iter().map(WireEntry::from_entry).collect();
         self.counts.entries_out += entries.len() as u64;
-        // Danger: an entry of an epoch before the copy's cursor cannot end a delta, as the cursor would go back.
-        upto.epoch = upto.epoch.max(after.epoch);
         let epochs = source.copy.epochs(region).between(after.epoch, upto.epoch);
-        let digest = (upto == at).then(|| source.copy.table(region).map(|table| table.digest())).flatten();
+        let digest = source.copy.table(region).map(|table| table.digest());
         let message = Message::Delta { region, after, upto, epochs, entries, digest };
         Some(Made { upto, frame: message.frame()? })
     }
@@ -350,9 +357,8 @@
         let all = self.frozen.entry(region).or_default();
         if let Some(last) = all.back() {
             let upto = last.borrow().upto;
-            let most = last.borrow().count() / 4;
-            let behind = index.behind(upto.version).take(most + 1).count();
-            if upto.version >= index.floor() && behind <= most {
+            // What has changed since then has to fit behind it, or its readers would begin again and again.
+            if upto.version >= index.floor() && fitting(index, upto).is_some() {
                 return Some(last.clone());
             }
         }
@@ -371,3 +377,16 @@
         Some(frozen)
     }
 }
+
+/// The entries behind a cursor, if one message holds them.
+fn fitting(index: &Index, after: Cursor) -> Option<Vec<&Entry>> {
+    let (mut entries, mut bytes) = (Vec::new(), 0);
+    for entry in index.behind(after.version) {
+        bytes += weight(entry);
+        if bytes > DELTA {
+            return None;
+        }
+        entries.push(&**entry);
+    }
+    Some(entries)
+}
--- a/crates/plane/src/frozen.rs
+++ b/crates/plane/src/frozen.rs
@@ -10,9 +10,9 @@
 /// Bytes of entries in one message, about.
 pub(crate) const PIECE: usize = 48 << 10;
 
-/// Bytes of an entry on the wire, about.
+/// Bytes of an entry on the wire, no fewer than it takes.
 pub(crate) fn weight(entry: &Entry) -> usize {
-    24 + entry.key.name.len() + entry.value.as_ref().map_or(0, |value| value.len())
+    40 + entry.key.name.len() + entry.value.as_ref().map_or(0, |value| value.len())
 }
 
 /// A whole state.
@@ -55,11 +55,6 @@
         self.frames.len()
     }
 
-    /// Its entries.
-    pub(crate) fn count(&self) -> usize {
-        self.entries.len()
-    }
-
     /// A message of it: its beginning, its pieces, its end.
     pub(crate) fn message(&self, at: usize) -> Message {
         let region = self.region;
--- a/crates/plane/src/machine/clients.rs
+++ b/crates/plane/src/machine/clients.rs
@@ -120,7 +120,8 @@
     ///
     /// Danger: a writer that stood still while another life of it wrote, or whose disk was put back, would give versions that
     /// others have seen with other content. They turn it away; it has to know. Any gateway's word only raises the number of its
-    /// next epoch: one that is damaged must not be able to stop a region's changes. A machine's word ends its writing.
+    /// next epoch: one that is damaged must not be able to stop a region's changes. A machine's word ends its writing, or has it
+    /// begin another epoch where the number is its own.
     fn beyond(
         &mut self,
         from: Option<PeerName>,
@@ -130,9 +131,13 @@
     ) {
         let (region, own) = (self.region, self.copy.cursor(self.region));
         let Some(writer) = &mut self.writer else { return };
-        let later = wanted.iter().filter(|(of, cursor)| *of == region && cursor.epoch > own.epoch);
+        let later = wanted.iter().filter(|(of, cursor)| *of == region && *cursor > own);
         let Some(seen) = later.map(|(_, cursor)| *cursor).max() else { return };
-        let answers = writer.saw(seen.epoch, machine);
+        if seen.epoch == own.epoch && machine {
+            // A number that was given twice, after a disk was lost: what was written under it before is another line.
+            writer.begin_anew();
+        }
+        let answers = writer.saw(seen.epoch, own.epoch, machine);
         self.answer(answers, out);
         let why = format!("it holds {seen} of this writer's region, which wrote no further than {own}");
         self.tell(from, why, out);
--- a/crates/plane/src/writer.rs
+++ b/crates/plane/src/writer.rs
@@ -75,14 +75,21 @@
         self.stage == Stage::Recovering
     }
 
-    /// Somebody holds a later epoch of the region than this one. The next epoch is above it; if a machine said so and this one
-    /// writes, whoever wrote it goes before, and this one writes no more: answers to those who wait.
-    pub fn saw(&mut self, epoch: Epoch, machine: bool) -> Vec<(Conn, u64, Proposed)> {
+    /// Somebody holds more of this writer's epoch than it wrote: another epoch begins.
+    pub fn begin_anew(&mut self) {
+        if self.stage == Stage::Open {
+            self.stage = Stage::Recovering;
+        }
+    }
+
+    /// Somebody holds an epoch of the region, `own` being this one's. The next epoch is above it; if a machine said so, it is later
+    /// and this one writes, whoever wrote it goes before, and this one writes no more: answers to those who wait.
+    pub fn saw(&mut self, epoch: Epoch, own: Epoch, machine: bool) -> Vec<(Conn, u64, Proposed)> {
         if epoch.0 >= SANE {
             return Vec::new();
         }
         self.seen = self.seen.max(epoch);
-        if !machine || self.stage == Stage::Recovering {
+        if !machine || epoch <= own || self.stage == Stage::Recovering {
             return Vec::new();
         }
         self.stage = Stage::Superseded(epoch);
