The control plane's tables in the site file: [control] and its machines, checked

Control machines and gateways need to know who there is, where, and how they follow; until now no file said so. The table holds regions, machines with one writer each, spans and bounds with defaults, and each wrong value is told with line and key, for which tests stand.

--- a/crates/lab/src/replay/site.rs
+++ b/crates/lab/src/replay/site.rs
@@ -52,6 +52,7 @@
             fleet: None,
             repeats: None,
             candidate: None,
+            control: None,
             class: self.classes(day),
             plan: self.plans(day, capacity),
             volume: self.volumes(),
@@ -61,6 +62,7 @@
                     listen: ([127, 0, 0, 1], 0).into(),
                     peer: None,
                     zone: 0,
+                    region: None,
                 })
                 .collect(),
             node: speeds.iter().enumerate().map(|(n, speed)| self.node(n, *speed)).collect(),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -9,6 +9,7 @@
 use crate::lines::{Lines, line};
 use crate::schema::*;
 
+mod control;
 mod day;
 mod fleet;
 
@@ -190,6 +191,7 @@
         self.nodes(s);
         self.volumes(s, &plans, &gateways);
         self.fleet(s);
+        self.control(s);
         self.day(s);
     }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod assemble;
 mod check;
+mod control;
 mod day;
 mod fleet;
 mod lines;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -22,6 +22,8 @@
     pub zone: u32,
     /// Where its peers connect, for `[recovery]` and `[fleet]`; port 0 lets the system choose, and peers are then told otherwise.
     pub peer: Option<SocketAddr>,
+    /// Its region, for `[control]`; left out: the table's.
+    pub region: Option<u16>,
 }
 
 /// A node. The power is a stand-in's; for a node that is somewhere else it does not matter.
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -29,6 +29,8 @@
     pub repeats: Option<CapTable>,
     /// A candidate shard map, tried in the shadow.
     pub candidate: Option<CandidateTable>,
+    /// The control plane; without it nobody follows one.
+    pub control: Option<ControlTable>,
     /// The appliance.
     #[serde(default)]
     pub appliance: Appliance,
--- /dev/null
+++ b/crates/settings/tests/control.rs
@@ -0,0 +1,151 @@
+//! Problems of the control plane's tables are told with line and key, and good ones mean what they say.
+
+use settings::{Problem, Site};
+
+const GOOD: &str = include_str!("../../gateway/tests/site.toml");
+const TABLES: &str = "
+[control]
+region = 1
+spread_ms = 500
+beat_ms = 200
+rate_bytes = 1048576
+
+[[control.machine]]
+name = \"c1\"
+region = 1
+listen = \"127.0.0.1:9001\"
+writer = true
+
+[[control.machine]]
+name = \"c2\"
+region = 1
+listen = \"127.0.0.1:9002\"
+
+[[control.machine]]
+name = \"c3\"
+region = 2
+listen = \"127.0.0.1:9003\"
+writer = true
+
+[[gateway]]
+name = \"gw2\"
+listen = \"127.0.0.1:9010\"
+region = 2
+";
+
+fn text() -> String {
+    GOOD.to_owned() + TABLES
+}
+
+fn problems(text: &str) -> Vec<Problem> {
+    Site::parse(text).expect_err("it has problems")
+}
+
+/// The problems once this stands in place of that, and the line at which it begins.
+fn with(from: &str, to: &str) -> (Vec<Problem>, usize) {
+    let at = TABLES.find(from).unwrap_or_else(|| panic!("no {from}"));
+    let before = GOOD.to_owned() + &TABLES[..at];
+    (problems(&(before.clone() + &TABLES[at..].replacen(from, to, 1))), before.matches('\n').count() + 1)
+}
+
+#[test]
+fn tables_with_their_defaults_are_well_formed() {
+    let site = Site::parse(&text()).expect("well formed");
+    let control = site.control.expect("a table");
+    assert_eq!((control.region, control.spread_ms, control.beat_ms), (1, 500, 200));
+    assert_eq!((control.silence_ms, control.home_ms), (5000, [30_000, 90_000]));
+    assert_eq!((control.subscribers, control.rate_bytes), (1500, 1 << 20));
+    let writers: Vec<&str> = control.machine.iter().filter(|m| m.writer).map(|m| m.name.as_str()).collect();
+    assert_eq!(writers, ["c1", "c3"]);
+    assert_eq!(site.gateway.iter().map(|g| g.region).collect::<Vec<_>>(), [None, Some(2)]);
+}
+
+#[test]
+fn each_wrong_figure_is_told_with_its_line_and_key() {
+    let cases = [
+        ("spread_ms = 500", "spread_ms = 600001", "spread_ms"),
+        ("spread_ms = 500", "longest_ms = 999", "longest_ms"),
+        ("spread_ms = 500", "behind_ms = 9", "behind_ms"),
+        ("beat_ms = 200", "beat_ms = 9", "beat_ms"),
+        ("beat_ms = 200", "beat_ms = 2501", "beat_ms"),
+        ("beat_ms = 200", "beat_ms = 200\nsilence_ms = 399", "silence_ms"),
+        ("beat_ms = 200", "subscriber_beat_ms = 0", "subscriber_beat_ms"),
+        ("beat_ms = 200", "subscriber_silence_ms = 3999", "subscriber_silence_ms"),
+        ("beat_ms = 200", "subscriber_beat_ms = 8000", "subscriber_silence_ms"),
+        ("beat_ms = 200", "home_ms = [2, 1]", "home_ms"),
+        ("beat_ms = 200", "home_ms = [0, 1]", "home_ms"),
+        ("beat_ms = 200", "machine_spread_ms = 600001", "machine_spread_ms"),
+        ("beat_ms = 200", "subscribers = 0", "subscribers"),
+        ("beat_ms = 200", "unsent_bytes = 4095", "unsent_bytes"),
+        ("beat_ms = 200", "pause_ms = 0", "pause_ms"),
+        ("beat_ms = 200", "entries = 0", "entries"),
+        ("beat_ms = 200", "state_bytes = 0", "state_bytes"),
+        ("rate_bytes = 1048576", "rate_bytes = 65535", "rate_bytes"),
+    ];
+    for (from, to, key) in cases {
+        let (found, line) = with(from, to);
+        // One that is wrong by its default beside another figure is told where its table begins.
+        let stands = to.lines().position(|l| l.starts_with(&format!("{key} ="))).map_or(header(), |n| line + n);
+        let key = format!("control.{key}");
+        let told = found.iter().find(|p| p.key == key).unwrap_or_else(|| panic!("{to}: {found:?}"));
+        assert_eq!(told.line, stands, "{to}: {told}");
+    }
+}
+
+/// The line of `[control]`.
+fn header() -> usize {
+    text().lines().position(|l| l == "[control]").expect("a table") + 1
+}
+
+#[test]
+fn a_figure_that_no_span_can_have_is_no_panic() {
+    let (found, _) = with("beat_ms = 200", "beat_ms = 4294967295\nsubscriber_beat_ms = 4294967295");
+    let keys: Vec<&str> = found.iter().map(|p| p.key.as_str()).collect();
+    let wanted = ["silence_ms", "subscriber_silence_ms", "beat_ms", "subscriber_beat_ms"];
+    assert_eq!(keys, wanted.map(|key| format!("control.{key}")), "{found:?}");
+}
+
+#[test]
+fn each_wrong_machine_is_told_with_its_line_and_key() {
+    let cases = [
+        ("name = \"c2\"", "name = \"c1\"", "machine[1].name", "a second control.machine"),
+        ("name = \"c2\"", "name = \"gw1\"", "machine[1].name", "a [[gateway]] is named 'gw1' too"),
+        ("name = \"c2\"", "name = \"c 2\"", "machine[1].name", "is no name"),
+        ("127.0.0.1:9002", "127.0.0.1:9001", "machine[1].listen", "control machine c1 already"),
+        ("127.0.0.1:9002", "127.0.0.1:9010", "machine[1].listen", "gateway gw2 already"),
+        ("127.0.0.1:9002", "127.0.0.1:0", "machine[1].listen", "0 is none"),
+        ("9003\"\nwriter = true", "9003\"\nwriter = false", "machine[2].writer", "region 2 has no writer"),
+        ("9002\"\n", "9002\"\nwriter = true\n", "machine[1].writer", "a writer already, c1"),
+        ("9003\"\n", "9003\"\nwriters = true\n", "machine[2].writers", "unknown field"),
+        ("listen = \"127.0.0.1:9002\"", "listen = \"here\"", "machine[1].listen", "socket address"),
+    ];
+    for (from, to, key, what) in cases {
+        let (found, line) = with(from, to);
+        let key = format!("control.{key}");
+        let told = found.iter().find(|p| p.key == key).unwrap_or_else(|| panic!("{to}: {found:?}"));
+        assert!(told.what.contains(what), "{to}: {told}");
+        assert!((line..=line + 1).contains(&told.line), "{to}: {told}, not {line}");
+    }
+}
+
+#[test]
+fn a_region_without_machines_is_told_where_it_is_named() {
+    let (found, line) = with("region = 1\nspread", "region = 7\nspread");
+    assert_eq!((found[0].line, found[0].key.as_str()), (line, "control.region"), "{found:?}");
+    assert!(found[0].what.contains("no [[control.machine]] is of region 7; there are some of 1, 2"));
+    let (found, _) = with("listen = \"127.0.0.1:9010\"\nregion = 2", "listen = \"127.0.0.1:9010\"\nregion = 9");
+    assert_eq!(found[0].key, "gateway[1].region", "{found:?}");
+    let (found, _) = with("region = 2\nlisten", "region = 0\nlisten");
+    let keys: Vec<&str> = found.iter().map(|p| p.key.as_str()).collect();
+    assert_eq!(keys, ["control.machine[2].region", "gateway[1].region"], "{found:?}");
+}
+
+#[test]
+fn a_table_without_machines_and_a_region_without_the_table_are_told_what_to_do() {
+    let found = problems(&(GOOD.to_owned() + "\n[control]\nregion = 1\n"));
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert!(found[0].what.contains("at least one [[control.machine]] is needed"), "{found:?}");
+    let found = problems(&GOOD.replacen("name = \"gw1\"\n", "name = \"gw1\"\nregion = 1\n", 1));
+    assert_eq!(found.iter().map(|p| p.key.as_str()).collect::<Vec<_>>(), ["gateway[0].region"], "{found:?}");
+    assert!(found[0].what.contains("add [control]"), "{found:?}");
+}
