--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -1,10 +1,14 @@
 //! The commands' arguments.
 
+mod control;
+
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use clap::{Args, Subcommand};
 
+pub use control::*;
+
 /// The site file that every command takes unless it is told another.
 pub const CONFIG: &str = "site.toml";
 /// The folder of a site's state that every command takes unless it is told another.
--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -134,6 +134,8 @@
     Revive(SiteAt),
     /// Show how far a gateway has come back after a loss of power, or force it; docs/recovery.md
     Recovery(RecoveryArgs),
+    /// The control plane: run its machines, change what it holds, measure it; docs/control-plane.md
+    Control(ControlArgs),
     /// Stop a site in order, or tell one gateway to answer all and leave
     Stop(At),
     /// Write a commented site file
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -4,6 +4,7 @@
 
 mod arguments;
 mod command;
+mod control_plane;
 mod day;
 mod load;
 mod log;
@@ -67,6 +68,7 @@
         Command::Log { at, most } => operate::log(&at, most),
         Command::Revive(at) => operate::revive(&at),
         Command::Recovery(args) => show::recovery(&args.verb),
+        Command::Control(args) => control_plane::run(&args.verb),
         Command::Stop(at) => show::stop(&at),
         Command::Init(args) => setup::init(&args),
         Command::Doctor { config, state } => setup::doctor(&config, &state),
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -38,7 +38,7 @@
 }
 
 /// Ends the process once standard input closes: its parent is gone.
-fn end_with_parent() {
+pub fn end_with_parent() {
     std::thread::spawn(|| {
         let mut rest = [0; 64];
         while matches!(std::io::stdin().read(&mut rest), Ok(n) if n > 0) {}
--- a/crates/crowbay/tests/common/mod.rs
+++ b/crates/crowbay/tests/common/mod.rs
@@ -3,5 +3,6 @@
 #![allow(dead_code)]
 
 pub mod client;
+pub mod machine;
 pub mod process;
 pub mod stage;
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -92,6 +92,11 @@
     settling: HashMap<Ticket, InHand>,
     /// Starts of nodes as listed.
     starts: HashMap<NodeId, Micros>,
+    /// States of nodes as listed and ordered, whatever the control plane drains.
+    ordered: HashMap<NodeId, NodeState>,
+    /// Nodes that the control plane drains, by name.
+    drains: BTreeSet<String>,
+    follower: Option<Arc<Follower>>,
     stopped: Vec<thread_mpsc::Sender<()>>,
 }
 
@@ -127,6 +132,9 @@
             together,
             settling: HashMap::new(),
             starts: HashMap::new(),
+            ordered: HashMap::new(),
+            drains: BTreeSet::new(),
+            follower: None,
             stopped: Vec::new(),
             options,
         }
@@ -238,6 +246,7 @@
             self.association_ended(cntlid);
         }
         for node in self.core.forget_gone() {
+            self.ordered.remove(&node);
             if let Some(link) = self.links.remove(&node) {
                 link.end();
             }
--- a/crates/gateway/src/engine/orders.rs
+++ b/crates/gateway/src/engine/orders.rs
@@ -1,6 +1,6 @@
 //! The node list, and orders in force.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use bytes::Bytes;
 use decisions::{NodeId, NodeState};
@@ -19,6 +19,7 @@
             let node = self.core.node_id(&line.name);
             let state = NodeState::from(line.state);
             self.starts.insert(node, line.started);
+            self.ordered.insert(node, state);
             if state != NodeState::Gone {
                 self.link_to(node, line);
             }
@@ -26,7 +27,7 @@
                 name: line.name.clone(),
                 zone: line.zone,
                 shard: line.shard,
-                state,
+                state: steered(&self.drains, &line.name, state),
                 started: {
                     let listed = (line.started > 0).then_some(line.started);
                     self.returning.as_ref().map_or(listed, |r| r.started(listed))
@@ -80,23 +81,22 @@
 
     /// States the list again, with nodes drained or not as told; of the others nothing changes but what holds for all starts.
     pub(super) fn restate(&mut self, now: Micros, drained: impl Fn(&str) -> Option<bool>) {
-        let listed: Vec<ListedNode> = self
-            .core
-            .node_views()
-            .values()
-            .filter(|n| n.state != NodeState::Gone)
-            .map(|n| ListedNode {
+        let mut listed = Vec::new();
+        for (id, n) in self.core.node_views().iter().filter(|(_, n)| n.state != NodeState::Gone) {
+            let ordered = match drained(&n.name) {
+                Some(true) => NodeState::Draining,
+                Some(false) => NodeState::On,
+                None => self.ordered.get(id).copied().unwrap_or(n.state),
+            };
+            self.ordered.insert(*id, ordered);
+            listed.push(ListedNode {
                 name: n.name.clone(),
                 zone: n.zone,
                 shard: n.shard,
-                state: match drained(&n.name) {
-                    Some(true) => NodeState::Draining,
-                    Some(false) => NodeState::On,
-                    None => n.state,
-                },
+                state: steered(&self.drains, &n.name, ordered),
                 started: self.returning.as_ref().map_or(n.started, |r| r.started(n.started)),
-            })
-            .collect();
+            });
+        }
         self.core.nodes(now, false, false, &listed, &mut self.effects);
     }
 
@@ -120,3 +120,8 @@
         }
     }
 }
+
+/// A node's state, as ordered and as the control plane has it: a drain of either stands over a list that says *on*.
+fn steered(drains: &BTreeSet<String>, node: &str, ordered: NodeState) -> NodeState {
+    if ordered == NodeState::On && drains.contains(node) { NodeState::Draining } else { ordered }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod company;
 mod connection;
+mod drains;
 mod engine;
 mod entry;
 mod front;
