The control plane in a gateway's status, as JSON and as a line

Operators have to see whom a gateway follows and up to which version it holds each region. Status gets the table control and console and status its line; not compiled yet.

--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -6,11 +6,14 @@
 use repeats::ShardState;
 use shadow::Enough;
 
-/// The view, the cap and the candidate of a gateway, as far as it has them; most remarkable last in each line.
+use crate::control::control_line;
+
+/// The control plane, the view, the cap and the candidate of a gateway, as far as it has them; most remarkable last in each line.
 pub fn fleet_lines(s: &Status) -> Vec<String> {
+    let control = s.control.iter().map(|c| control_line(c, s.now));
     let fleet = s.fleet.iter().map(|f| view(f, s.now));
     let repeats = s.repeats.iter().flat_map(cap);
-    fleet.chain(repeats).chain(s.shadow.iter().map(candidate)).collect()
+    control.chain(fleet).chain(repeats).chain(s.shadow.iter().map(candidate)).collect()
 }
 
 fn seconds(span: i64) -> String {
--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -8,6 +8,7 @@
 #![warn(missing_docs)]
 
 mod app;
+mod control;
 mod draw;
 mod fleet;
 mod line;
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod look;
 mod orders;
+mod following;
 mod shadow;
 
 use std::collections::{BTreeSet, HashMap};
--- a/crates/gateway/src/engine/look.rs
+++ b/crates/gateway/src/engine/look.rs
@@ -119,6 +119,7 @@
             fleet: self.fleet_status(),
             repeats: self.repeats_status(now),
             shadow: self.shadow_status(),
+            control: self.control_status(),
             nodes: nodes.collect(),
             volumes: volumes.collect(),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,7 @@
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
 pub use returning::ReturnOptions;
 pub use status::{
-    ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
-    RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
+    ControlAnswer, ControlRequest, ControlStatus, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus,
+    NodeStatus, RegionStatus, RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
 };
 pub use together::TogetherOptions;
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,5 +1,6 @@
 //! What the control socket carries.
 
+mod control;
 mod fleet;
 
 use serde::{Deserialize, Serialize};
@@ -7,6 +8,7 @@
 
 use crate::options::{NodeLine, NodeLineState};
 
+pub use control::{ControlStatus, RegionStatus};
 pub use fleet::{FleetStatus, MemberStatus, NodeFactStatus, RepeatsStatus, ShadowStatus};
 
 /// A request on the control socket.
@@ -167,6 +169,9 @@
     /// The candidate shard map that is tried; none: there is none.
     #[serde(default)]
     pub shadow: Option<ShadowStatus>,
+    /// The control plane's state as it holds it; none: it follows none.
+    #[serde(default)]
+    pub control: Option<ControlStatus>,
     /// Nodes.
     pub nodes: Vec<NodeStatus>,
     /// Volumes.
