The gateway follows the control plane, by planelink's signatures

With [control] the gateway starts a follower on a thread of its own, with DIR/control as its folder, and the engine carries out drains that entries state; keys of the site file that planelink has no use for are left out.

--- a/crates/console/src/control.rs
+++ b/crates/console/src/control.rs
@@ -19,6 +19,9 @@
         c.wholes,
         c.turned_away
     );
+    if !c.kept {
+        line += "; NOT KEPT on its disk";
+    }
     if !c.drains.is_empty() {
         line += &format!("; it drains {}", c.drains.join(", "));
     }
--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -121,7 +121,7 @@
     /// Seed of the module's randomness; left out: from the clock
     #[arg(long)]
     pub seed: Option<u64>,
-    /// Folder of what it has to know after a loss of power; for a site with [recovery] or [fleet]. Left out: site.state/NAME
+    /// Folder of what it has to know after a start; for a site with [recovery], [fleet] or [control]. Left out: site.state/NAME
     #[arg(long)]
     pub state: Option<PathBuf>,
     /// JSON file with addresses of peers, {"NAME": "ADDRESS"}, in place of the site file's
--- a/crates/crowbay/src/control_plane.rs
+++ b/crates/crowbay/src/control_plane.rs
@@ -7,10 +7,10 @@
 use std::time::Duration;
 
 use peer::PeerName;
-use plane::{Change, Key, Proposal, ProposalError, Region};
-use planelink::Proposer;
+use plane::{Change, Key, Micros, Proposal, ProposalError, Region};
+use planelink::{ProposeError, Proposer};
 use records::Clock;
-use settings::{ControlTable, HollowPlace, Site};
+use settings::{ControlTable, Site};
 use signal_hook::consts::{SIGINT, SIGTERM};
 
 use crate::command::{ControlVerb, HollowArgs, MachineArgs, PutArgs, STATE};
@@ -62,7 +62,8 @@
     let unknown = || wrong(&args.config, format!("no [[control.machine]] is named '{}'", args.name));
     let index = index.ok_or_else(unknown)?;
     let folder = args.state.clone().unwrap_or_else(|| Path::new(STATE).join(&args.name));
-    let run = site.machine_run(&table, index, folder, args.records.clone(), seed(args.seed));
+    let mut run = table.machine_run(site.number(), index, folder);
+    (run.records, run.seed) = (args.records.clone(), seed(args.seed));
     let stop = told_to_stop()?;
     if args.with_parent {
         serve::end_with_parent();
@@ -78,16 +79,14 @@
     if !table.machine.iter().any(|m| m.region == region) {
         return Err(no_region(&args.config, region));
     }
-    let place = HollowPlace {
-        process: args.process.clone(),
-        region,
-        names: args.names.0.clone(),
-        folder: args.state.clone(),
-        records: args.records.clone(),
-        seed: seed(args.seed),
-        stuck: args.stuck.map(|s| (s.every, s.from_ms, s.for_ms)),
-    };
-    let run = site.hollow_run(&table, place);
+    let names = args.names.0.iter().cloned().map(PeerName).collect();
+    let mut run = table.hollow_run(site.number(), region, &args.process, names, args.state.clone());
+    (run.records, run.seed) = (args.records.clone(), seed(args.seed));
+    run.stuck = args.stuck.map(|s| planelink::Stuck {
+        every: s.every,
+        from: Micros::from(s.from_ms) * 1000,
+        span: Micros::from(s.for_ms) * 1000,
+    });
     let stop = told_to_stop()?;
     if args.with_parent {
         serve::end_with_parent();
@@ -108,23 +107,24 @@
     let value = args.value.as_ref().map(|value| value.as_bytes().to_vec().into());
     let change = Change { owner, kind: args.kind, name: args.name.as_str().into(), value };
     let within = Duration::from_secs_f64(args.seconds);
-    let at = |what: String| format!("{} at {}: {what}", writer.name, writer.listen);
+    let unanswered = |error: ProposeError| {
+        let code = if matches!(error, ProposeError::TooLong) { USAGE } else { 1 };
+        Failure { code, what: format!("{}: {error}", writer.name) }
+    };
     let name = PeerName(format!("put-{}", std::process::id()));
-    let mut proposer = Proposer::connect(writer.listen, site.number(), name)
-        .map_err(|e| Failure { code: 1, what: at(e.to_string()) })?;
-    let proposed = proposer
-        .propose(&Proposal { changes: vec![change] }, within)
-        .map_err(|e| Failure { code: 1, what: at(e.to_string()) })?;
+    let mut proposer = Proposer::connect(writer.listen, site.number(), &name).map_err(unanswered)?;
+    let proposed = proposer.propose(&Proposal { changes: vec![change] }, within).map_err(unanswered)?;
     let stamps = proposed.map_err(|error| {
         let code = match error {
             ProposalError::Recovering(_) | ProposalError::Busy => NOT_NOW,
             ProposalError::Bound { .. } => USAGE,
             _ => 1,
         };
-        Failure { code, what: at(format!("turned down: {error}")) }
+        Failure { code, what: format!("{} turned it down: {error}", writer.name) }
     })?;
     let Some(stamp) = stamps.first() else {
-        return Err(Failure { code: 1, what: at("it answered without a version; is it of another one?".into()) });
+        let what = format!("{} answered without a stamp; is it of another version?", writer.name);
+        return Err(Failure { code: 1, what });
     };
     if args.json {
         let shown = serde_json::json!({
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -72,6 +72,7 @@
         Some(path) => json_file(path)?,
         None => BTreeMap::new(),
     };
+    options.plane = site.follow_options(index, folder.join("control"), seed);
     options.company = site.company_options(index, folder, &told);
     if let Some(returning) = options.company.as_mut().and_then(|c| c.returning.as_mut()) {
         returning.mark = args.mark;
--- a/crates/gateway/src/drains.rs
+++ b/crates/gateway/src/drains.rs
@@ -2,7 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use plane::{Entry, Key, Kind, Region, Taken};
+use plane::{Entry, Key, Kind, Region};
+use planelink::Followed;
 use serde::Deserialize;
 
 /// What an entry says of a node, as far as it concerns a gateway; later versions may say more.
@@ -36,22 +37,19 @@
         self.by_node.keys().map(|name| name.to_string()).collect()
     }
 
-    /// Takes what came into force; whether other nodes drain now.
-    pub(crate) fn take(&mut self, taken: &Taken) -> bool {
-        match taken {
-            Taken::Delta { changed, .. } => {
-                changed.iter().fold(false, |other, entry| self.put(entry) || other)
-            }
-            Taken::Whole { entries, gone, .. } => {
-                let without = gone.iter().fold(false, |other, entry| self.forget(&entry.key) || other);
-                entries.iter().fold(without, |other, entry| self.put(entry) || other)
-            }
-            Taken::Staged | Taken::Known | Taken::Behind { .. } | Taken::Busy(_) => false,
-        }
+    /// Takes what is in force; whether other nodes drain now.
+    pub(crate) fn take(&mut self, followed: &Followed) -> bool {
+        let (gone, entries) = match followed {
+            Followed::Restored { entries, .. } | Followed::Changed { changed: entries, .. } => (&[][..], entries),
+            Followed::Whole { entries, gone, .. } => (&gone[..], entries),
+            Followed::Level(_) | Followed::TurnedAway { .. } => return false,
+        };
+        let without = gone.iter().fold(false, |other, entry| self.forget(&entry.key) || other);
+        entries.iter().fold(without, |other, entry| self.put(entry) || other)
     }
 
     /// Takes an entry, a deletion among them; whether another node or none drains now.
-    pub(crate) fn put(&mut self, entry: &Entry) -> bool {
+    fn put(&mut self, entry: &Entry) -> bool {
         if entry.key.kind != Kind::Node {
             return false;
         }
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -26,6 +26,7 @@
 
 use crate::company::Company;
 use crate::connection::{Connection, ConnectionId};
+use crate::following::Following;
 use crate::front::Front;
 use crate::link::Link;
 use crate::message::{Inbox, Message};
@@ -64,6 +65,15 @@
     asked: Option<Asked>,
 }
 
+/// What a gateway has by its site's tables.
+#[derive(Default)]
+pub(crate) struct Parts {
+    pub(crate) company: Option<Company>,
+    pub(crate) returning: Option<Returning>,
+    pub(crate) together: Option<Together>,
+    pub(crate) following: Option<Following>,
+}
+
 pub(crate) struct Engine {
     options: GatewayOptions,
     address: String,
@@ -97,7 +107,7 @@
     ordered: HashMap<NodeId, NodeState>,
     /// Nodes that the control plane drains, by name.
     drains: BTreeSet<String>,
-    follower: Option<Arc<Follower>>,
+    following: Option<Following>,
     stopped: Vec<thread_mpsc::Sender<()>>,
 }
 
@@ -107,8 +117,9 @@
         address: String,
         front: Arc<Front>,
         inbox: Inbox,
-        (company, returning, together): (Option<Company>, Option<Returning>, Option<Together>),
+        parts: Parts,
     ) -> Self {
+        let Parts { company, returning, together, following } = parts;
         let core = Core::new(options.catalogue.clone(), options.seed);
         Engine {
             core,
@@ -135,7 +146,7 @@
             starts: HashMap::new(),
             ordered: HashMap::new(),
             drains: BTreeSet::new(),
-            follower: None,
+            following,
             stopped: Vec::new(),
             options,
         }
@@ -224,6 +235,7 @@
             Message::AssociationEnded(cntlid) => self.association_ended(cntlid),
             Message::Ended(attempt, end) if Trial::is_copy(attempt) => self.copied(now, attempt, &end),
             Message::Ended(attempt, end) => self.over(now, attempt, end),
+            Message::Drains(nodes) => self.drained(now, nodes),
             Message::Candidate(candidate) => self.try_instead(now, candidate.map(|c| *c)),
             Message::Control(request, reply) => {
                 let answer = self.control(now, request);
@@ -267,6 +279,9 @@
             });
         }
         self.sights(now);
+        if let Some(following) = &mut self.following {
+            following.watch(now);
+        }
         let views = self.core.node_views();
         self.links.retain(|id, link| {
             link.watch();
--- a/crates/gateway/src/engine/following.rs
+++ b/crates/gateway/src/engine/following.rs
@@ -1,4 +1,4 @@
-//! What the control plane says, carried out as operators' orders are.
+//! What the control plane says of nodes, carried out as operators' orders are.
 
 use std::collections::BTreeSet;
 
@@ -8,7 +8,7 @@
 use crate::status::ControlStatus;
 
 impl Engine {
-    /// Other nodes than before are drained by the control plane's entries; the rest of the list stands as it was ordered.
+    /// These nodes and no others are drained by the control plane's entries; the rest of the list stands as it was ordered.
     pub(super) fn drained(&mut self, now: Micros, nodes: BTreeSet<String>) {
         for node in nodes.difference(&self.drains) {
             tracing::info!(node, "the control plane drains a node");
@@ -22,7 +22,6 @@
 
     /// What operators see of it.
     pub(super) fn control_status(&self) -> Option<ControlStatus> {
-        let look = self.follower.as_ref()?.look();
-        Some(ControlStatus::of(look, &self.drains))
+        Some(self.following.as_ref()?.status(&self.drains))
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,7 +15,8 @@
 use records::Clock;
 
 use crate::company::Company;
-use crate::engine::Engine;
+use crate::engine::{Engine, Parts};
+use crate::following::Following;
 use crate::front::Front;
 use crate::membership::Snapshot;
 use crate::message::{Inbox, Message};
@@ -40,6 +41,9 @@
     /// Its peers.
     #[error(transparent)]
     Peers(#[from] peerlink::StartError),
+    /// Its state of the control plane.
+    #[error(transparent)]
+    Plane(#[from] planelink::RunError),
     /// Its journal of work in hand.
     #[error(transparent)]
     Journal(#[from] filelog::LogError),
@@ -104,7 +108,7 @@
         let ticks = inbox.clone();
         let ticker =
             Ticker::start(front.clock, move || ticks.send(Message::Tick)).map_err(GatewayError::Start)?;
-        let (mut company, mut returning, mut together) = (None, None, None);
+        let mut parts = Parts::default();
         if let Some(c) = options.company.take() {
             let names = c.peers.peers.iter().map(|p| p.0.clone()).collect();
             let folder = c.peers.folder.clone();
@@ -112,19 +116,21 @@
             if let Some(r) = &c.returning {
                 let (catalogue, seed, now) = (&options.catalogue, options.seed, front.clock.now());
                 let company = (peers.clone(), names, folder.as_path());
-                returning = Some(Returning::start(r, company, catalogue, seed, now, inbox.clone())?);
+                parts.returning = Some(Returning::start(r, company, catalogue, seed, now, inbox.clone())?);
             }
             if let Some(t) = c.together {
                 let volumes = options.target.namespaces.iter().map(|ns| ns.nsid).collect();
                 let (now, seed) = (front.clock.now(), options.seed);
-                together = Some(Together::start(t, &peers, &folder, volumes, now, seed)?);
+                parts.together = Some(Together::start(t, &peers, &folder, volumes, now, seed)?);
             }
-            company = Some(peers);
+            parts.company = Some(peers);
+        }
+        if let Some(plane) = options.plane.take() {
+            parts.following = Some(Following::start(plane, front.clock.now(), inbox.clone())?);
         }
-        let peer_address = company.as_ref().map(Company::address);
-        let view = together.as_ref().map(|t| t.membership.snapshot());
-        let (place, parts) = (address.to_string(), (company, returning, together));
-        let engine = Engine::new(options, place, front.clone(), inbox.clone(), parts);
+        let peer_address = parts.company.as_ref().map(Company::address);
+        let view = parts.together.as_ref().map(|t| t.membership.snapshot());
+        let engine = Engine::new(options, address.to_string(), front.clone(), inbox.clone(), parts);
         let (over, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod drains;
 mod engine;
 mod entry;
+mod following;
 mod front;
 mod gateway;
 mod hand;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -1,5 +1,6 @@
 //! What reaches the engine, and the way to it.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::mpsc as thread_mpsc;
 
@@ -36,6 +37,8 @@
     },
     /// What a peer said or did.
     Peer(peer::Told),
+    /// Nodes that the control plane drains, and no others.
+    Drains(BTreeSet<String>),
     /// Another candidate is to be tried, or none.
     Candidate(Option<Box<shadow::ShadowOptions>>),
     Control(ControlRequest, thread_mpsc::Sender<Result<ControlAnswer, String>>),
--- a/crates/gateway/src/options.rs
+++ b/crates/gateway/src/options.rs
@@ -7,6 +7,7 @@
 use crate::company::CompanyOptions;
 use limits::GateOptions;
 use nvme::{Digests, TargetOptions};
+use planelink::FollowOptions;
 use serde::{Deserialize, Serialize};
 use storage_core::{Catalogue, Micros, NodeState};
 
@@ -114,4 +115,6 @@
     pub stop_within: Duration,
     /// It has peers; without them it is open at once, and talks to nobody.
     pub company: Option<CompanyOptions>,
+    /// It follows a control plane; without it, it is told by its list and its operators alone.
+    pub plane: Option<FollowOptions>,
 }
--- a/crates/gateway/src/status/control.rs
+++ b/crates/gateway/src/status/control.rs
@@ -1,6 +1,7 @@
 //! What operators see of the control plane as a gateway follows it.
 
-use plane::{Cursor, Region};
+use std::collections::BTreeSet;
+
 use planelink::FollowLook;
 use serde::{Deserialize, Serialize};
 use storage_core::Micros;
@@ -26,6 +27,8 @@
     pub wholes: u64,
     /// What machines said that was turned away.
     pub turned_away: u64,
+    /// Its disk keeps all that it holds.
+    pub kept: bool,
     /// Nodes that entries drain, by name.
     pub drains: Vec<String>,
 }
@@ -40,3 +43,27 @@
     /// Change.
     pub version: u64,
 }
+
+impl ControlStatus {
+    /// `linked`: when it was seen last with a machine.
+    pub(crate) fn of(look: FollowLook, linked: Micros, drains: &BTreeSet<String>) -> ControlStatus {
+        let regions = look.regions.iter().map(|(region, at)| RegionStatus {
+            region: region.0,
+            epoch: at.epoch.0,
+            version: at.version.0,
+        });
+        ControlStatus {
+            since: look.linked_since.unwrap_or(linked),
+            regions: regions.collect(),
+            machine: look.machine.map(|machine| machine.0),
+            level: look.level,
+            entries: look.entries,
+            bytes_in: look.bytes_in,
+            bytes_out: look.bytes_out,
+            wholes: look.wholes,
+            turned_away: look.turned_away,
+            kept: look.kept,
+            drains: drains.iter().cloned().collect(),
+        }
+    }
+}
--- a/crates/settings/src/assemble.rs
+++ b/crates/settings/src/assemble.rs
@@ -1,5 +1,6 @@
 //! What a checked file means to each part of the program.
 
+mod control;
 mod fleet;
 
 use std::net::SocketAddr;
@@ -204,6 +205,7 @@
             control,
             stop_within: millis(l.stop_within_ms),
             company: None,
+            plane: None,
         })
     }
 
--- a/crates/settings/src/assemble/fleet.rs
+++ b/crates/settings/src/assemble/fleet.rs
@@ -44,7 +44,7 @@
     }
 
     /// What tells this site from another.
-    fn number(&self) -> u64 {
+    pub fn number(&self) -> u64 {
         hash(&format!("{}/{}", self.site.name, self.site.subsystem))
     }
 
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -12,22 +12,12 @@
     pub region: u16,
     /// A gateway that has lost its machine dials the next at a drawn moment within this.
     pub spread_ms: u32,
-    /// Its pauses between rounds over all machines double up to this.
-    pub longest_ms: u32,
-    /// From another machine than its first it goes back after a drawn time between the two.
-    pub home_ms: [u32; 2],
-    /// A machine that knows less than it does is left after so long.
-    pub behind_ms: u32,
-    /// A machine that says nothing for so long is left.
-    pub silence_ms: u32,
-    /// A machine says something to each whom it serves at least this often.
-    pub beat_ms: u32,
-    /// A gateway says something to its machine at least this often.
-    pub subscriber_beat_ms: u32,
-    /// A gateway that says nothing for so long is let go by its machine.
-    pub subscriber_silence_ms: u32,
     /// A machine that has lost another dials again at a drawn moment within this.
     pub machine_spread_ms: u32,
+    /// A machine says something to each whom it serves at least this often.
+    pub beat_ms: u32,
+    /// Who says nothing to a machine for so long is let go.
+    pub silence_ms: u32,
     /// Gateways and machines that one machine serves at a time; more are told to come back.
     pub subscribers: usize,
     /// Bytes a second that a machine sends to all of them.
@@ -49,14 +39,9 @@
         ControlTable {
             region: 1,
             spread_ms: 1000,
-            longest_ms: 10_000,
-            home_ms: [30_000, 90_000],
-            behind_ms: 2000,
-            silence_ms: 5000,
-            beat_ms: 1000,
-            subscriber_beat_ms: 2000,
-            subscriber_silence_ms: 15_000,
             machine_spread_ms: 200,
+            beat_ms: 1000,
+            silence_ms: 15_000,
             subscribers: 1500,
             rate_bytes: 24 << 20,
             unsent_bytes: 64 << 10,
