--- a/crates/crowbay/src/arguments/control.rs
+++ b/crates/crowbay/src/arguments/control.rs
@@ -153,13 +153,20 @@
 
     fn from_str(text: &str) -> Result<Names, String> {
         let Some((first, last)) = text.split_once("..") else {
-            return if text.is_empty() { Err("a name is needed".into()) } else { Ok(Names(vec![text.into()])) };
+            return if text.is_empty() {
+                Err("a name is needed".into())
+            } else {
+                Ok(Names(vec![text.into()]))
+            };
         };
         let digits = |name: &str| name.len() - name.trim_end_matches(|c: char| c.is_ascii_digit()).len();
-        let (one, other) = (first.split_at(first.len() - digits(first)), last.split_at(last.len() - digits(last)));
+        let (one, other) =
+            (first.split_at(first.len() - digits(first)), last.split_at(last.len() - digits(last)));
         let numbers = one.1.parse::<usize>().ok().zip(other.1.parse::<usize>().ok());
         let Some((from, to)) = numbers.filter(|(from, to)| from <= to && one.0 == other.0) else {
-            return Err("both ends need the same name before their numbers, the lower first: g0001..g0180".into());
+            return Err(
+                "both ends need the same name before their numbers, the lower first: g0001..g0180".into()
+            );
         };
         if to - from >= MOST_NAMES {
             return Err(format!("more than {MOST_NAMES} names"));
--- a/crates/crowbay/src/control_plane.rs
+++ b/crates/crowbay/src/control_plane.rs
@@ -100,7 +100,10 @@
     let writer = table.machine.iter().find(|m| m.region == args.region && m.writer);
     let writer = writer.ok_or_else(|| no_region(&args.config, args.region))?;
     if !args.seconds.is_finite() || !(0.001..=3600.0).contains(&args.seconds) {
-        return Err(Failure { code: USAGE, what: format!("--seconds: {} is not from 0.001 to 3600", args.seconds) });
+        return Err(Failure {
+            code: USAGE,
+            what: format!("--seconds: {} is not from 0.001 to 3600", args.seconds),
+        });
     }
     let owner = Region(args.region);
     let key = Key::new(owner, args.kind, &args.name);
--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -23,11 +23,11 @@
 impl Plane {
     /// Nothing is up yet.
     fn dark(machines: &[&str]) -> Plane {
-        let mut tables =
-            "[control]\nspread_ms = 50\nmachine_spread_ms = 20\n".to_owned();
+        let mut tables = "[control]\nspread_ms = 50\nmachine_spread_ms = 20\n".to_owned();
         for (n, name) in machines.iter().enumerate() {
             let (listen, writer) = (free_address(), n == 0);
-            let machine = format!("name = \"{name}\"\nregion = 1\nlisten = \"{listen}\"\nwriter = {writer}\n");
+            let machine =
+                format!("name = \"{name}\"\nregion = 1\nlisten = \"{listen}\"\nwriter = {writer}\n");
             tables += &format!("\n[[control.machine]]\n{machine}");
         }
         let stage = Stage::dark(&GATEWAYS, &stage::site(&GATEWAYS, &(tables + "\n")));
@@ -111,7 +111,10 @@
     let shown = plane.run(&["status", "--control", text(&plane.stage.path("g1"))]);
     let shown = String::from_utf8_lossy(&shown.stdout).into_owned();
     let (epoch, version) = held(&plane.control());
-    assert!(shown.contains("control: c1 for ") && shown.contains(&format!("1: {epoch}.{version}")), "{shown}");
+    assert!(
+        shown.contains("control: c1 for ") && shown.contains(&format!("1: {epoch}.{version}")),
+        "{shown}"
+    );
     assert!(machine.leaves(), "it leaves in order when it is told to");
 }
 
@@ -207,7 +210,10 @@
     let cases: [(&[&str], &str); 6] = [
         (&["control", "machine", "--config", site, "--name", "c9"], "no [[control.machine]] is named 'c9'"),
         (&["control", "put", "--config", site, "--region", "7", "node", "n", "x"], "of region 7"),
-        (&["control", "put", "--config", site, "--region", "1", "nodes", "n", "x"], "it is one of member, node"),
+        (
+            &["control", "put", "--config", site, "--region", "1", "nodes", "n", "x"],
+            "it is one of member, node",
+        ),
         (&["control", "put", "--config", site, "--region", "1", "node", "n"], "<VALUE>"),
         (
             &["control", "hollow", "--config", site, "--names", "g9..g1", "--process", "h", "--state", "x"],
--- a/crates/gateway/src/drains.rs
+++ b/crates/gateway/src/drains.rs
@@ -40,12 +40,16 @@
     /// Takes what is in force; whether other nodes drain now.
     pub(crate) fn take(&mut self, followed: &Followed) -> bool {
         let (gone, entries) = match followed {
-            Followed::Restored { entries, .. } | Followed::Changed { changed: entries, .. } => (&[][..], entries),
+            Followed::Restored { entries, .. } | Followed::Changed { changed: entries, .. } => {
+                (&[][..], entries)
+            }
             Followed::Whole { entries, gone, .. } => (&gone[..], entries),
             Followed::Level(_) | Followed::TurnedAway { .. } => return false,
         };
-        let without = gone.iter().fold(false, |other, entry| self.forget(&entry.key) || other);
-        entries.iter().fold(without, |other, entry| self.put(entry) || other)
+        let mut others = false;
+        gone.iter().for_each(|entry| others |= self.forget(&entry.key));
+        entries.iter().for_each(|entry| others |= self.put(entry));
+        others
     }
 
     /// Takes an entry, a deletion among them; whether another node or none drains now.
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -5,9 +5,9 @@
 mod company;
 mod control;
 mod fleet;
+mod following;
 mod look;
 mod orders;
-mod following;
 mod shadow;
 
 use std::collections::{BTreeSet, HashMap};
--- a/crates/settings/src/check/control.rs
+++ b/crates/settings/src/check/control.rs
@@ -81,7 +81,8 @@
         for (n, machine) in c.machine.iter().enumerate() {
             let key = |name: &str| format!("control.machine[{n}].{name}");
             if s.gateway.iter().any(|g| g.name == machine.name) {
-                let what = format!("a [[gateway]] is named '{}' too, and names tell them apart", machine.name);
+                let what =
+                    format!("a [[gateway]] is named '{}' too, and names tell them apart", machine.name);
                 self.problem(key("name"), what);
             }
             if machine.region == 0 {
--- a/crates/settings/tests/control.rs
+++ b/crates/settings/tests/control.rs
@@ -112,7 +112,8 @@
     let (found, line) = with("region = 1\nspread", "region = 7\nspread");
     assert_eq!((found[0].line, found[0].key.as_str()), (line, "control.region"), "{found:?}");
     assert!(found[0].what.contains("no [[control.machine]] is of region 7; there are some of 1, 2"));
-    let (found, _) = with("listen = \"127.0.0.1:9010\"\nregion = 2", "listen = \"127.0.0.1:9010\"\nregion = 9");
+    let (found, _) =
+        with("listen = \"127.0.0.1:9010\"\nregion = 2", "listen = \"127.0.0.1:9010\"\nregion = 9");
     assert_eq!(found[0].key, "gateway[1].region", "{found:?}");
     let (found, _) = with("region = 2\nlisten", "region = 0\nlisten");
     let keys: Vec<&str> = found.iter().map(|p| p.key.as_str()).collect();
@@ -128,3 +129,34 @@
     assert_eq!(found.iter().map(|p| p.key.as_str()).collect::<Vec<_>>(), ["gateway[0].region"], "{found:?}");
     assert!(found[0].what.contains("add [control]"), "{found:?}");
 }
+
+#[test]
+fn machines_and_gateways_are_told_what_the_tables_say() {
+    let site = Site::parse(&text()).expect("well formed");
+    let table = site.control.clone().expect("a table");
+    let run = table.machine_run(site.number(), 1, "c2.state".into());
+    assert_eq!((run.name.0.as_str(), run.listen.port()), ("c2", 9002));
+    let places: Vec<_> = run.machines.iter().map(|m| (m.name.0.as_str(), m.region.0, m.writer)).collect();
+    assert_eq!(places, [("c1", 1, true), ("c2", 1, false), ("c3", 2, true)]);
+    assert_eq!((run.feed.rate, run.beat, run.spread), (1 << 20, 200_000, 200_000));
+    assert_eq!(run.addresses.values().map(|a| a.port()).collect::<Vec<_>>(), [9001, 9002, 9003]);
+    // Machines of a gateway's own region come first, and it follows all regions.
+    let follows = |index: usize| {
+        let options = site.follow_options(index, "state".into(), 7).expect("it follows");
+        let names = |of: &[peer::PeerName]| of.iter().map(|m| m.0.clone()).collect::<Vec<_>>().join(" ");
+        let regions = options.link.regions.iter().map(|r| r.0).collect::<Vec<_>>();
+        assert_eq!((regions, options.link.spread, options.link.site), (vec![1, 2], 500_000, run.site));
+        (options.name.0, names(&options.link.near), names(&options.link.far), options.seed)
+    };
+    let (first, second) = (follows(0), follows(1));
+    assert_eq!((first.0.as_str(), first.1.as_str(), first.2.as_str()), ("gw1", "c1 c2", "c3"));
+    assert_eq!((second.0.as_str(), second.1.as_str(), second.2.as_str()), ("gw2", "c3", "c1 c2"));
+    assert_ne!(first.3, second.3, "gateways started with one seed do not draw the same");
+    assert!(Site::parse(GOOD).expect("well formed").follow_options(0, "state".into(), 7).is_none());
+}
+
+#[test]
+fn a_file_that_is_written_from_a_site_says_the_same() {
+    let site = Site::parse(&text()).expect("well formed");
+    assert_eq!(Site::parse(&toml::to_string(&site).expect("a text")).expect("well formed"), site);
+}
