--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -38,7 +38,7 @@
 }
 
 /// Ends the process once standard input closes: its parent is gone.
-fn end_with_parent() {
+pub fn end_with_parent() {
     std::thread::spawn(|| {
         let mut rest = [0; 64];
         while matches!(std::io::stdin().read(&mut rest), Ok(n) if n > 0) {}
@@ -72,6 +72,7 @@
         Some(path) => json_file(path)?,
         None => BTreeMap::new(),
     };
+    options.plane = site.follow_options(index, folder.join("control"), seed);
     options.company = site.company_options(index, folder, &told);
     if let Some(returning) = options.company.as_mut().and_then(|c| c.returning.as_mut()) {
         returning.mark = args.mark;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,8 +12,10 @@
 
 mod company;
 mod connection;
+mod drains;
 mod engine;
 mod entry;
+mod following;
 mod front;
 mod gateway;
 mod hand;
@@ -36,7 +38,7 @@
 pub use options::{GatewayOptions, LinkOptions, NodeLine, NodeLineState};
 pub use returning::ReturnOptions;
 pub use status::{
-    ControlAnswer, ControlRequest, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus, NodeStatus,
-    RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
+    ControlAnswer, ControlRequest, ControlStatus, EndedStatus, FleetStatus, MemberStatus, NodeFactStatus,
+    NodeStatus, RegionStatus, RepeatsStatus, RequestStatus, ShadowStatus, Status, VolumeStatus,
 };
 pub use together::TogetherOptions;
