Checker: what a later epoch has cut off may be left for it

A writer whose disk was set back opens an epoch that cuts off what it alone held; holders of that have to come over to the later epoch, which may be at an earlier version. The checker takes that way for good, and any other way back for a break. Not compiled yet.

--- a/crates/planecheck/src/history.rs
+++ b/crates/planecheck/src/history.rs
@@ -78,6 +78,13 @@
         &self.writes[id as usize]
     }
 
+    /// Whether a change is on its region's line, and not cut off by a later epoch.
+    pub(crate) fn is_on_line(&self, id: u32) -> bool {
+        let at = self.write(id).at;
+        let line = self.regions.get(&at.region).map_or(&[][..], |r| &r.line);
+        (at.version as usize).checked_sub(1).and_then(|place| line.get(place)) == Some(&id)
+    }
+
     /// The change of this stamp.
     pub(crate) fn find(&self, region: u16, epoch: u64, version: u64) -> Option<u32> {
         self.by_stamp.get(&(region, epoch, version)).copied()
--- a/crates/planecheck/tests/check/breaks.rs
+++ b/crates/planecheck/tests/check/breaks.rs
@@ -252,6 +252,28 @@
     assert_eq!(anew.broken(), [NotRising], "the version was held already");
 }
 
+#[test]
+fn who_stands_at_what_was_cut_off_may_go_to_the_later_epoch_and_nowhere_else() {
+    let mut cut = good();
+    cut.note(Note::WriterSetBack { t: 6_500_000, region: 1 });
+    cut.add("O 7000000 1 2 3").add(&format!("X 8000000 g1 1 1 1 1/node/a {}", hash(0xa1)));
+    cut.add("G 8000000 g1 1 1/shard/c");
+    let mut back = cut.clone();
+    cut.held(8 * S, "g1", 1, 2, 2).add(&format!("D 9000000 g1 1 1 2 2 2 {}", digest(2)));
+    let verdict = cut.verdict();
+    assert!(verdict.is_good(), "{:?}", verdict.breaks);
+    assert_eq!((verdict.lost_with_disk, verdict.unreached_count), (2, 2));
+    // The earlier epoch is over for it.
+    cut.held(10 * S, "g1", 1, 1, 4);
+    assert_eq!(cut.broken(), [Backward]);
+    back.held(8 * S, "g1", 1, 1, 2);
+    assert_eq!(back.broken(), [Backward]);
+    // Without the later epoch nothing is cut off.
+    let mut uncut = good();
+    uncut.add("O 7000000 1 2 5").held(8 * S, "g1", 1, 2, 2);
+    assert_eq!(uncut.broken(), [Backward]);
+}
+
 #[test]
 fn a_line_that_is_no_fact_is_none() {
     let good_line = format!("D 6000000 g1 1 1 1 4 2 {}", digest(44));
