--- a/crates/planecheck/src/holder.rs
+++ b/crates/planecheck/src/holder.rs
@@ -77,15 +77,15 @@
 impl Holder {
     /// It says something in a life.
     pub(crate) fn lives(&mut self, life: u64, t: Micros) {
-        if self.life == Some(life) {
+        // Danger: a disk that was set back may give a life the number that the one before it had.
+        let set_back = self.set_back.last().is_some_and(|at| *at <= t);
+        if self.life == Some(life) && !set_back {
             return;
         }
         let before = self.life.replace(life);
         self.started = t;
-        let mut set_back = false;
         while self.set_back.last().is_some_and(|at| *at <= t) {
             self.set_back.pop();
-            set_back = true;
         }
         if before.is_none() || set_back {
             self.first = t;
--- a/crates/planecheck/tests/check/breaks.rs
+++ b/crates/planecheck/tests/check/breaks.rs
@@ -105,6 +105,10 @@
     noted.add(&format!("E 7100000 g2 2 1 3 1/shard/c {}", hash(0xc1))).add("E 7100000 g2 2 1 4 1/node/a -");
     noted.held(7_100_000, "g2", 2, 1, 4);
     assert!(noted.verdict().is_good(), "{:?}", noted.verdict().breaks);
+    // Also where the disk had the number of the life before on it.
+    let same_number = |line: &String| line.replace(" g2 2 ", " g2 1 ");
+    let again = Record { lines: noted.lines.iter().map(same_number).collect(), ..noted.clone() };
+    assert!(again.verdict().is_good(), "{:?}", again.verdict().breaks);
     // The next start is held against it again.
     noted.add(&format!("S 8000000 g2 3 1 1 2 2 {}", digest(2)));
     assert_eq!(noted.broken()[0], Backward);
--- a/crates/planelab/src/days/base.rs
+++ b/crates/planelab/src/days/base.rs
@@ -11,7 +11,7 @@
 pub(crate) fn base(stage: &mut Stage<'_>) -> Result<(), DayError> {
     stage.all_machines().into_iter().try_for_each(|machine| stage.start_machine(machine))?;
     stage.until_open()?;
-    let span = stage.begin("base");
+    let span = stage.begin("base")?;
     for region in stage.options.size.regions() {
         let (mut writer, state) = (stage.writer(region)?, stage.state.clone());
         for items in state.of(region).chunks(TOGETHER) {
@@ -21,7 +21,7 @@
     stage.until_level()?;
     stage.end(span)?;
 
-    let mut span = stage.begin("cold-herd");
+    let mut span = stage.begin("cold-herd")?;
     let recorded = |process: usize, stage: &Stage<'_>| process < stage.options.herd_recorded;
     for process in stage.all_hollows() {
         let manner = Manner { recorded: recorded(process, stage), stuck: None };
@@ -37,7 +37,7 @@
     if silent.is_empty() {
         return Ok(());
     }
-    let mut span = stage.begin("clean-restart");
+    let mut span = stage.begin("clean-restart")?;
     let from = stage.now();
     stage.end_hollows(&silent)?;
     silent.iter().try_for_each(|process| stage.start_hollow(*process, RECORDED))?;
--- a/crates/planelab/src/days/burst.rs
+++ b/crates/planelab/src/days/burst.rs
@@ -26,7 +26,7 @@
     change: impl Fn(&Item) -> Change,
 ) -> Result<(), DayError> {
     let mut writer = stage.writer(1)?;
-    let mut span = stage.begin(name);
+    let mut span = stage.begin(name)?;
     for items in items.chunks(TOGETHER) {
         writer.propose(items.iter().map(&change).collect())?;
     }
--- a/crates/planelab/src/days/machines.rs
+++ b/crates/planelab/src/days/machines.rs
@@ -40,7 +40,8 @@
         let numbers: Vec<usize> = stage.all_machines().into_iter().filter(of).collect();
         lose(stage, "region-killed", &numbers, down, &Disk::Kept)?;
     }
-    lose(stage, "all-killed", &stage.all_machines(), all_down, &Disk::Kept)?;
+    let all = stage.all_machines();
+    lose(stage, "all-killed", &all, all_down, &Disk::Kept)?;
     if let Some(reader) = reader {
         lose(stage, "old-disk", &[reader], down, &Disk::Old(&old))?;
         lose(stage, "empty-machine", &[reader], down, &Disk::Lost)?;
@@ -60,7 +61,7 @@
     down: Duration,
     disk: &Disk<'_>,
 ) -> Result<(), DayError> {
-    let mut span = stage.begin(name);
+    let mut span = stage.begin(name)?;
     stage.kill_machines(numbers);
     for number in numbers {
         let (folder, region) = (stage.machines[*number].child.folder.clone(), stage.machines[*number].region);
--- a/crates/planelab/src/days/ordinary.rs
+++ b/crates/planelab/src/days/ordinary.rs
@@ -5,7 +5,7 @@
 
 /// Usual changes for a while.
 pub(crate) fn ordinary(stage: &mut Stage<'_>) -> Result<(), DayError> {
-    let span = stage.begin("ordinary");
+    let span = stage.begin("ordinary")?;
     let traffic = stage.traffic()?;
     stage.pass(stage.options.ordinary)?;
     traffic.stop()?;
--- a/crates/planelab/src/days/restart.rs
+++ b/crates/planelab/src/days/restart.rs
@@ -10,7 +10,7 @@
 
 /// All gateways are killed and come back evenly over a while, under usual changes; then once more with no machine there.
 pub(crate) fn restart(stage: &mut Stage<'_>) -> Result<(), DayError> {
-    let mut span = stage.begin("restart");
+    let mut span = stage.begin("restart")?;
     let traffic = stage.traffic()?;
     let from = stage.now();
     let all = stage.all_hollows();
@@ -25,7 +25,7 @@
     stage.until_level()?;
     stage.end(span)?;
 
-    let mut span = stage.begin("restart-alone");
+    let mut span = stage.begin("restart-alone")?;
     let from = stage.now();
     stage.kill_machines(&stage.all_machines());
     stage.kill_hollows(&all);
--- a/crates/planelab/src/days/short.rs
+++ b/crates/planelab/src/days/short.rs
@@ -10,7 +10,7 @@
 pub(crate) fn short(stage: &mut Stage<'_>) -> Result<(), DayError> {
     super::ordinary(stage)?;
     let traffic = stage.traffic()?;
-    let mut span = stage.begin("machine-back");
+    let mut span = stage.begin("machine-back")?;
     // The last machine is no writer, but where each region has one machine only.
     let last = stage.machines.len() - 1;
     stage.kill_machines(&[last]);
@@ -21,7 +21,7 @@
     stage.note(&Note::Apart { from: span.from, to: stage.now(), holder: None })?;
     stage.end(span)?;
 
-    let mut span = stage.begin("gateways-back");
+    let mut span = stage.begin("gateways-back")?;
     stage.kill_hollows(&[0]);
     let since = span.seconds();
     stage.start_hollow(0, RECORDED)?;
--- a/crates/planelab/src/days/stuck.rs
+++ b/crates/planelab/src/days/stuck.rs
@@ -34,11 +34,15 @@
     let before = stage.machines_resident();
     let traffic = stage.traffic()?;
     stage.until_stuck(true)?;
-    let mut span = stage.begin("stuck");
+    let mut span = stage.begin("stuck")?;
     let mut writer = stage.writer(1)?;
     let items = stage.state.of(1)[..size.burst].to_vec();
     let (mut most, mut bursts) = (stage.machines_resident(), 0_u64);
     while stage.stuck() > 0 {
+        // Readers that are stuck for good are told by the wait.
+        if span.seconds() > 2.0 * stage.options.stuck.as_secs_f64() {
+            stage.until_stuck(false)?;
+        }
         bursts += 1;
         writer.propose(items.iter().map(|item| item.put("set", bursts << 40)).collect())?;
         stage.pass(BURSTS)?;
--- a/crates/planelab/src/line.rs
+++ b/crates/planelab/src/line.rs
@@ -61,6 +61,14 @@
         }
     }
 
+    /// When it was said.
+    pub(crate) fn at(&self) -> Micros {
+        match self {
+            Line::Machine(line) => line.t,
+            Line::Hollow(line) => line.t,
+        }
+    }
+
     /// Whether all is held up to each of these.
     pub(crate) fn holds(&self, wanted: &BTreeMap<u16, Held>) -> bool {
         wanted.iter().all(|(region, held)| self.cursors().get(region).is_some_and(|own| own >= held))
--- a/crates/planelab/src/span.rs
+++ b/crates/planelab/src/span.rs
@@ -39,6 +39,10 @@
     children.fold(Counters::default(), |sum, child| sum.plus(child.counters()))
 }
 
+fn resident<'a>(children: impl Iterator<Item = &'a Child>) -> u64 {
+    children.map(Child::resident).sum()
+}
+
 fn cost(used: Counters, seconds: f64, resident: u64, parts: usize) -> Cost {
     let parts = parts.max(1) as f64;
     let a_second = |bytes: u64| bytes as f64 / seconds / parts;
@@ -52,8 +56,12 @@
 
 impl Stage<'_> {
     /// Begins a span.
-    pub(crate) fn begin(&self, name: &str) -> Span {
-        Span {
+    ///
+    /// # Errors
+    /// A process says nothing.
+    pub(crate) fn begin(&self, name: &str) -> Result<Span, DayError> {
+        self.until_fresh()?;
+        Ok(Span {
             name: name.to_owned(),
             from: self.now(),
             start: Instant::now(),
@@ -62,20 +70,18 @@
             changes: self.ledger.changes(),
             tries: self.ledger.tries(),
             measures: Vec::new(),
-        }
+        })
     }
 
     /// Ends it: a row of the report, and a phase for the checker.
     pub(crate) fn end(&mut self, span: Span) -> Result<(), DayError> {
         self.note(&Note::Phase { from: span.from, to: self.now(), name: span.name.clone() })?;
+        self.until_fresh()?;
         let seconds = span.seconds().max(1e-6);
         let machines = sum(self.machines.iter().map(|m| &m.child)).since(span.machines);
         let hollows = sum(self.hollows.iter().map(|h| &h.child)).since(span.hollows);
-        let resident = |children: &mut dyn Iterator<Item = &Child>| children.map(Child::resident).sum();
-        let (of_machines, of_hollows): (u64, u64) = (
-            resident(&mut self.machines.iter().map(|m| &m.child)),
-            resident(&mut self.hollows.iter().map(|h| &h.child)),
-        );
+        let of_machines = resident(self.machines.iter().map(|m| &m.child));
+        let of_hollows = resident(self.hollows.iter().map(|h| &h.child));
         let row = Row {
             span: span.name,
             seconds,
--- a/crates/planelab/src/stage.rs
+++ b/crates/planelab/src/stage.rs
@@ -314,6 +314,16 @@
         })
     }
 
+    /// Until all that were started have said something that was so when this was called, or later.
+    pub(crate) fn until_fresh(&self) -> Result<(), DayError> {
+        let now = self.now();
+        let names = || self.machines.iter().map(|m| &m.child).chain(self.hollows.iter().map(|h| &h.child));
+        self.wait("all say how they are", self.options.patience, |slots| {
+            let is_old = |slot: &Slot| slot.is_wanted && slot.line.as_ref().is_none_or(|line| line.at() < now);
+            names().zip(slots).find(|(_, slot)| is_old(slot)).map(|(child, _)| format!("{} says nothing", child.name))
+        })
+    }
+
     /// Until some readers are stuck, or none are any more.
     pub(crate) fn until_stuck(&self, some: bool) -> Result<(), DayError> {
         let what = if some { "some readers are stuck" } else { "no reader is stuck" };
--- a/crates/planelab/src/state.rs
+++ b/crates/planelab/src/state.rs
@@ -19,8 +19,7 @@
     /// A change that gives it another value of some 40 bytes. `word` is what it says, `draw` makes it another one.
     pub(crate) fn put(&self, word: &str, draw: u64) -> Change {
         // What a node says is where it listens; of the others only the length matters.
-        let number = draw ^ draw >> 32;
-        let (a, b, c) = (number >> 16 & 0xff, number >> 8 & 0xff, number & 0xff);
+        let [a, b, c, ..] = (draw ^ (draw >> 32)).to_le_bytes();
         let value = match self.kind {
             Kind::Node => format!("10.{a}.{b}.{c}:4420 {word} {draw:016x}"),
             _ => format!("{word} of {} is {draw:016x}", self.name),
--- a/crates/planelab/src/traffic.rs
+++ b/crates/planelab/src/traffic.rs
@@ -35,7 +35,7 @@
         let share = FASTER / DAY / writers.len().max(1) as f64;
         for (region, writer) in writers {
             let (sender, stopped) = mpsc::channel();
-            let (state, random) = (state.clone(), SmallRng::seed_from_u64(seed ^ u64::from(region) << 32));
+            let (state, random) = (state.clone(), SmallRng::seed_from_u64(seed ^ (u64::from(region) << 32)));
             stop.push(sender);
             threads.push(std::thread::spawn(move || {
                 Source { items: state.of(region), writer, random, share, back: Vec::new() }.run(&stopped)
