--- a/crates/planelab/src/child.rs
+++ b/crates/planelab/src/child.rs
@@ -60,7 +60,9 @@
         let log = || File::options().append(true).create(true).open(&self.log).map_err(failed);
         std::fs::create_dir_all(&self.folder).map_err(|e| DayError::Io(self.folder.clone(), e))?;
         let mut command = Command::new(program);
-        command.args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).stderr(log()?);
+        // Its standard input stays open as long as this process lives: whatever becomes of that, nobody is left over.
+        command.args(arguments).arg("--with-parent");
+        command.stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log()?);
         let mut process = command.spawn().map_err(|e| DayError::Start(self.name.clone(), e))?;
         let (number, sort, board) = (self.number, self.sort, self.board.clone());
         let (start, mut unread) = (board.started(number), log()?);
