--- a/crates/planecheck/src/checker.rs
+++ b/crates/planecheck/src/checker.rs
@@ -152,7 +152,9 @@
             };
             for note in &self.options.notes {
                 match note {
-                    Note::Apart { from, to, holder: Some(of) } if of == name => holder.apart.push((*from, *to)),
+                    Note::Apart { from, to, holder: Some(of) } if of == name => {
+                        holder.apart.push((*from, *to))
+                    }
                     Note::SetBack { t, holder: of } if of == name => holder.set_back.push(*t),
                     _ => {}
                 }
@@ -249,7 +251,8 @@
         let write = *self.history.write(id);
         if self.keys.find(entry.key) != Some(write.key) || write.hash != entry.hash {
             let wrote = self.key(write.key);
-            let what = format!("{}: {}; {} of {wrote} was written", stamp(), hash(entry.hash), hash(write.hash));
+            let what =
+                format!("{}: {}; {} of {wrote} was written", stamp(), hash(entry.hash), hash(write.hash));
             return self.found(BreakKind::Unwritten, t, holder, what);
         }
         let part = self.part(t, holder, region);
@@ -290,12 +293,22 @@
 
     fn gone(&mut self, t: Micros, holder: u32, key: &str) {
         let (Some(region), Some(number)) = (owner(key), self.keys.find(key)) else {
-            return self.found(BreakKind::Unwritten, t, holder, format!("{key} is gone, and was never written"));
+            return self.found(
+                BreakKind::Unwritten,
+                t,
+                holder,
+                format!("{key} is gone, and was never written"),
+            );
         };
         let version = self.part(t, holder, region).version;
         let last = self.holders[holder as usize].keys.get(&number).copied();
         if last.is_some_and(Last::is_gone) {
-            return self.found(BreakKind::NotRising, t, holder, format!("{key} is gone, and was gone before"));
+            return self.found(
+                BreakKind::NotRising,
+                t,
+                holder,
+                format!("{key} is gone, and was gone before"),
+            );
         }
         let before = last.map(Last::id).or_else(|| self.history.back(self.history.last(number), version));
         let Some(before) = before else {
--- a/crates/planecheck/src/fact.rs
+++ b/crates/planecheck/src/fact.rs
@@ -124,7 +124,9 @@
         let t = words.number()?;
         let fact = match sort {
             "W" => Fact::Written { t, at: words.cursor()?, key: words.0.next()?, hash: words.hash()? },
-            "O" => Fact::Opened { t, region: words.number()?, epoch: words.number()?, first: words.number()? },
+            "O" => {
+                Fact::Opened { t, region: words.number()?, epoch: words.number()?, first: words.number()? }
+            }
             _ => {
                 let (holder, life) = (words.0.next()?, words.number()?);
                 match sort {
--- a/crates/planecheck/src/history.rs
+++ b/crates/planecheck/src/history.rs
@@ -128,7 +128,8 @@
         if let Some(id) = on_line.filter(|_| !region.is_cut(at.epoch, at.version)) {
             return Some(Place::Line(id));
         }
-        let mut epochs = region.opened.iter().rev().map(|(epoch, _)| *epoch).filter(|epoch| *epoch <= at.epoch);
+        let mut epochs =
+            region.opened.iter().rev().map(|(epoch, _)| *epoch).filter(|epoch| *epoch <= at.epoch);
         epochs.find_map(|epoch| self.find(at.region, epoch, at.version)).map(Place::Off)
     }
 
@@ -167,7 +168,8 @@
         }
         let cut = next - first.max(1);
         self.cut(region, first.max(1));
-        let what = format!("epoch {epoch} opens at {first}, and {cut} versions from there on were written before");
+        let what =
+            format!("epoch {epoch} opens at {first}, and {cut} versions from there on were written before");
         (if set_back { None } else { Some((BreakKind::WrittenTwice, what)) }, cut)
     }
 
@@ -183,16 +185,23 @@
         let mut found = None;
         if last != Some(at.epoch) {
             let latest = last.map_or("none has".to_owned(), |last| format!("{last} is the latest that has"));
-            found = Some((BreakKind::Overtaken, format!("{stamp} is written, and its epoch has not opened: {latest}")));
+            found = Some((
+                BreakKind::Overtaken,
+                format!("{stamp} is written, and its epoch has not opened: {latest}"),
+            ));
             if last.is_none_or(|last| last < at.epoch) {
                 r.opened.push((at.epoch, at.version));
             }
         }
         if at.version > next {
             self.skip(at.region, at.version);
-            found = found.or(Some((BreakKind::Gap, format!("{stamp} is written, and {next} is the next version"))));
+            found = found
+                .or(Some((BreakKind::Gap, format!("{stamp} is written, and {next} is the next version"))));
         } else if at.version < next && found.is_none() {
-            found = Some((BreakKind::WrittenTwice, format!("{stamp} is written, and {next} is the next version")));
+            found = Some((
+                BreakKind::WrittenTwice,
+                format!("{stamp} is written, and {next} is the next version"),
+            ));
         }
         let r = self.regions.entry(at.region).or_default();
         let extends = r.last_epoch() == Some(at.epoch) && at.version == r.line.len() as u64 + 1;
--- a/crates/planecheck/src/holder.rs
+++ b/crates/planecheck/src/holder.rs
@@ -59,7 +59,7 @@
 /// One holder.
 #[derive(Debug, Default)]
 pub(crate) struct Holder {
-    life: Option<u64>,
+    pub(crate) life: Option<u64>,
     /// When it was started first.
     pub(crate) first: Micros,
     /// When this life began.
@@ -102,7 +102,10 @@
         let mut found = None;
         if !part.begun && !fresh && part.version > 0 {
             let held = (part.epoch, part.version);
-            found = Some(format!("region {region}: a life begins with nothing, and {}.{} was held", held.0, held.1));
+            found = Some(format!(
+                "region {region}: a life begins with nothing, and {}.{} was held",
+                held.0, held.1
+            ));
             part.from_disk = 0;
         }
         part.begun = true;
--- a/crates/planecheck/src/lost.rs
+++ b/crates/planecheck/src/lost.rs
@@ -33,7 +33,8 @@
                 }
                 let sort = if write.hash.is_some() { "changed" } else { "was deleted" };
                 let key = checker.key(write.key);
-                let what = format!("{key} {sort} at {}.{} and never did here", write.at.epoch, write.at.version);
+                let what =
+                    format!("{key} {sort} at {}.{} and never did here", write.at.epoch, write.at.version);
                 verdict.found(BreakKind::Lost, 0, name.to_owned(), what);
             }
         }
--- a/crates/planecheck/src/note.rs
+++ b/crates/planecheck/src/note.rs
@@ -57,7 +57,9 @@
                 Some(Note::Apart { from: from.parse().ok()?, to: to.parse().ok()?, holder })
             }
             ["B", t, holder] => Some(Note::SetBack { t: t.parse().ok()?, holder: (*holder).to_owned() }),
-            ["F", t, region] => Some(Note::WriterSetBack { t: t.parse().ok()?, region: region.parse().ok()? }),
+            ["F", t, region] => {
+                Some(Note::WriterSetBack { t: t.parse().ok()?, region: region.parse().ok()? })
+            }
             _ => None,
         }
     }
--- a/crates/planecheck/tests/check/breaks.rs
+++ b/crates/planecheck/tests/check/breaks.rs
@@ -1,8 +1,8 @@
 //! A record without a break, and one break of each kind.
 
+use crate::record::{Record, S, digest, good, hash};
 use planecheck::BreakKind::*;
 use planecheck::{Fact, Note};
-use crate::record::{Record, S, digest, good, hash};
 
 #[test]
 fn a_good_record_has_no_break_and_all_of_it_was_looked_at() {
@@ -216,7 +216,13 @@
     assert_eq!(twice.broken(), [WrittenTwice]);
 
     let mut gap = Record::default();
-    gap.add("O 1000000 1 1 1").wrote(2 * S, 1, 1, "1/node/a", Some(1)).wrote(2 * S, 1, 3, "1/node/b", Some(1));
+    gap.add("O 1000000 1 1 1").wrote(2 * S, 1, 1, "1/node/a", Some(1)).wrote(
+        2 * S,
+        1,
+        3,
+        "1/node/b",
+        Some(1),
+    );
     assert_eq!(gap.broken(), [Gap]);
 
     let mut gap_at_a_start = good();
--- a/crates/planecheck/tests/check/folder.rs
+++ b/crates/planecheck/tests/check/folder.rs
@@ -2,13 +2,16 @@
 
 use std::path::Path;
 
-use planecheck::{NOTES, Note, ReadError, check_folder};
 use crate::record::{S, good};
+use planecheck::{NOTES, Note, ReadError, check_folder};
 
 /// Each line of the good record into the file that its process would have written.
 fn write(folder: &Path) {
-    let mut files: [(&str, String); 3] =
-        [("written-c1.log", String::new()), ("inforce-h1.log", String::new()), ("held-c1.log", String::new())];
+    let mut files: [(&str, String); 3] = [
+        ("written-c1.log", String::new()),
+        ("inforce-h1.log", String::new()),
+        ("held-c1.log", String::new()),
+    ];
     for line in good().lines {
         let place = match line.split(' ').collect::<Vec<_>>().as_slice() {
             ["W" | "O", ..] => 0,
@@ -74,7 +77,10 @@
     assert!(check_folder(folder.path()).expect("records").is_good());
     append(&path, "\nC 9000000 g1 1 1 1 4\n");
     let error = check_folder(folder.path()).expect_err("a wrong line");
-    assert!(matches!(&error, ReadError::Line(p, 16, text) if *p == path && text.starts_with("E 9000000")), "{error}");
+    assert!(
+        matches!(&error, ReadError::Line(p, 16, text) if *p == path && text.starts_with("E 9000000")),
+        "{error}"
+    );
 }
 
 #[test]
--- a/crates/planecheck/tests/check/latencies.rs
+++ b/crates/planecheck/tests/check/latencies.rs
@@ -1,7 +1,7 @@
 //! How long changes took, and whose latencies are told apart.
 
-use planecheck::Note;
 use crate::record::{S, digest, good, hash};
+use planecheck::Note;
 
 #[test]
 fn each_change_counts_at_each_holder_that_lived_when_it_was_written() {
--- a/crates/planecheck/tests/check/record.rs
+++ b/crates/planecheck/tests/check/record.rs
@@ -33,7 +33,15 @@
     }
 
     /// An entry in force by a delta, in the holder's first life.
-    pub fn entry(&mut self, t: i64, at: &str, epoch: u64, version: u64, key: &str, value: Option<u64>) -> &mut Record {
+    pub fn entry(
+        &mut self,
+        t: i64,
+        at: &str,
+        epoch: u64,
+        version: u64,
+        key: &str,
+        value: Option<u64>,
+    ) -> &mut Record {
         let value = value.map_or("-".to_owned(), hash);
         self.add(&format!("E {t} {at} 1 {epoch} {version} {key} {value}"))
     }
@@ -61,14 +69,16 @@
 
     /// Puts another line in the place of the one that begins like this.
     pub fn instead(&mut self, start: &str, line: &str) -> &mut Record {
-        let places: Vec<usize> = (0..self.lines.len()).filter(|n| self.lines[*n].starts_with(start)).collect();
+        let places: Vec<usize> =
+            (0..self.lines.len()).filter(|n| self.lines[*n].starts_with(start)).collect();
         assert_eq!(places.len(), 1, "one line begins with '{start}'");
         self.lines[places[0]] = line.to_owned();
         self
     }
 
     pub fn verdict(&self) -> Verdict {
-        let facts = self.lines.iter().map(|line| Fact::parse(line).unwrap_or_else(|| panic!("a fact: {line}")));
+        let facts =
+            self.lines.iter().map(|line| Fact::parse(line).unwrap_or_else(|| panic!("a fact: {line}")));
         check(facts, self.options.clone())
     }
 
@@ -80,7 +90,10 @@
 
 /// Two gateways and a machine; four changes of three keys, one of them deleted, the third and fourth while all live.
 pub fn good() -> Record {
-    let mut r = Record { options: Options { notes: Vec::new(), without_entries: vec!["c1".into()] }, ..Record::default() };
+    let mut r = Record {
+        options: Options { notes: Vec::new(), without_entries: vec!["c1".into()] },
+        ..Record::default()
+    };
     r.add("O 1000000 1 1 1");
     r.wrote(2 * S, 1, 1, "1/node/a", Some(0xa1)).wrote(2 * S, 1, 2, "1/node/b", Some(0xb1));
     // One from an empty disk, one that had all before it.
