--- a/crates/planelab/src/child.rs
+++ b/crates/planelab/src/child.rs
@@ -134,11 +134,6 @@
         Ok(())
     }
 
-    /// Whether it was started and not buried.
-    pub(crate) fn is_up(&self) -> bool {
-        self.process.is_some()
-    }
-
     /// What it has used and counted over all its starts, by its last line.
     pub(crate) fn counters(&self) -> Counters {
         let Some(process) = &self.process else { return self.before };
--- a/crates/planelab/src/days/stuck.rs
+++ b/crates/planelab/src/days/stuck.rs
@@ -23,7 +23,10 @@
     stage.end_hollows(&all)?;
     let start = Instant::now();
     for process in &all {
-        stage.start_hollow(*process, Manner { recorded: true, stuck: Some((EVERY, lead, stage.options.stuck)) })?;
+        stage.start_hollow(
+            *process,
+            Manner { recorded: true, stuck: Some((EVERY, lead, stage.options.stuck)) },
+        )?;
     }
     stage.until_level()?;
     stage.note(&Note::Apart { from, to: stage.now(), holder: None })?;
@@ -56,7 +59,8 @@
     for number in (0..size.members()).filter(|number| (number % size.gateways).is_multiple_of(EVERY)) {
         stage.note(&Note::Apart { from: span.from, to, holder: Some(gateway(number)) })?;
     }
-    let grown = |after: Vec<u64>| before.iter().zip(after).map(|(b, a)| a.saturating_sub(*b)).max().unwrap_or(0);
+    let grown =
+        |after: Vec<u64>| before.iter().zip(after).map(|(b, a)| a.saturating_sub(*b)).max().unwrap_or(0);
     let mib = |bytes: u64| bytes as f64 / 1_048_576.0;
     span.measure("bursts meanwhile", bursts as f64, "");
     span.measure("resident before, largest machine", mib(before.iter().copied().max().unwrap_or(0)), "MiB");
--- a/crates/planelab/src/line.rs
+++ b/crates/planelab/src/line.rs
@@ -14,9 +14,9 @@
     pub(crate) t: Micros,
     /// Whether it takes changes; none if it is no writer.
     pub(crate) open: Option<bool>,
+    /// Copies that it serves.
     pub(crate) subscribers: u64,
     pub(crate) cursors: BTreeMap<u16, Held>,
-    pub(crate) entries: u64,
     pub(crate) bytes_in: u64,
     pub(crate) bytes_out: u64,
     pub(crate) notes_out: u64,
--- a/crates/planelab/src/report.rs
+++ b/crates/planelab/src/report.rs
@@ -58,6 +58,8 @@
     pub wholes: u64,
     /// Messages that machines and gateways turned away.
     pub turned_away: u64,
+    /// Copies that the emptiest and the fullest machine served at the end.
+    pub subscribers: (u64, u64),
     /// What else was measured.
     pub measures: Vec<Measure>,
 }
@@ -102,13 +104,19 @@
     fn write(&self, text: &mut String) -> std::fmt::Result {
         let (size, machines, gateways, entries) = (&self.size, self.machines, self.gateways, self.entries);
         writeln!(text, "Size {size}: {machines} machines, {gateways} gateways, {entries} entries.\n")?;
-        writeln!(text, "Time in force, ms, from durable at the writer, over all gateways; steady: gateways that were up all the")?;
-        writeln!(text, "while; gateway and machine: average of one, core: part of one core, in/out: bytes a second.\n")?;
         writeln!(
             text,
-            "| span | s | changes | again | median | p99 | worst | steady p99 | steady worst | gateway core | in | out | KiB | machine core | in | out | MiB | links | wholes | turned away |"
+            "Time in force, ms, from durable at the writer, over all gateways; steady: gateways that were up all the"
         )?;
-        writeln!(text, "|{}", " --- |".repeat(20))?;
+        writeln!(
+            text,
+            "while; gateway and machine: average of one, core: part of one core, in/out: bytes a second.\n"
+        )?;
+        writeln!(
+            text,
+            "| span | s | changes | again | median | p99 | worst | steady p99 | steady worst | gateway core | in | out | KiB | machine core | in | out | MiB | links | wholes | turned away | subscribers |"
+        )?;
+        writeln!(text, "|{}", " --- |".repeat(21))?;
         for row in &self.rows {
             let (all, steady) = (row.in_force.all, row.in_force.steady);
             let ms = |micros: u64, count: u64| match count {
@@ -118,7 +126,7 @@
             let (g, m) = (row.gateway, row.machine);
             writeln!(
                 text,
-                "| {} | {:.1} | {} | {} | {} | {} | {} | {} | {} | {:.5} | {:.0} | {:.0} | {:.0} | {:.4} | {:.0} | {:.0} | {:.1} | {} | {} | {} |",
+                "| {} | {:.1} | {} | {} | {} | {} | {} | {} | {} | {:.5} | {:.0} | {:.0} | {:.0} | {:.4} | {:.0} | {:.0} | {:.1} | {} | {} | {} | {}-{} |",
                 row.span,
                 row.seconds,
                 row.changes,
@@ -139,6 +147,8 @@
                 row.links,
                 row.wholes,
                 row.turned_away,
+                row.subscribers.0,
+                row.subscribers.1,
             )?;
         }
         writeln!(text, "\n| span | measure | value | unit |\n| --- | --- | --- | --- |")?;
@@ -164,7 +174,11 @@
             writeln!(text, "  - {:?} at {}, {}: {}", found.kind, found.at, found.t, found.what)?;
         }
         for one in v.unreached.iter().take(10) {
-            writeln!(text, "- {} holds region {} up to {:?}, last is {:?}", one.holder, one.region, one.held, one.last)?;
+            writeln!(
+                text,
+                "- {} holds region {} up to {:?}, last is {:?}",
+                one.holder, one.region, one.held, one.last
+            )?;
         }
         Ok(())
     }
--- a/crates/planelab/src/site.rs
+++ b/crates/planelab/src/site.rs
@@ -91,11 +91,15 @@
 pub fn site_file(size: &Size, listen: &[SocketAddr]) -> String {
     let mut text = String::from("# Written for a day of the control plane.\n");
     text.push_str(REST);
-    let places = size.regions().zip(&size.machines).flat_map(|(region, count)| (0..*count).map(move |n| (region, n)));
+    let places =
+        size.regions().zip(&size.machines).flat_map(|(region, count)| (0..*count).map(move |n| (region, n)));
     for (number, ((region, n), listen)) in places.zip(listen).enumerate() {
         let name = machine(number);
         // A string takes all that is written to it.
-        let _ = write!(text, "\n[[control.machine]]\nname = \"{name}\"\nregion = {region}\nlisten = \"{listen}\"\n");
+        let _ = write!(
+            text,
+            "\n[[control.machine]]\nname = \"{name}\"\nregion = {region}\nlisten = \"{listen}\"\n"
+        );
         if n == 0 {
             text.push_str("writer = true\n");
         }
@@ -108,6 +112,7 @@
     // Several days at once, as tests are, begin at different places.
     let start = (std::process::id() % 400) as u16 * 50;
     let from = PORTS.start + start;
-    let all = (from..PORTS.end).chain(PORTS.start..from).map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
+    let all =
+        (from..PORTS.end).chain(PORTS.start..from).map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
     all.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect()
 }
--- a/crates/planelab/src/span.rs
+++ b/crates/planelab/src/span.rs
@@ -80,6 +80,7 @@
         let seconds = span.seconds().max(1e-6);
         let machines = sum(self.machines.iter().map(|m| &m.child)).since(span.machines);
         let hollows = sum(self.hollows.iter().map(|h| &h.child)).since(span.hollows);
+        let subscribers = self.subscribers();
         let of_machines = resident(self.machines.iter().map(|m| &m.child));
         let of_hollows = resident(self.hollows.iter().map(|h| &h.child));
         let row = Row {
@@ -96,6 +97,10 @@
             links: hollows.links,
             wholes: machines.wholes,
             turned_away: machines.turned_away + hollows.turned_away,
+            subscribers: (
+                subscribers.iter().copied().min().unwrap_or(0),
+                subscribers.iter().copied().max().unwrap_or(0),
+            ),
             measures: span.measures,
         };
         tracing::info!(span = row.span, seconds = row.seconds, changes = row.changes, "played");
--- a/crates/planelab/src/stage.rs
+++ b/crates/planelab/src/stage.rs
@@ -79,7 +79,10 @@
             let folder = out.join(folder);
             // Danger: records of an earlier play would be checked together with this one's.
             if folder.exists() {
-                return Err(DayError::Option(format!("{} is there already; play into a new folder", folder.display())));
+                return Err(DayError::Option(format!(
+                    "{} is there already; play into a new folder",
+                    folder.display()
+                )));
             }
             std::fs::create_dir_all(&folder).map_err(failed(&folder))?;
         }
@@ -91,7 +94,8 @@
         std::fs::write(&path, site::site_file(size, &listen)).map_err(failed(&path))?;
         let number = settings::Site::load(&path).map_err(|e| DayError::Site(e.to_string()))?.number();
         let board = Board::new(size.machine_count() + size.processes);
-        let places = size.regions().zip(&size.machines).flat_map(|(r, count)| (0..*count).map(move |n| (r, n)));
+        let places =
+            size.regions().zip(&size.machines).flat_map(|(r, count)| (0..*count).map(move |n| (r, n)));
         let machine = |(number, ((region, n), listen)): (usize, ((u16, usize), SocketAddr))| Machine {
             child: Child::new(&site::machine(number), Sort::Machine, number, out, &board),
             region,
@@ -100,7 +104,13 @@
         };
         let machines: Vec<Machine> = places.zip(listen).enumerate().map(machine).collect();
         let hollow = |process: usize| Hollow {
-            child: Child::new(&format!("h{}", process + 1), Sort::Hollow, machines.len() + process, out, &board),
+            child: Child::new(
+                &format!("h{}", process + 1),
+                Sort::Hollow,
+                machines.len() + process,
+                out,
+                &board,
+            ),
             region: region_of(process, size),
             started: 0,
         };
@@ -143,7 +153,8 @@
     /// Starts the changes of a usual day.
     pub(crate) fn traffic(&self) -> Result<Traffic, DayError> {
         let regions = self.options.size.regions();
-        let writers: Result<Vec<_>, _> = regions.map(|region| Ok((region, self.writer(region)?))).collect();
+        let writers: Result<Vec<_>, DayError> =
+            regions.map(|region| Ok((region, self.writer(region)?))).collect();
         // Another day of one play draws other changes.
         let seed = self.options.seed.wrapping_add(self.rows.len() as u64);
         Ok(Traffic::start(writers?, &self.state, seed))
@@ -226,6 +237,15 @@
         self.hollows.iter().zip(&slots[self.machines.len()..]).filter_map(seconds).collect()
     }
 
+    /// Copies that each machine serves.
+    pub(crate) fn subscribers(&self) -> Vec<u64> {
+        let of = |slot: &Slot| match &slot.line {
+            Some(Line::Machine(line)) => Some(line.subscribers),
+            _ => None,
+        };
+        self.board.lock().iter().filter_map(of).collect()
+    }
+
     /// Readers that take nothing now.
     pub(crate) fn stuck(&self) -> u64 {
         stuck(&self.board.lock())
@@ -279,13 +299,15 @@
     /// Until all gateways that were started hold something of all regions.
     pub(crate) fn until_ready(&self) -> Result<(), DayError> {
         self.wait("all gateways are ready", self.options.patience, |slots| {
-            self.hollows.iter().zip(&slots[self.machines.len()..]).find_map(|(hollow, slot)| match &slot.line {
-                _ if !slot.is_wanted => None,
-                Some(Line::Hollow(line)) if line.ready == line.gateways => None,
-                Some(Line::Hollow(line)) => {
-                    Some(format!("{}: {} of {} are ready", hollow.child.name, line.ready, line.gateways))
+            self.hollows.iter().zip(&slots[self.machines.len()..]).find_map(|(hollow, slot)| {
+                match &slot.line {
+                    _ if !slot.is_wanted => None,
+                    Some(Line::Hollow(line)) if line.ready == line.gateways => None,
+                    Some(Line::Hollow(line)) => {
+                        Some(format!("{}: {} of {} are ready", hollow.child.name, line.ready, line.gateways))
+                    }
+                    _ => Some(format!("{} says nothing", hollow.child.name)),
                 }
-                _ => Some(format!("{} says nothing", hollow.child.name)),
             })
         })
     }
@@ -294,7 +316,8 @@
     pub(crate) fn until_level(&self) -> Result<(), DayError> {
         let wanted = self.written();
         self.wait("all hold what was written", self.options.patience, |slots| {
-            let children = self.machines.iter().map(|m| &m.child).chain(self.hollows.iter().map(|h| &h.child));
+            let children =
+                self.machines.iter().map(|m| &m.child).chain(self.hollows.iter().map(|h| &h.child));
             children.zip(slots).find_map(|(child, slot)| {
                 let line = match &slot.line {
                     _ if !slot.is_wanted => return None,
@@ -319,8 +342,12 @@
         let now = self.now();
         let names = || self.machines.iter().map(|m| &m.child).chain(self.hollows.iter().map(|h| &h.child));
         self.wait("all say how they are", self.options.patience, |slots| {
-            let is_old = |slot: &Slot| slot.is_wanted && slot.line.as_ref().is_none_or(|line| line.at() < now);
-            names().zip(slots).find(|(_, slot)| is_old(slot)).map(|(child, _)| format!("{} says nothing", child.name))
+            let is_old =
+                |slot: &Slot| slot.is_wanted && slot.line.as_ref().is_none_or(|line| line.at() < now);
+            names()
+                .zip(slots)
+                .find(|(_, slot)| is_old(slot))
+                .map(|(child, _)| format!("{} says nothing", child.name))
         })
     }
 
--- a/crates/planelab/src/state.rs
+++ b/crates/planelab/src/state.rs
@@ -61,7 +61,8 @@
 impl State {
     /// Each kind evenly over the regions; a gateway's is its own.
     pub(crate) fn new(size: &Size) -> State {
-        let mut regions: BTreeMap<u16, Vec<Item>> = size.regions().map(|region| (region, Vec::new())).collect();
+        let mut regions: BTreeMap<u16, Vec<Item>> =
+            size.regions().map(|region| (region, Vec::new())).collect();
         let kinds = [
             (Kind::Node, "n", size.nodes),
             (Kind::Shard, "s", size.shards),
--- a/crates/planelab/src/writer.rs
+++ b/crates/planelab/src/writer.rs
@@ -100,8 +100,10 @@
                     return Ok(());
                 }
                 Ok(Err(error)) => {
-                    let may_pass =
-                        matches!(error, ProposalError::Recovering(_) | ProposalError::Busy | ProposalError::Disk(_));
+                    let may_pass = matches!(
+                        error,
+                        ProposalError::Recovering(_) | ProposalError::Busy | ProposalError::Disk(_)
+                    );
                     if !may_pass {
                         return Err(self.failed(error.to_string()));
                     }
--- a/crates/planelab/tests/site.rs
+++ b/crates/planelab/tests/site.rs
@@ -12,10 +12,15 @@
 fn the_settings_take_the_site_file_of_every_size() {
     for size in [Size::full(), Size::pair(), Size::small()] {
         let text = site_file(&size, &listen(&size));
-        let site = settings::Site::parse(&text).unwrap_or_else(|problems| panic!("{}: {problems:?}", size.name));
+        let site =
+            settings::Site::parse(&text).unwrap_or_else(|problems| panic!("{}: {problems:?}", size.name));
         let control = site.control.expect("a control plane");
         assert_eq!(control.machine.len(), size.machine_count());
-        assert_eq!(control.machine.iter().filter(|m| m.writer).count(), size.machines.len(), "one writer a region");
+        assert_eq!(
+            control.machine.iter().filter(|m| m.writer).count(),
+            size.machines.len(),
+            "one writer a region"
+        );
     }
 }
 
