--- /dev/null
+++ b/crates/crowbay/src/control_plane.rs
@@ -0,0 +1,142 @@
+//! `control`: machines of the control plane, gateways that only follow, and changes of what it holds.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use peer::PeerName;
+use plane::{Change, Key, Micros, Proposal, ProposalError, Region};
+use planelink::{ProposeError, Proposer};
+use records::Clock;
+use settings::{ControlTable, Site};
+use signal_hook::consts::{SIGINT, SIGTERM};
+
+use crate::command::{ControlVerb, HollowArgs, MachineArgs, PutArgs, STATE};
+use crate::{Ended, Failure, USAGE, log, serve};
+
+/// Nothing was taken; the same may be asked for later.
+const NOT_NOW: u8 = 3;
+
+pub fn run(verb: &ControlVerb) -> Ended {
+    match verb {
+        ControlVerb::Machine(args) => machine(args),
+        ControlVerb::Hollow(args) => hollow(args),
+        ControlVerb::Put(args) => put(args),
+    }
+}
+
+/// A site with a control plane.
+fn load(config: &Path) -> Result<(Site, ControlTable), Failure> {
+    let site = serve::load(config)?;
+    let without = || wrong(config, "no [control]; docs/control-plane.md has its keys");
+    let table = site.control.clone().ok_or_else(without)?;
+    Ok((site, table))
+}
+
+fn wrong(config: &Path, what: impl std::fmt::Display) -> Failure {
+    Failure { code: USAGE, what: format!("{}: {what}", config.display()) }
+}
+
+fn no_region(config: &Path, region: u16) -> Failure {
+    wrong(config, format!("no [[control.machine]] is of region {region}"))
+}
+
+/// Set by SIGTERM and SIGINT.
+fn told_to_stop() -> std::io::Result<Arc<AtomicBool>> {
+    let stop = Arc::new(AtomicBool::new(false));
+    signal_hook::flag::register(SIGTERM, stop.clone())?;
+    signal_hook::flag::register(SIGINT, stop.clone())?;
+    Ok(stop)
+}
+
+fn seed(given: Option<u64>) -> u64 {
+    given.unwrap_or_else(|| Clock::new().now() as u64 ^ u64::from(std::process::id()) << 40)
+}
+
+fn machine(args: &MachineArgs) -> Ended {
+    let (site, table) = load(&args.config)?;
+    log::start(&site.log);
+    let index = table.machine.iter().position(|m| m.name == args.name);
+    let unknown = || wrong(&args.config, format!("no [[control.machine]] is named '{}'", args.name));
+    let index = index.ok_or_else(unknown)?;
+    let folder = args.state.clone().unwrap_or_else(|| Path::new(STATE).join(&args.name));
+    let mut run = table.machine_run(site.number(), index, folder);
+    (run.records, run.seed) = (args.records.clone(), seed(args.seed));
+    let stop = told_to_stop()?;
+    if args.with_parent {
+        serve::end_with_parent();
+    }
+    planelink::run_machine(run, stop)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn hollow(args: &HollowArgs) -> Ended {
+    let (site, table) = load(&args.config)?;
+    log::start(&site.log);
+    let region = args.region.unwrap_or(table.region);
+    if !table.machine.iter().any(|m| m.region == region) {
+        return Err(no_region(&args.config, region));
+    }
+    let names = args.names.0.iter().cloned().map(PeerName).collect();
+    let mut run = table.hollow_run(site.number(), region, &args.process, names, args.state.clone());
+    (run.records, run.seed) = (args.records.clone(), seed(args.seed));
+    run.stuck = args.stuck.map(|s| planelink::Stuck {
+        every: s.every,
+        from: Micros::from(s.from_ms) * 1000,
+        span: Micros::from(s.for_ms) * 1000,
+    });
+    let stop = told_to_stop()?;
+    if args.with_parent {
+        serve::end_with_parent();
+    }
+    planelink::run_hollow(run, stop)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn put(args: &PutArgs) -> Ended {
+    let (site, table) = load(&args.config)?;
+    let writer = table.machine.iter().find(|m| m.region == args.region && m.writer);
+    let writer = writer.ok_or_else(|| no_region(&args.config, args.region))?;
+    if !args.seconds.is_finite() || !(0.001..=3600.0).contains(&args.seconds) {
+        return Err(Failure {
+            code: USAGE,
+            what: format!("--seconds: {} is not from 0.001 to 3600", args.seconds),
+        });
+    }
+    let owner = Region(args.region);
+    let key = Key::new(owner, args.kind, &args.name);
+    let value = args.value.as_ref().map(|value| value.as_bytes().to_vec().into());
+    let change = Change { owner, kind: args.kind, name: args.name.as_str().into(), value };
+    let within = Duration::from_secs_f64(args.seconds);
+    let unanswered = |error: ProposeError| {
+        let code = if matches!(error, ProposeError::TooLong) { USAGE } else { 1 };
+        Failure { code, what: format!("{}: {error}", writer.name) }
+    };
+    let name = PeerName(format!("put-{}", std::process::id()));
+    let mut proposer = Proposer::connect(writer.listen, site.number(), &name).map_err(unanswered)?;
+    let proposed = proposer.propose(&Proposal { changes: vec![change] }, within).map_err(unanswered)?;
+    let stamps = proposed.map_err(|error| {
+        let code = match error {
+            ProposalError::Recovering(_) | ProposalError::Busy => NOT_NOW,
+            ProposalError::Bound { .. } => USAGE,
+            _ => 1,
+        };
+        Failure { code, what: format!("{} turned it down: {error}", writer.name) }
+    })?;
+    let Some(stamp) = stamps.first() else {
+        let what = format!("{} answered without a stamp; is it of another version?", writer.name);
+        return Err(Failure { code: 1, what });
+    };
+    if args.json {
+        let shown = serde_json::json!({
+            "key": key.to_string(), "epoch": stamp.epoch.0, "version": stamp.version.0, "writer": writer.name,
+        });
+        println!("{shown}");
+    } else {
+        let what = if args.delete { "deleted" } else { "durable" };
+        println!("{key} {stamp}, {what} at {}", writer.name);
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/planedrill/src/ledger.rs
+++ b/crates/planedrill/src/ledger.rs
@@ -71,8 +71,12 @@
         Ok(())
     }
 
-    /// The writer starts, with this on its disk: changes whose durability nobody had been told yet may be among it.
+    /// The writer starts, with this on its disk: changes, or an epoch, whose durability nobody had been told yet may be among it.
     pub(crate) fn found(&mut self, cursor: Cursor, table: &Table) {
+        if cursor.epoch > self.cursor.epoch {
+            self.open(cursor.version, cursor.epoch, table);
+            return;
+        }
         if cursor.epoch != self.cursor.epoch || cursor.version <= self.cursor.version {
             return;
         }
@@ -85,19 +89,23 @@
 
     /// The writer opened an epoch behind a cursor, holding this.
     pub(crate) fn opened(&mut self, after: Cursor, epoch: Epoch, table: &Table) -> Result<(), String> {
-        if self.opens.iter().any(|(other, _)| *other >= epoch) {
-            self.reused = Some(self.reused.map_or(epoch, |before| before.min(epoch)));
-        }
         if after != Cursor::default() && !self.is_state(after, table.digest()) {
             return Err(format!("epoch {} opens behind {after} on a state that never was", epoch.0));
         }
-        let first = Version(after.version.0 + 1);
+        self.open(after.version, epoch, table);
+        Ok(())
+    }
+
+    fn open(&mut self, after: Version, epoch: Epoch, table: &Table) {
+        if self.opens.iter().any(|(other, _)| *other >= epoch) {
+            self.reused = Some(self.reused.map_or(epoch, |before| before.min(epoch)));
+        }
+        let first = Version(after.0 + 1);
         for write in self.writes.iter_mut().filter(|write| write.entry.stamp.version >= first) {
             write.abandoned = true;
         }
         self.opens.push((epoch, first));
-        self.become_table(Stamp { epoch, version: after.version }, table);
-        Ok(())
+        self.become_table(Stamp { epoch, version: after }, table);
     }
 
     /// Whether all that is held at a cursor is what was written up to it.
