--- a/crates/planelink/src/machine.rs
+++ b/crates/planelink/src/machine.rs
@@ -363,10 +363,15 @@
 
     fn end(&mut self) -> Result<(), RunError> {
         let now = self.clock.now();
-        if self.whole.is_some() {
-            self.keep_whole(None)?;
+        let kept = if self.whole.is_some() { self.keep_whole(None) } else { self.store.sync() };
+        match kept {
+            Err(error) if error.is_uncertain() => return Err(error.into()),
+            // What its writer answered is durable. The rest comes again after a start.
+            Err(error) => {
+                tracing::error!(machine = %self.run.name, %error, "not all of the state is on the disk")
+            }
+            Ok(()) => {}
         }
-        self.store.sync()?;
         self.records.stand(now, &self.holder, self.machine.copy());
         self.flush_records()?;
         self.say(now);
--- a/crates/planelink/src/net.rs
+++ b/crates/planelink/src/net.rs
@@ -18,7 +18,7 @@
 /// A connection that was let go has so long to take what is left for it.
 const CLOSING: Micros = 5_000_000;
 /// Bytes read of one connection in a turn, so that none keeps the others waiting.
-const READ: usize = 64 << 10;
+const READ: usize = 32 << 10;
 /// Connections accepted in a turn.
 const ACCEPTS: usize = 64;
 /// Where one cannot be accepted, for want of descriptors for one, it is tried again after this.
--- a/crates/planelink/tests/follow.rs
+++ b/crates/planelink/tests/follow.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use std::io::Write;
-use std::net::TcpStream;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
 
@@ -167,6 +167,26 @@
     });
 }
 
+#[test]
+fn an_end_that_comes_with_the_last_words_is_noticed() {
+    let folder = tempfile::tempdir().unwrap();
+    let site = Site::new(&[("c1", 1, true)]);
+    let mut run = site.machine_run("c1", folder.path());
+    run.silence = 3_600_000_000;
+    let _machine = site.start_with(run);
+    site.put("c1", "n1", b"up");
+    let life = peer::Life::after(None, peer::Nonce(1));
+    let greeting = peer::channel::Greeting { site: SITE, name: "brief".into(), life };
+    let hello = peer::channel::hello(&greeting);
+    for _ in 0..200 {
+        let mut brief = TcpStream::connect(site.address("c1")).expect("it connects");
+        brief.write_all(&hello).expect("it is written");
+        brief.shutdown(Shutdown::Write).expect("it ends");
+        brief.set_read_timeout(Some(LONG)).expect("a time for reads");
+        brief.read_to_end(&mut Vec::new()).expect("the machine ends it too");
+    }
+}
+
 #[test]
 fn a_change_that_is_durable_and_not_in_the_writers_log_is_written_there_at_the_next_start() {
     let (folder, written) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
