A writer begins another epoch where a gateway alone holds more of its own

A cursor of the writer's own epoch beyond its own version, from anybody, now has the writer begin a next epoch, for gateways' words once a minute at most; such a copy strays and gets the whole state, and its log says so. A later epoch's number from a gateway still only raises the next: two lives of one writer must not overtake each other by it.

--- a/crates/plane/src/machine.rs
+++ b/crates/plane/src/machine.rs
@@ -89,6 +89,8 @@
     flying: Option<Message>,
     /// The disk turned something down; nothing is given to it before.
     held: Micros,
+    /// No gateway's word has the writer begin another epoch before.
+    anew: Micros,
     clients: BTreeMap<Conn, Client>,
     /// What was turned away and told.
     told: BTreeSet<String>,
@@ -116,6 +118,7 @@
             heard: BTreeSet::new(),
             flying: None,
             held: now,
+            anew: now,
             clients: BTreeMap::new(),
             told: BTreeSet::new(),
             sweep: now,
--- a/crates/plane/src/machine/clients.rs
+++ b/crates/plane/src/machine/clients.rs
@@ -13,6 +13,8 @@
 const BESIDE: usize = 64;
 /// Bytes that may wait for one who asks and takes no answer.
 const UNTAKEN: usize = 1 << 20;
+/// Of gateways' words for it, a writer begins another epoch no more often than this.
+const ANEW: Micros = 60_000_000;
 /// What was turned away that is remembered as told.
 const TOLD: usize = 256;
 /// Entries of one subscription, more than there are regions.
@@ -120,8 +122,8 @@
     ///
     /// Danger: a writer that stood still while another life of it wrote, or whose disk was put back, would give versions that
     /// others have seen with other content. They turn it away; it has to know. Any gateway's word only raises the number of its
-    /// next epoch: one that is damaged must not be able to stop a region's changes. A machine's word ends its writing, or has it
-    /// begin another epoch where the number is its own.
+    /// next epoch: one that is damaged must not be able to stop a region's changes. A machine's word ends its writing. Where the
+    /// number is its own, it begins another epoch.
     fn beyond(
         &mut self,
         from: Option<PeerName>,
@@ -133,9 +135,11 @@
         let Some(writer) = &mut self.writer else { return };
         let later = wanted.iter().filter(|(of, cursor)| *of == region && *cursor > own);
         let Some(seen) = later.map(|(_, cursor)| *cursor).max() else { return };
-        if seen.epoch == own.epoch && machine {
-            // A number that was given twice, after a disk was lost: what was written under it before is another line.
+        if seen.epoch == own.epoch && (machine || self.now >= self.anew) {
+            // A number that was given twice, after a disk was lost: what was written under it before is another line. Danger: a
+            // gateway that is damaged could have one epoch begun after another. Harm: one that is not waits for its turn.
             writer.begin_anew();
+            self.anew = self.now + ANEW;
         }
         let answers = writer.saw(seen.epoch, own.epoch, machine);
         self.answer(answers, out);
--- a/crates/plane/src/subscription.rs
+++ b/crates/plane/src/subscription.rs
@@ -255,7 +255,14 @@
                     out.push(Output::InForce(taken));
                 }
             }
-            Taken::Whole { region, entries, .. } => {
+            Taken::Whole { region, entries, abandoned, upto, .. } => {
+                if *abandoned {
+                    let from = Some(self.options.machines[link.at].clone());
+                    let lost = "some of what was held of region";
+                    let why =
+                        format!("{lost} {} was lost with its writer's disk; it is at {upto} now", region.0);
+                    out.push(Output::TurnedAway { from, why });
+                }
                 self.counts.entries_in += entries.len() as u64;
                 self.counts.wholes += 1;
                 link.behind.remove(region);
