--- a/crates/planedrill/src/drill/level.rs
+++ b/crates/planedrill/src/drill/level.rs
@@ -86,11 +86,13 @@
                         return Err(format!("{} holds another {key}", process.name));
                     }
                 }
-                if let Some(Body::Gateway(link, _)) = &process.body
-                    && !link.is_level()
-                {
-                    return Err(format!("{} holds all and does not know it", process.name));
-                }
+            }
+        }
+        for process in &self.processes {
+            if let Some(Body::Gateway(link, _)) = &process.body
+                && !link.is_level()
+            {
+                return Err(format!("{} holds all and does not know it", process.name));
             }
         }
         Ok(())
--- a/crates/planedrill/src/lib.rs
+++ b/crates/planedrill/src/lib.rs
@@ -18,5 +18,5 @@
 mod proposer;
 mod store;
 
-pub use drill::{Failure, Played, play};
+pub use drill::{Failure, Played, play, play_plan};
 pub use plan::{Plan, Trouble};
--- a/crates/planedrill/src/process.rs
+++ b/crates/planedrill/src/process.rs
@@ -50,7 +50,8 @@
     pub(crate) superseded: bool,
     /// Cursors, stamps and digests as they were seen.
     pub(crate) cursors: BTreeMap<Region, Cursor>,
-    pub(crate) seen: BTreeMap<Key, Stamp>,
+    /// Keys, and whether they were live then.
+    pub(crate) seen: BTreeMap<Key, (Stamp, bool)>,
     pub(crate) digests: BTreeMap<Region, Digest>,
     /// Regions of which it told a change in what it handles now.
     pub(crate) told: BTreeSet<Region>,
@@ -158,7 +159,7 @@
         for region in copy.regions() {
             let Some(table) = copy.table(region) else { continue };
             at.push((region, copy.cursor(region), table.digest()));
-            seen.extend(table.iter().map(|entry| (entry.key.clone(), entry.stamp)));
+            seen.extend(table.iter().map(|entry| (entry.key.clone(), (entry.stamp, true))));
         }
         self.seen.extend(seen);
         for (region, cursor, digest) in at {
