A change of the list costs the change: shards are not rebuilt, and only what waits is gone through

Seen: 4.7 to 7.5 ms for one change at 21,000 nodes, 0.01 at 30, in step with the list. Cause: on_nodes in scheduler.rs cleared and rebuilt every shard's nodes and marked every shard dirty, and lists.rs in platform went through all nodes for those that are gone. Ruled out: reading the line (the JSON of one entry). Now a line of the list moves its node in its shard, shards with waiting requests alone are gone through, and the platform keeps the nodes that are gone.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -50,3 +50,10 @@
 
 pub use interface::*;
 pub use scheduler::Scheduler;
+
+impl Scheduler {
+    /// Shards gone through for something to send, and lines of the list put in place, since the start: what a change costs.
+    pub fn work(&self) -> (u64, u64) {
+        (self.mem.pumped, self.mem.relisted)
+    }
+}
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -89,6 +89,7 @@
             self.on_wake(wake);
         }
         while let Some(shard) = self.mem.dirty.pop_first() {
+            self.mem.pumped += 1;
             self.pump(shard);
         }
         if let Some(&(at, _)) = self.mem.wakes.first()
@@ -133,6 +134,7 @@
     fn on_nodes(&mut self, whole: bool, entries: Vec<NodeEntry>) {
         if whole {
             self.mem.nodes.values_mut().for_each(|n| n.state = NodeState::Gone);
+            self.mem.shards.values_mut().for_each(|s| s.nodes.clear());
         }
         for e in entries {
             let node = self.mem.nodes.entry(e.node).or_insert_with(|| Node::new(&e, SMOOTHING));
@@ -143,15 +145,10 @@
                 node.own = Mean::over(SMOOTHING);
                 node.count = None;
             }
-            (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
+            self.mem.relist(&e, SMOOTHING);
         }
-        self.mem.shards.values_mut().for_each(|s| s.nodes.clear());
-        for (&id, node) in &self.mem.nodes {
-            if node.state == NodeState::On {
-                self.mem.shards.entry(node.shard).or_insert_with(|| Shard::new(SMOOTHING)).nodes.push(id);
-            }
-        }
-        self.mem.dirty.extend(self.mem.shards.keys());
+        // Where nothing waits there is nothing to send: a change costs itself and what is open, not the list.
+        self.mem.dirty.extend(self.mem.requests.values().filter_map(|o| Some(o.place?.0)));
     }
 
     fn on_request(&mut self, ask: Request) {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -376,4 +376,24 @@
     pub(crate) token: u64,
     pub(crate) dirty: BTreeSet<ShardId>,
     pub(crate) actions: Vec<Action>,
+    /// Shards gone through and lines of the list put in place, since the start.
+    pub(crate) pumped: u64,
+    pub(crate) relisted: u64,
+}
+
+impl Memory {
+    /// Takes a node's line of the list: its shard names it, at its place in order, if it is on.
+    pub(crate) fn relist(&mut self, e: &NodeEntry, span: f64) {
+        self.relisted += 1;
+        let Some(node) = self.nodes.get_mut(&e.node) else { return };
+        if let Some(shard) = self.shards.get_mut(&node.shard) {
+            shard.nodes.retain(|id| *id != e.node);
+        }
+        (node.zone, node.shard, node.state) = (e.zone, e.shard, e.state);
+        if e.state == NodeState::On {
+            let shard = self.shards.entry(e.shard).or_insert_with(|| Shard::new(span));
+            let at = shard.nodes.partition_point(|id| *id < e.node);
+            shard.nodes.insert(at, e.node);
+        }
+    }
 }
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -4,7 +4,7 @@
 mod clients;
 mod lists;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -88,6 +88,8 @@
     ids: HashSet<String>,
     links: Links,
     nodes: HashMap<NodeId, Address>,
+    /// Those of them that are no longer listed, until they are forgotten.
+    gone: BTreeSet<NodeId>,
     zones: Zones,
     discovery: Discovery,
     sweep: Micros,
@@ -130,6 +132,7 @@
                 sizes.answers,
             ),
             nodes: HashMap::new(),
+            gone: BTreeSet::new(),
             zones: Zones::default(),
             discovery: Discovery::new(
                 now,
@@ -323,6 +326,7 @@
             self.exhausted = false;
             for node in self.dispatcher.forget_gone() {
                 self.nodes.remove(&node);
+                self.gone.remove(&node);
                 let idle = self.links.forget(node);
                 self.close_links(idle);
             }
--- a/crates/platform/src/machine/lists.rs
+++ b/crates/platform/src/machine/lists.rs
@@ -32,18 +32,26 @@
         let listed = list.listed(&mut self.zones);
         self.dispatcher.nodes(now, list.whole, remembered, &listed);
         let mut idle = Vec::new();
+        if list.whole {
+            let gone = self.dispatcher.node_views().iter().filter(|(_, view)| view.state == NodeState::Gone);
+            self.gone = gone.map(|(node, _)| *node).collect();
+        }
         for entry in &list.members {
             let node = self.dispatcher.node_id(&entry.id);
             let address = Address { at: entry.address, started: entry.started };
             let before = self.nodes.insert(node, address);
             let anew = before.is_some_and(|b| b.started != entry.started || b.at != entry.address);
             idle.extend(self.links.moved(node, entry.address, anew));
-        }
-        for (&node, view) in self.dispatcher.node_views() {
-            if view.state == NodeState::Gone {
-                idle.extend(self.links.gone(node));
+            // Of a list of what changed only that is looked at: a change costs itself and not the list.
+            if entry.state == NodeState::Gone {
+                self.gone.insert(node);
+            } else {
+                self.gone.remove(&node);
             }
         }
+        for &node in &self.gone {
+            idle.extend(self.links.gone(node));
+        }
         self.close_links(idle);
         self.settle(now);
         self.take_back_fallen(now);
