--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -279,9 +279,6 @@
             });
         }
         self.sights(now);
-        if let Some(following) = &mut self.following {
-            following.watch(now);
-        }
         let views = self.core.node_views();
         self.links.retain(|id, link| {
             link.watch();
--- a/crates/gateway/src/following.rs
+++ b/crates/gateway/src/following.rs
@@ -6,21 +6,16 @@
 use std::collections::BTreeSet;
 
 use planelink::{FollowOptions, Followed, Follower, RunError};
-use storage_core::Micros;
 
 use crate::drains::Drains;
 use crate::message::{Inbox, Message};
 use crate::status::ControlStatus;
 
-pub(crate) struct Following {
-    follower: Follower,
-    /// When it was seen last with a machine; its start, if never.
-    linked: Micros,
-}
+pub(crate) struct Following(Follower);
 
 impl Following {
     /// Starts with what its disk holds; which nodes that drains is in the inbox when this returns.
-    pub(crate) fn start(options: FollowOptions, now: Micros, inbox: Inbox) -> Result<Following, RunError> {
+    pub(crate) fn start(options: FollowOptions, inbox: Inbox) -> Result<Following, RunError> {
         let drains = RefCell::new(Drains::default());
         let follower = Follower::start(options, move |followed| {
             if let Followed::TurnedAway { from, why } = &followed {
@@ -32,18 +27,11 @@
                 inbox.send(Message::Drains(drains.nodes()));
             }
         })?;
-        Ok(Following { follower, linked: now })
-    }
-
-    /// Looks whether it has a machine.
-    pub(crate) fn watch(&mut self, now: Micros) {
-        if self.follower.look().machine.is_some() {
-            self.linked = now;
-        }
+        Ok(Following(follower))
     }
 
     /// What operators see of it, with the nodes that the engine has drained for it.
     pub(crate) fn status(&self, drains: &BTreeSet<String>) -> ControlStatus {
-        ControlStatus::of(self.follower.look(), self.linked, drains)
+        ControlStatus::of(self.0.look(), drains)
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -126,7 +126,7 @@
             parts.company = Some(peers);
         }
         if let Some(plane) = options.plane.take() {
-            parts.following = Some(Following::start(plane, front.clock.now(), inbox.clone())?);
+            parts.following = Some(Following::start(plane, inbox.clone())?);
         }
         let peer_address = parts.company.as_ref().map(Company::address);
         let view = parts.together.as_ref().map(|t| t.membership.snapshot());
--- a/crates/gateway/src/status/control.rs
+++ b/crates/gateway/src/status/control.rs
@@ -45,15 +45,14 @@
 }
 
 impl ControlStatus {
-    /// `linked`: when it was seen last with a machine.
-    pub(crate) fn of(look: FollowLook, linked: Micros, drains: &BTreeSet<String>) -> ControlStatus {
+    pub(crate) fn of(look: FollowLook, drains: &BTreeSet<String>) -> ControlStatus {
         let regions = look.regions.iter().map(|(region, at)| RegionStatus {
             region: region.0,
             epoch: at.epoch.0,
             version: at.version.0,
         });
         ControlStatus {
-            since: look.linked_since.unwrap_or(linked),
+            since: look.linked_since.or(look.alone_since).unwrap_or_default(),
             regions: regions.collect(),
             machine: look.machine.map(|machine| machine.0),
             level: look.level,
--- a/crates/planelink/src/follower.rs
+++ b/crates/planelink/src/follower.rs
@@ -83,6 +83,8 @@
     pub machine: Option<PeerName>,
     /// Since when, in microseconds since the Unix epoch.
     pub linked_since: Option<Micros>,
+    /// Since when it has no machine, from its start if it never had one; none while it is linked.
+    pub alone_since: Option<Micros>,
     /// Up to where it holds each region.
     pub regions: Vec<(Region, Cursor)>,
     /// Live entries.
@@ -140,6 +142,7 @@
             tell: Box::new(tell),
             look: look.clone(),
             linked_since: None,
+            alone_since: Some(drawn.0),
             sync_at: None,
             ticks: 0,
             out: Vec::new(),
@@ -178,6 +181,7 @@
     tell: Box<dyn Fn(Followed) + Send>,
     look: Arc<Mutex<FollowLook>>,
     linked_since: Option<Micros>,
+    alone_since: Option<Micros>,
     /// When what was handed over is made durable.
     sync_at: Option<Micros>,
     /// Not before this is the link told the time again.
@@ -289,11 +293,14 @@
         let (bytes_in, bytes_out) = self.net.bytes();
         let mut look = self.look.lock().unwrap_or_else(PoisonError::into_inner);
         if machine != look.machine {
-            self.linked_since = machine.is_some().then(|| self.clock.now());
+            let now = self.clock.now();
+            (self.linked_since, self.alone_since) =
+                if machine.is_some() { (Some(now), None) } else { (None, Some(now)) };
         }
         *look = FollowLook {
             machine,
             linked_since: self.linked_since,
+            alone_since: self.alone_since,
             regions: copy.regions().map(|region| (region, copy.cursor(region))).collect(),
             entries: copy.len(),
             bytes_in,
