--- a/crates/crowbay/src/arguments/control.rs
+++ b/crates/crowbay/src/arguments/control.rs
@@ -3,8 +3,10 @@
 use std::path::PathBuf;
 use std::str::FromStr;
 
+use clap::builder::RangedU64ValueParser;
 use clap::{Args, Subcommand};
 use plane::Kind;
+use planelab::{Day, Size};
 
 use super::CONFIG;
 
@@ -54,6 +56,31 @@
     /// taken; the same change may be made again); 2 a file or argument is wrong; 3 nothing was taken, as the writer waits for other
     /// machines, or for its disk: ask again later.
     Put(PutArgs),
+    /// Play days of a control plane on this machine, measure them, and hold what was written down against its rules
+    ///
+    /// Starts processes of `control machine` and `control hollow` on loopback, brings in a base state, and plays the days: usual
+    /// changes, gateways that all start anew, machines that are killed, put back or emptied, many changes at once, gateways that take
+    /// nothing. Prints the report, which is also OUT/report.md and OUT/report.json; records are in OUT/records, logs in OUT/logs. No
+    /// process outlives it.
+    ///
+    /// Size `full` starts 16 machines and 3,600 gateways in 20 processes and writes several GB; `pair` and `small` are for trials.
+    ///
+    /// Exit codes: 0 played, and no rule was broken; 1 a rule was broken, or a day could not be played to its end; 2 an argument is
+    /// wrong.
+    Day(DayArgs),
+    /// Hold records of a control plane against its rules
+    ///
+    /// The rules: whatever came into force was written so by its owner; nobody goes back; who is at the same place holds the same;
+    /// who has come to a region's end has missed nothing; a writer gives each version once.
+    ///
+    /// Exit codes: 0 none was broken; 1 one was; 2 there are no records, or they cannot be read.
+    Check {
+        /// Folder of records, as --records names it, or the folder that a day was played into
+        dir: PathBuf,
+        /// Print JSON
+        #[arg(long)]
+        json: bool,
+    },
 }
 
 /// Arguments of `control machine`.
@@ -139,6 +166,51 @@
     pub json: bool,
 }
 
+/// Arguments of `control day`.
+#[derive(Debug, Args)]
+pub struct DayArgs {
+    /// New or empty folder for all that is written
+    #[arg(long)]
+    pub out: PathBuf,
+    /// How large: full, pair or small
+    #[arg(long, default_value = "small")]
+    pub size: Size,
+    /// Which days, in this order: ordinary, restart, machines, burst, stuck, short; left out: the first five
+    #[arg(long, value_delimiter = ',')]
+    pub days: Vec<Day>,
+    /// Seconds for which usual changes come
+    #[arg(long, default_value_t = 120, value_parser = seconds())]
+    pub ordinary: u64,
+    /// Seconds over which gateways that were killed come back
+    #[arg(long, default_value_t = 60, value_parser = seconds())]
+    pub spread: u64,
+    /// Seconds for which a machine that was killed stays away
+    #[arg(long, default_value_t = 10, value_parser = seconds())]
+    pub down: u64,
+    /// The same where all machines were killed
+    #[arg(long, default_value_t = 60, value_parser = seconds())]
+    pub all_down: u64,
+    /// Seconds for which some gateways take nothing
+    #[arg(long, default_value_t = 30, value_parser = seconds())]
+    pub stuck: u64,
+    /// Seconds within which whatever is waited for has to come about
+    #[arg(long, default_value_t = 180, value_parser = seconds())]
+    pub patience: u64,
+    /// Seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// Keep the processes' states beside the records
+    #[arg(long)]
+    pub keep: bool,
+    /// Print the report as JSON
+    #[arg(long)]
+    pub json: bool,
+}
+
+fn seconds() -> RangedU64ValueParser {
+    RangedU64ValueParser::new().range(1..=86_400)
+}
+
 fn kind(word: &str) -> Result<Kind, String> {
     let found = Kind::ALL.into_iter().find(|kind| kind.word() == word);
     found.ok_or_else(|| format!("it is one of {}", Kind::ALL.map(Kind::word).join(", ")))
--- a/crates/crowbay/src/control_plane.rs
+++ b/crates/crowbay/src/control_plane.rs
@@ -8,12 +8,14 @@
 
 use peer::PeerName;
 use plane::{Change, Key, Micros, Proposal, ProposalError, Region};
+use planecheck::Verdict;
+use planelab::{DayError, DayOptions};
 use planelink::{ProposeError, Proposer};
 use records::Clock;
 use settings::{ControlTable, Site};
 use signal_hook::consts::{SIGINT, SIGTERM};
 
-use crate::command::{ControlVerb, HollowArgs, MachineArgs, PutArgs, STATE};
+use crate::command::{ControlVerb, DayArgs, HollowArgs, MachineArgs, PutArgs, STATE};
 use crate::{Ended, Failure, USAGE, log, serve};
 
 /// Nothing was taken; the same may be asked for later.
@@ -24,6 +26,8 @@
         ControlVerb::Machine(args) => machine(args),
         ControlVerb::Hollow(args) => hollow(args),
         ControlVerb::Put(args) => put(args),
+        ControlVerb::Day(args) => day(args),
+        ControlVerb::Check { dir, json } => check(dir, *json),
     }
 }
 
@@ -140,3 +144,66 @@
     }
     Ok(ExitCode::SUCCESS)
 }
+
+fn day(args: &DayArgs) -> Ended {
+    let mut options = DayOptions::new(std::env::current_exe()?, args.out.clone(), args.size.clone());
+    if !args.days.is_empty() {
+        options.days.clone_from(&args.days);
+    }
+    options.ordinary = Duration::from_secs(args.ordinary);
+    options.spread = Duration::from_secs(args.spread);
+    options.down = Duration::from_secs(args.down);
+    options.all_down = Duration::from_secs(args.all_down);
+    options.stuck = Duration::from_secs(args.stuck);
+    options.patience = Duration::from_secs(args.patience);
+    (options.seed, options.keep) = (args.seed, args.keep);
+    let report = planelab::play(&options).map_err(|error| {
+        let code = if matches!(error, DayError::Option(_)) { USAGE } else { 1 };
+        Failure { code, what: error.to_string() }
+    })?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        println!("{}", report.text());
+    }
+    Ok(kept(&report.verdict))
+}
+
+fn kept(verdict: &Verdict) -> ExitCode {
+    if verdict.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn check(dir: &Path, json: bool) -> Ended {
+    let records = dir.join("records");
+    let records = if records.is_dir() { records.as_path() } else { dir };
+    let verdict = planecheck::check_folder(records)
+        .map_err(|error| Failure { code: USAGE, what: error.to_string() })?;
+    if json {
+        println!("{}", serde_json::to_string_pretty(&verdict)?);
+        return Ok(kept(&verdict));
+    }
+    println!(
+        "{} changes written, {} entries in force at {} holders, {} digests compared",
+        verdict.written, verdict.in_force, verdict.holders, verdict.compared
+    );
+    if let Some(all) = verdict.latencies.get("all").filter(|l| l.all.count > 0) {
+        let ms = |micros: u64| micros as f64 / 1000.0;
+        let (median, p99, worst) = (ms(all.all.median), ms(all.all.p99), ms(all.all.worst));
+        println!("in force after: median {median:.1} ms, p99 {p99:.1} ms, worst {worst:.1} ms");
+    }
+    println!(
+        "{} changes lost with a writer's disk that was set back; {} holders and regions not at the end",
+        verdict.lost_with_disk, verdict.unreached_count
+    );
+    for one in &verdict.unreached {
+        println!("    {} holds region {} up to {:?} of {:?}", one.holder, one.region, one.held, one.last);
+    }
+    println!("broken: {}", verdict.broken());
+    for (kind, count) in &verdict.counts {
+        println!("  {kind:?}: {count}");
+    }
+    for found in &verdict.breaks {
+        println!("    {:?} at {}, {}: {}", found.kind, found.at, found.t, found.what);
+    }
+    Ok(kept(&verdict))
+}
--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -244,3 +244,33 @@
     assert!(status.control.is_none());
     assert!(!stage.path("g1.state").exists());
 }
+
+/// Three machines and sixty gateways as processes; a machine and a process of gateways are killed.
+#[test]
+fn a_short_day_keeps_the_rules_and_a_record_that_was_tampered_with_is_found() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("day");
+    let run = |args: &[&str]| Command::new(EXE).args(args).output().expect("it runs");
+    let spans = ["--ordinary", "2", "--spread", "1", "--down", "1", "--patience", "60"];
+    let day = ["control", "day", "--out", text(&out), "--days", "short", "--json"];
+    let done = run(&[&day[..], &spans].concat());
+    assert_eq!(done.status.code(), Some(0), "{}", told(&done));
+    let report: serde_json::Value = serde_json::from_slice(&done.stdout).expect("a report");
+    assert_eq!((&report["gateways"], &report["machines"]), (&60.into(), &3.into()));
+    assert!(report["verdict"]["in_force"].as_u64() > Some(1000), "{}", report["verdict"]);
+    let check = || run(&["control", "check", text(&out), "--json"]);
+    assert_eq!(check().status.code(), Some(0));
+    // One entry of one gateway, with content that nobody wrote.
+    let file = out.join("records/inforce-h1.log");
+    let records = std::fs::read_to_string(&file).expect("records");
+    let line = records.lines().find(|l| l.starts_with("E ") && !l.ends_with(" -")).expect("an entry");
+    let (start, _) = line.rsplit_once(' ').expect("its hash");
+    std::fs::write(&file, records.replacen(line, &format!("{start} 0123456789abcdef"), 1)).expect("a file");
+    let found = check();
+    assert_eq!(found.status.code(), Some(1), "{}", told(&found));
+    let verdict: serde_json::Value = serde_json::from_slice(&found.stdout).expect("a verdict");
+    assert!(verdict["breaks"].as_array().is_some_and(|all| !all.is_empty()), "{verdict}");
+    // A day is not played over another, and nothing is checked where nothing is.
+    assert_eq!(run(&["control", "check", text(folder.path())]).status.code(), Some(2));
+    assert_eq!(run(&["control", "day", "--out", text(&out), "--size", "vast"]).status.code(), Some(2));
+}
