--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -270,7 +270,11 @@
     assert_eq!(found.status.code(), Some(1), "{}", told(&found));
     let verdict: serde_json::Value = serde_json::from_slice(&found.stdout).expect("a verdict");
     assert!(verdict["breaks"].as_array().is_some_and(|all| !all.is_empty()), "{verdict}");
-    // A day is not played over another, and nothing is checked where nothing is.
+    // Nothing is checked where nothing is, and no day is played over another.
     assert_eq!(run(&["control", "check", text(folder.path())]).status.code(), Some(2));
-    assert_eq!(run(&["control", "day", "--out", text(&out), "--size", "vast"]).status.code(), Some(2));
+    let again = run(&[&day[..], &spans].concat());
+    assert_eq!(again.status.code(), Some(2), "{}", told(&again));
+    assert!(told(&again).contains("play into a new folder"), "{}", told(&again));
+    let vast = run(&["control", "day", "--out", text(folder.path()), "--size", "vast"]);
+    assert_eq!(vast.status.code(), Some(2), "{}", told(&vast));
 }
