Slopes of cost tell the load of the machine and how long a merge lasts

Times that were taken beside many others are too long, and nothing in the report said so: the load as a measurement began stands with it now. Caps hear their notes one cap after the other, as gateways do: in turn over all of them each found nothing of its own in the caches.

--- a/crates/capacity/src/fit.rs
+++ b/crates/capacity/src/fit.rs
@@ -10,6 +10,8 @@
 pub const LEAST_SPAN: f64 = 16.0;
 /// A power is taken for better than a line beyond this difference of their worst residuals only: through the origin both are the same.
 const TIE: f64 = 1e-9;
+/// What is fixed counts as nothing below this part of the least cost.
+const ROUNDING: f64 = 1e-12;
 
 /// How cost goes with size.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
@@ -192,7 +194,9 @@
     let weighted: Vec<(f64, f64, f64)> =
         points.iter().map(|&(size, cost)| (size, cost, scale(cost, points).powi(-2))).collect();
     let (fixed, slope) = least_squares(&weighted);
-    Form::Line { fixed, slope }
+    // What rounding leaves of a line through the origin is nothing fixed.
+    let rounding = points.iter().map(|p| p.1.abs()).fold(f64::INFINITY, f64::min) * ROUNDING;
+    Form::Line { fixed: if fixed.abs() < rounding { 0.0 } else { fixed }, slope }
 }
 
 /// None where a cost has no logarithm.
--- a/crates/capacity/src/parts/fleets.rs
+++ b/crates/capacity/src/parts/fleets.rs
@@ -37,7 +37,7 @@
 
 /// Bytes and processor time of a member at rest and while two halves merge.
 pub(super) fn measure(ask: &Ask) -> Result<Vec<Row>, MeasureError> {
-    const ROWS: usize = 6;
+    const ROWS: usize = 7;
     let mut points: [Vec<(f64, f64)>; ROWS] = Default::default();
     let seeds = if ask.look { 1 } else { RUNS };
     for &members in sizes(&SIZES, ask.look) {
@@ -49,6 +49,7 @@
             |r| r.rest.micros,
             |r| r.merge.micros,
             |r| r.due,
+            |r| r.merge.seconds,
         ];
         for (points, of) in points.iter_mut().zip(of) {
             points.push((members as f64, median(runs.iter().map(of).collect())));
@@ -57,7 +58,7 @@
     let how = |what: &str| {
         format!(
             "Package `fleet` in virtual time, defaults of its options (period 1 s), notes 0.2 to 2 ms under way, no volumes held and \
-             no node seen; median of {seeds} seeds. {what}"
+             no node seen; median of {seeds} run(s), each with its seed. {what}"
         )
     };
     let row = |name, cost, points, budget, what: &str| Row {
@@ -74,12 +75,19 @@
     let merge = "Mean from the moment at which two halves that held each other for unreachable can speak again until all hold one view.";
     let worst = "The most bytes that any member sent within any second of that merging.";
     let due = "One question of `next_due`, which the engine asks after each batch of messages; median over members.";
-    let [a, b, c, d, e, f] = points;
+    let [a, b, c, d, e, f, g] = points;
     let control = Some(CONTROL_BYTES);
     Ok(vec![
         row("fleet_rest", "bytes out for each member and second", a, control, rest),
         row("fleet_merge", "bytes out for each member and second", b, control, merge),
         row("fleet_merge_worst", "bytes out of one member in its worst second", c, control, worst),
+        row(
+            "fleet_merge_time",
+            "from the moment at which halves can speak until all hold one view, s",
+            g,
+            None,
+            merge,
+        ),
         row("fleet_rest_processor", "processor time of a member in a second, us", d, None, rest),
         row("fleet_merge_processor", "processor time of a member in a second, us", e, None, merge),
         row("fleet_due_processor", "processor time of asking when it is due, us", f, None, due),
--- a/crates/capacity/src/parts/net.rs
+++ b/crates/capacity/src/parts/net.rs
@@ -41,6 +41,8 @@
     pub(super) micros: f64,
     /// The most bytes that any member sent within any second.
     pub(super) worst: f64,
+    /// Seconds in all.
+    pub(super) seconds: f64,
 }
 
 /// The members and the notes on their way.
@@ -199,11 +201,13 @@
         let (began, bytes, spent) = (self.now, out(&*self), self.spent);
         self.worst = 0;
         work(self)?;
-        let shares = self.hosts.len() as f64 * (self.now - began) as f64 / 1e6;
+        let seconds = (self.now - began) as f64 / 1e6;
+        let shares = self.hosts.len() as f64 * seconds;
         Ok(Taken {
             bytes: (out(&*self) - bytes) as f64 / shares,
             micros: super::timing::micros(self.spent - spent) / shares,
             worst: self.worst as f64,
+            seconds,
         })
     }
 
--- a/crates/capacity/src/parts/notes.rs
+++ b/crates/capacity/src/parts/notes.rs
@@ -141,7 +141,9 @@
     /// One step of a window: all tick, what was sent in the step before comes, requests come and end.
     pub(super) fn step(&mut self) {
         self.steps += 1;
-        let under_way = std::mem::take(&mut self.notes);
+        let mut under_way = std::mem::take(&mut self.notes);
+        // A gateway hears its own peers one after the other; in turn over all caps each would find nothing of its own in the caches.
+        under_way.sort_by_key(|(_, to, _)| *to);
         for at in 0..self.caps.len() {
             let took = self.hand(at, Input::Tick);
             self.counted.ticks += took;
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -13,7 +13,7 @@
 pub use table::figure;
 
 /// How a measurement was taken.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Taken {
     /// The command that takes it again.
     pub command: String,
@@ -21,6 +21,8 @@
     pub date: u64,
     /// Cores that the machine granted.
     pub cores: usize,
+    /// Tasks that ran or wanted to as it began, in the mean of a minute: times taken beside many others are too long.
+    pub load: f64,
     /// The seed of all that is drawn.
     pub seed: u64,
     /// It took the smaller sizes only: no slope.
@@ -70,7 +72,7 @@
 }
 
 /// A measurement that came to nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Failed {
     /// Its name.
     pub measure: String,
--- a/crates/capacity/src/report/table.rs
+++ b/crates/capacity/src/report/table.rs
@@ -31,7 +31,11 @@
 
 fn form(form: Form) -> String {
     match form {
-        Form::Line { fixed, slope } => format!("{} + {} x", figure(fixed), figure(slope)),
+        Form::Line { fixed, slope } if fixed == 0.0 => format!("{} x", figure(slope)),
+        Form::Line { fixed, slope } => {
+            let sign = if slope < 0.0 { '-' } else { '+' };
+            format!("{} {sign} {} x", figure(fixed), figure(slope.abs()))
+        }
         Form::Power { factor, exponent } => format!("{} x^{exponent:.2}", figure(factor)),
     }
 }
@@ -104,8 +108,8 @@
         let taken = &entry.taken;
         let _ = writeln!(
             text,
-            "- `{}`: {} Taken at {} s since 1970 on {} cores: `{}`.",
-            entry.name, entry.how, taken.date, taken.cores, taken.command
+            "- `{}`: {} Taken at {} s since 1970 on {} cores, load {:.1} as it began: `{}`.",
+            entry.name, entry.how, taken.date, taken.cores, taken.load, taken.command
         );
         if let Some(why) = &entry.no_fit {
             let _ = writeln!(text, "  No fit: {why}.");
--- a/crates/capacity/tests/report.rs
+++ b/crates/capacity/tests/report.rs
@@ -11,7 +11,7 @@
 }
 
 fn taken(date: u64, look: bool) -> Taken {
-    Taken { command: "slopes --only it".into(), date, cores: 3, seed: 1, look }
+    Taken { command: "slopes --only it".into(), date, cores: 3, load: 0.5, seed: 1, look }
 }
 
 fn names(report: &Report) -> Vec<&str> {
