--- a/crates/capacity/src/report/table.rs
+++ b/crates/capacity/src/report/table.rs
@@ -31,7 +31,7 @@
 
 fn form(form: Form) -> String {
     match form {
-        Form::Line { fixed, slope } if fixed == 0.0 => format!("{} x", figure(slope)),
+        Form::Line { fixed: 0.0, slope } => format!("{} x", figure(slope)),
         Form::Line { fixed, slope } => {
             let sign = if slope < 0.0 { '-' } else { '+' };
             format!("{} {sign} {} x", figure(fixed), figure(slope.abs()))
