--- a/crates/capacity/tests/fit.rs
+++ b/crates/capacity/tests/fit.rs
@@ -158,3 +158,11 @@
     assert_eq!(breaks([16.0, 8.0, 4.0, 1.0], 20.0), Some(Breaks::Never));
     assert_eq!(breaks([0.0; 4], 1.0), Some(Breaks::Never));
 }
+
+#[test]
+fn a_large_size_that_is_a_little_off_does_not_bend_the_small_ones() {
+    let points = vec![(1.0, 11.0), (10.0, 20.0), (100.0, 110.0), (1000.0, 1.05 * 1010.0)];
+    let fit = Fit::of(&row(points, 1e6, None)).expect("a slope");
+    let Form::Line { fixed, .. } = fit.form else { panic!("{:?} for a line", fit.form) };
+    assert!(fit.worst < 0.05 && (fixed - 10.0).abs() < 1.0, "{fit:?}");
+}
