--- a/crates/capacity/src/parts.rs
+++ b/crates/capacity/src/parts.rs
@@ -1,6 +1,6 @@
 //! Measurements within one process: modules without I/O, driven directly, in virtual time.
 //!
-//! Deterministic but for the time that calls take: a seed gives the same events. What is resident is read of a child process of its
+//! Deterministic but for the time that calls take: a seed gives the same events. Times are of the processor, by the thread's own clock. What is resident is read of a child process of its
 //! own, so that nothing of a size before is in it: the program that measures hands `--child NAME SIZE SEED` to [`child`].
 
 mod caps;
--- a/crates/capacity/src/parts/net.rs
+++ b/crates/capacity/src/parts/net.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use fleet::{Fleet, FleetOptions, Input, Life, Micros, Output, PeerName, Standing};
 use peer::{Incarnation, Nonce};
@@ -11,6 +11,8 @@
 
 use crate::MeasureError;
 
+use super::timing::{Watch, median, micros, timed_many};
+
 /// A member's period, by its defaults.
 pub(super) const PERIOD: Micros = 1_000_000;
 const DELAY: (Micros, Micros) = (200, 2_000);
@@ -113,9 +115,9 @@
     fn hand(&mut self, at: usize, input: Input) {
         let mut out = Vec::new();
         let host = &mut self.hosts[at];
-        let began = Instant::now();
+        let watch = Watch::start();
         host.fleet.handle(self.now, input, &mut out);
-        self.spent += began.elapsed();
+        self.spent += watch.stop();
         self.due.remove(&(host.due, at));
         host.due = host.fleet.next_due();
         self.due.insert((host.due, at));
@@ -205,7 +207,7 @@
         let shares = self.hosts.len() as f64 * seconds;
         Ok(Taken {
             bytes: (out(&*self) - bytes) as f64 / shares,
-            micros: super::timing::micros(self.spent - spent) / shares,
+            micros: micros(self.spent - spent) / shares,
             worst: self.worst as f64,
             seconds,
         })
@@ -214,10 +216,10 @@
     /// Processor time of asking each member when it is due, microseconds.
     pub(super) fn asked_when_due(&self) -> f64 {
         let times = self.hosts.iter().map(|h| {
-            super::timing::timed_many(|| {
+            timed_many(|| {
                 std::hint::black_box(h.fleet.next_due());
             })
         });
-        super::timing::median(times.collect())
+        median(times.collect())
     }
 }
--- a/crates/capacity/src/parts/notes.rs
+++ b/crates/capacity/src/parts/notes.rs
@@ -1,6 +1,6 @@
 //! Caps on repeats of several gateways, their requests, and the notes between them, in virtual time; a note takes one step.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use peer::{Incarnation, Life, Nonce, PeerName};
 use rand::rngs::SmallRng;
@@ -9,7 +9,7 @@
 
 use crate::coming::REQUESTS;
 
-use super::timing::micros;
+use super::timing::{Watch, micros};
 
 /// Steps of a cap in its window of a second.
 pub(super) const STEPS: u64 = 64;
@@ -66,6 +66,7 @@
 pub(super) struct Company {
     steps: u64,
     caps: Vec<Cap>,
+    names: Vec<PeerName>,
     /// What each may send further to shard 0.
     allowed: Vec<u32>,
     notes: Vec<(usize, usize, Vec<u8>)>,
@@ -94,6 +95,7 @@
         let mut company = Company {
             steps: 0,
             caps: (0..played).map(cap).collect(),
+            names: (0..members).map(name).collect(),
             allowed: vec![0; played],
             notes: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
@@ -103,7 +105,7 @@
             counted: Counted::default(),
         };
         for at in 0..played {
-            company.hand(at, Input::Peers((0..members).map(name).collect()));
+            company.hand(at, Input::Peers(company.names.clone()));
         }
         company
     }
@@ -117,12 +119,23 @@
         self.steps as Micros * STEP
     }
 
-    /// Hands something in; how long that took.
-    fn hand(&mut self, at: usize, input: Input) -> Duration {
+    /// Hands something in, and does what is to be done; how long the cap's part of that took.
+    fn timed(&mut self, at: usize, input: Input) -> Duration {
         let (now, mut out) = (self.now(), Vec::new());
-        let began = Instant::now();
+        let watch = Watch::start();
         self.caps[at].handle(now, input, &mut out);
-        let took = began.elapsed();
+        let took = watch.stop();
+        self.follow(at, out);
+        took
+    }
+
+    fn hand(&mut self, at: usize, input: Input) {
+        let (now, mut out) = (self.now(), Vec::new());
+        self.caps[at].handle(now, input, &mut out);
+        self.follow(at, out);
+    }
+
+    fn follow(&mut self, at: usize, out: Vec<Output>) {
         for output in out {
             match output {
                 Output::Send { to, body } => {
@@ -135,7 +148,6 @@
                 Output::Allow(_) | Output::Entered { .. } | Output::TurnedAway { .. } => {}
             }
         }
-        took
     }
 
     /// One step of a window: all tick, what was sent in the step before comes, requests come and end.
@@ -145,20 +157,25 @@
         // A gateway hears its own peers one after the other; in turn over all caps each would find nothing of its own in the caches.
         under_way.sort_by_key(|(_, to, _)| *to);
         for at in 0..self.caps.len() {
-            let took = self.hand(at, Input::Tick);
+            let took = self.timed(at, Input::Tick);
             self.counted.ticks += took;
             if self.steps.is_multiple_of(SLICE) {
                 self.counted.slices.push(micros(took));
             }
         }
+        // Each of these is too short to be timed alone.
+        let watch = Watch::start();
         for (from, to, body) in under_way {
-            let took = self.hand(to, Input::Heard { from: name(from), life: LIFE, body });
-            self.counted.heard += took;
+            let from = self.names[from].clone();
+            self.hand(to, Input::Heard { from, life: LIFE, body });
         }
+        self.counted.heard += watch.stop();
         let until = |steps: u64| steps * u64::from(REQUESTS) / STEPS;
+        let watch = Watch::start();
         for _ in until(self.steps - 1)..until(self.steps) {
             (0..self.caps.len()).for_each(|at| self.request(at));
         }
+        self.counted.events += watch.stop();
     }
 
     fn request(&mut self, at: usize) {
@@ -168,24 +185,23 @@
             Unserved::OneIn(many) => self.rng.random_range(0..many) == 0,
             Unserved::ShardZero => shard == 0,
         };
-        let mut took = self.hand(at, Input::Sent { shard, further: false });
-        took += self.hand(at, Input::Ended { shard, served: !unserved, refused: false });
+        self.hand(at, Input::Sent { shard, further: false });
+        self.hand(at, Input::Ended { shard, served: !unserved, refused: false });
         if unserved && self.unserved == Unserved::ShardZero {
             if self.allowed[at] > 0 {
                 self.allowed[at] -= 1;
-                took += self.hand(at, Input::Sent { shard, further: true });
-                took += self.hand(at, Input::Ended { shard, served: false, refused: false });
+                self.hand(at, Input::Sent { shard, further: true });
+                self.hand(at, Input::Ended { shard, served: false, refused: false });
             } else {
-                took += self.hand(at, Input::Wanted { shard, worth: 1.0, left: LEFT });
+                self.hand(at, Input::Wanted { shard, worth: 1.0, left: LEFT });
             }
         }
         if unserved {
             self.next_key += 1;
             // Spread as the keys of requests are.
             let key = self.next_key.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            took += self.hand(at, Input::Unserved { key });
+            self.hand(at, Input::Unserved { key });
         }
-        self.counted.events += took;
         self.counted.requests += 1;
     }
 
