--- a/crates/capacity/src/processes/agent.rs
+++ b/crates/capacity/src/processes/agent.rs
@@ -160,11 +160,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn wait(
-        &self,
-        what: &str,
-        met: impl Fn(&State) -> bool,
-    ) -> Result<MutexGuard<'_, State>, MeasureError> {
+    fn wait(&self, what: &str, met: impl Fn(&State) -> bool) -> Result<MutexGuard<'_, State>, MeasureError> {
         let waited = self.changed.wait_timeout_while(self.state(), LONG, |s| !met(s));
         let (state, late) = waited.unwrap_or_else(PoisonError::into_inner);
         match late.timed_out() {
--- a/crates/capacity/src/processes/fleet_rest.rs
+++ b/crates/capacity/src/processes/fleet_rest.rs
@@ -160,7 +160,10 @@
     for ((member, before), after) in members.iter().zip(&before).zip(&after) {
         let (old, new) = (view(member, before)?, view(member, after)?);
         if !holds_all(new, size) {
-            return Err(MeasureError::Failed(format!("{} of {size} gateways lost sight of some", member.name)));
+            return Err(MeasureError::Failed(format!(
+                "{} of {size} gateways lost sight of some",
+                member.name
+            )));
         }
         let seconds = (after.now - before.now) as f64 / 1e6;
         bytes_per_second += (new.bytes_out - old.bytes_out) as f64 / seconds / size as f64;
--- a/crates/capacity/src/processes/gauge.rs
+++ b/crates/capacity/src/processes/gauge.rs
@@ -17,7 +17,7 @@
 pub struct Memory {
     /// Resident now.
     pub resident: u64,
-    /// The most that was resident.
+    /// The most that was resident; the system counts it to a MB or so.
     pub peak: u64,
 }
 
@@ -66,10 +66,8 @@
     let (mut run, mut sleeps, mut seen) = (Duration::ZERO, true, 0);
     for thread in std::fs::read_dir(&path).map_err(io_error(&path))? {
         let own = thread.map_err(io_error(&path))?.path();
-        let texts =
-            std::fs::read_to_string(own.join("schedstat")).and_then(|schedule| {
-                Ok((schedule, std::fs::read_to_string(own.join("stat"))?))
-            });
+        let texts = std::fs::read_to_string(own.join("schedstat"))
+            .and_then(|schedule| Ok((schedule, std::fs::read_to_string(own.join("stat"))?)));
         let (schedule, stat) = match texts {
             Ok(texts) => texts,
             // A thread that has ended meanwhile: not there, or no such process.
--- a/crates/capacity/src/processes/idle_clients.rs
+++ b/crates/capacity/src/processes/idle_clients.rs
@@ -34,10 +34,8 @@
         all[SIZES.len() - 1] = FEWER;
     }
     let points = sizes(ask, &all).into_iter().map(|n| point(ask, n)).collect::<Result<Vec<_>, _>>()?;
-    let herds: Vec<String> = points
-        .iter()
-        .map(|p| format!("{}: {} and {}", p.size, p.herd.served, p.herd.refused))
-        .collect();
+    let herds: Vec<String> =
+        points.iter().map(|p| format!("{}: {} and {}", p.size, p.herd.served, p.herd.refused)).collect();
     let windows: Vec<String> = points.iter().map(|p| format!("{:.1}", p.window.as_secs_f64())).collect();
     let how = format!(
         "One 'crowbay platform' process, granted {} descriptors and {} MB, {NODES} stand-in nodes that \
@@ -62,7 +60,12 @@
         sheet.row("idle_clients_memory", "resident memory, bytes", None, of(|p| p.resident)),
         sheet.row("idle_clients_descriptors", "open descriptors", None, of(|p| p.descriptors)),
         sheet.row("herd_clients_wall", "time until all have an answer, s", None, of(|p| p.herd_wall)),
-        sheet.row("herd_clients_time", "processor time until all have an answer, s", None, of(|p| p.herd_time)),
+        sheet.row(
+            "herd_clients_time",
+            "processor time until all have an answer, s",
+            None,
+            of(|p| p.herd_time),
+        ),
     ])
 }
 
--- a/crates/capacity/src/processes/journal.rs
+++ b/crates/capacity/src/processes/journal.rs
@@ -48,7 +48,11 @@
         .map_err(|e| MeasureError::Failed(format!("the program's table cannot be read: {e}")))?;
     let writes: Vec<&Line> = lines.iter().filter(|l| l.op == "write").collect();
     if writes.len() != depths.len() {
-        return Err(MeasureError::Failed(format!("{} of {} depths were measured", writes.len(), depths.len())));
+        return Err(MeasureError::Failed(format!(
+            "{} of {} depths were measured",
+            writes.len(),
+            depths.len()
+        )));
     }
     let told = |l: &&Line| {
         let unserved = l.straight.unserved + l.through.unserved;
--- a/crates/capacity/src/processes/platform_list.rs
+++ b/crates/capacity/src/processes/platform_list.rs
@@ -48,7 +48,12 @@
         ),
         sheet.row("platform_list_change", "processor time of one change, us", None, of(|p| p.change)),
         sheet.row("platform_list_rest", "processor time at rest, part of a core", None, of(|p| p.rest)),
-        sheet.row("platform_list_read_time", "processor time of reading a whole list, us", None, of(|p| p.read)),
+        sheet.row(
+            "platform_list_read_time",
+            "processor time of reading a whole list, us",
+            None,
+            of(|p| p.read),
+        ),
         sheet.row("platform_list_read_wall", "time of reading a whole list, us", None, of(|p| p.read_wall)),
         sheet.row("platform_list_bytes", "bytes of a whole list on the wire", None, of(|p| p.bytes)),
     ])
