A copy that doubts what it holds says so, and gets a whole state no older than that

Cause: copy.rs, subscribe(), and feed.rs, freeze(). The copy now names its cursor and what it doubts.

--- a/crates/plane/src/copy.rs
+++ b/crates/plane/src/copy.rs
@@ -90,11 +90,10 @@
 
     /// What to ask a machine for: what is missing behind what is held, of these regions.
     pub fn subscribe(&self, regions: &[Region]) -> Message {
-        let of = |region: &Region| {
-            let part = self.parts.get(region)?;
-            Some((*region, if part.whole { Cursor::default() } else { part.cursor }))
-        };
-        Message::Subscribe(regions.iter().filter_map(of).collect())
+        let held = regions.iter().filter_map(|region| Some((*region, self.parts.get(region)?)));
+        let wanted = held.clone().map(|(region, part)| (region, part.cursor)).collect();
+        let doubted: Vec<Region> = held.filter(|(_, part)| part.whole).map(|(region, _)| region).collect();
+        if doubted.is_empty() { Message::Subscribe(wanted) } else { Message::Renew { wanted, doubted } }
     }
 
     /// Bodies that bring another copy to where this one is, deletions apart.
@@ -150,7 +149,7 @@
             Message::End { region } => self.end(region, from),
             Message::Behind { region, at } => Ok(Taken::Behind { region, at }),
             Message::Busy { pause } => Ok(Taken::Busy(pause)),
-            Message::Subscribe(_) => Ok(Taken::Known),
+            Message::Subscribe(_) | Message::Renew { .. } => Ok(Taken::Known),
         }
     }
 
--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -50,6 +50,8 @@
     Ahead(Cursor),
     /// Asked for, and not answered yet.
     Asked(Cursor),
+    /// Asked for whole: what it holds up to here is not to be trusted, and it takes nothing that ends before.
+    Doubted(Cursor),
 }
 
 #[derive(Debug, Default)]
@@ -151,6 +153,18 @@
         None
     }
 
+    /// A copy does not trust what it holds of regions that it has just asked for: it wants them whole.
+    pub fn doubts(&mut self, conn: Conn, regions: &[Region]) {
+        let Some(subscriber) = self.subscribers.get_mut(&conn) else { return };
+        for region in regions {
+            if let Some(stand) = subscriber.stands.get_mut(region)
+                && let Stand::Asked(cursor) = *stand
+            {
+                *stand = Stand::Doubted(cursor);
+            }
+        }
+    }
+
     /// A copy has taken bytes.
     pub fn taken(&mut self, conn: Conn, bytes: usize) {
         if let Some(subscriber) = self.subscribers.get_mut(&conn) {
@@ -276,10 +290,11 @@
         ended: &mut Vec<Conn>,
     ) -> Option<(Stand, Arc<[u8]>)> {
         let at = source.copy.cursor(region);
+        let doubted = matches!(stand, Stand::Doubted(_));
         let (cursor, asked) = match stand {
             Stand::At(cursor) => (cursor, false),
             Stand::Ahead(cursor) if cursor > at || at == Cursor::default() => return None,
-            Stand::Ahead(cursor) | Stand::Asked(cursor) => (cursor, true),
+            Stand::Ahead(cursor) | Stand::Asked(cursor) | Stand::Doubted(cursor) => (cursor, true),
             Stand::Whole(frozen, number) => {
                 let frame = frozen.borrow_mut().frame(number)?;
                 let upto = frozen.borrow().upto;
@@ -305,14 +320,14 @@
         // Danger: a cursor on a line that was lost with its writer's disk has changes that this region does not have. It gets the
         // region as it is.
         let strayed = !source.copy.epochs(region).holds(cursor);
-        if cursor == Cursor::default() || cursor.version < index.floor() || strayed {
-            return self.whole(region, source, ended);
+        if cursor == Cursor::default() || cursor.version < index.floor() || strayed || doubted {
+            return self.whole(region, cursor, source, ended);
         }
         if let Some(made) = self.made.get(&(region, cursor)) {
             return Some((Stand::At(made.upto), made.frame.clone()));
         }
         let Some(made) = self.delta(region, cursor, source) else {
-            return self.whole(region, source, ended);
+            return self.whole(region, cursor, source, ended);
         };
         if self.made.len() >= MADE {
             self.made.clear();
@@ -324,10 +339,11 @@
     fn whole(
         &mut self,
         region: Region,
+        held: Cursor,
         source: &Source,
         ended: &mut Vec<Conn>,
     ) -> Option<(Stand, Arc<[u8]>)> {
-        let frozen = self.freeze(region, source, ended)?;
+        let frozen = self.freeze(region, held, source, ended)?;
         self.counts.wholes += 1;
         self.step(region, Stand::Whole(frozen, 0), source, ended)
     }
@@ -346,10 +362,11 @@
         Some(Made { upto, frame: message.frame()? })
     }
 
-    /// The whole state as it is now, or as it was a few changes ago.
+    /// The whole state as it is now, or as it was a few changes ago but not before what its reader holds.
     fn freeze(
         &mut self,
         region: Region,
+        held: Cursor,
         source: &Source,
         ended: &mut Vec<Conn>,
     ) -> Option<Rc<RefCell<Frozen>>> {
@@ -357,8 +374,9 @@
         let all = self.frozen.entry(region).or_default();
         if let Some(last) = all.back() {
             let upto = last.borrow().upto;
-            // What has changed since then has to fit behind it, or its readers would begin again and again.
-            if upto.version >= index.floor() && fitting(index, upto).is_some() {
+            // What has changed since then has to fit behind it, or its readers would begin again and again; and it must not end
+            // before what its reader holds.
+            if upto >= held && upto.version >= index.floor() && fitting(index, upto).is_some() {
                 return Some(last.clone());
             }
         }
--- a/crates/plane/src/machine/clients.rs
+++ b/crates/plane/src/machine/clients.rs
@@ -100,8 +100,10 @@
 
     fn on_note(&mut self, conn: Conn, body: &[u8], out: &mut Vec<Output>) {
         self.counts.notes_in += 1;
-        let Some(Message::Subscribe(wanted)) = Message::read(body) else {
-            return self.turn_away(conn, "a note that no copy sends".into(), out);
+        let (wanted, doubted) = match Message::read(body) {
+            Some(Message::Subscribe(wanted)) => (wanted, Vec::new()),
+            Some(Message::Renew { wanted, doubted }) => (wanted, doubted),
+            _ => return self.turn_away(conn, "a note that no copy sends".into(), out),
         };
         if wanted.len() > REGIONS {
             return self.turn_away(conn, "a subscription to more regions than there are".into(), out);
@@ -116,6 +118,7 @@
             out.push(Output::Close(conn));
             self.forget(conn);
         }
+        self.feed.doubts(conn, &doubted);
     }
 
     /// What somebody holds of this writer's region that it does not know.
--- a/crates/plane/src/message.rs
+++ b/crates/plane/src/message.rs
@@ -53,6 +53,13 @@
 pub enum Message {
     /// To a machine: serve me these regions behind these cursors.
     Subscribe(Vec<(Region, Cursor)>),
+    /// To a machine: the same, where some of what is held was found to differ from a sender's and is wanted whole.
+    Renew {
+        /// Regions, and up to where they are held.
+        wanted: Vec<(Region, Cursor)>,
+        /// Those of them that are wanted whole, as of that cursor or later.
+        doubted: Vec<Region>,
+    },
     /// All that changed behind `after` up to `upto`, each key once, in the order of versions.
     Delta {
         /// The region.
