--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -323,15 +323,9 @@
         let index = source.indexes.get(&region)?;
         // Danger: a cursor on a line that was lost with its writer's disk has changes that this region does not have. It gets the
         // region as it is.
-<<<<<<< HEAD
         let strayed = !source.copy.epochs(region).holds(cursor) || believed || earlier;
-        if cursor == Cursor::default() || cursor.version < index.floor() || strayed {
-            return self.whole(region, source, ended);
-=======
-        let strayed = !source.copy.epochs(region).holds(cursor);
         if cursor == Cursor::default() || cursor.version < index.floor() || strayed || doubted {
             return self.whole(region, cursor, source, ended);
->>>>>>> main
         }
         if let Some(made) = self.made.get(&(region, cursor)) {
             return Some((Stand::At(made.upto), made.frame.clone()));
--- a/crates/plane/tests/feed.rs
+++ b/crates/plane/tests/feed.rs
@@ -203,6 +203,27 @@
     }
 }
 
+#[test]
+fn who_doubts_what_it_holds_gets_a_whole_state_that_does_not_end_before_it() {
+    let mut desk = full(alone(), 10);
+    // The first whole state is given out, and a few changes follow that one message would hold.
+    let early = reader(&mut desk, &fresh(), true);
+    desk.run(5);
+    assert!(desk.notes(early).iter().any(|note| matches!(note, Message::End { .. })));
+    desk.change(vec![put("k1", "new"), put("k2", "new")]);
+    let mut copy = fresh();
+    for body in desk.machine.copy().export() {
+        copy.restore(&body, None).expect("its own state");
+    }
+    let held = copy.cursor(ONE);
+    let conn = desk.connect("doubter");
+    desk.note(conn, &Message::Renew { wanted: vec![(ONE, held)], doubted: vec![ONE] });
+    desk.run(5);
+    let taken = desk.read(conn, &mut copy).expect("none that ends before what it holds");
+    assert!(taken.iter().any(|one| matches!(one, Taken::Whole { upto, .. } if *upto == held)), "{taken:?}");
+    assert!(matches!(taken.last(), Some(Taken::Delta { level: true, .. })), "{taken:?}");
+}
+
 /// A machine of region 1 that does not write, and what it was told by the writer.
 fn follower(messages: &[Message]) -> Desk {
     let places = vec![place("w1", 1, true), place("m2", 1, false)];
