A node's end under a request that is not all out makes no answer whole

A node that ends over unread bytes sends its end and a moment later a reset; on the system's side a read behind both says "end" as well. To blame: Port::start in platform/src/port.rs took the reader's End::Orderly for the truth unless the writer had failed already; reader and writer are two coroutines, woken by the same event in either order. Ruled out: the request being all out (the system's buffer holds less than half of it), the decoder (it has no reset to see).

Change: where the reader meets the end of a node while bytes for it are pending, the connection is closed and counts as broken (cut, where the writer says so): an answer without a length is not served. Clients' and discovery's connections are as before.

--- a/crates/crowbay/tests/endings.rs
+++ b/crates/crowbay/tests/endings.rs
@@ -244,6 +244,24 @@
     });
 }
 
+/// Danger: the end of a node that dies under a request comes ahead of its reset; whoever meets only the end takes the answer for whole.
+#[test]
+fn an_end_that_comes_before_all_of_the_request_is_out_makes_no_answer_whole() {
+    let late = Late::narrow();
+    let process = gateway(late.address);
+    let address = process.address;
+    let asks = thread::spawn(move || ask(address, ONCE, "wide", &"x".repeat(64 << 10)));
+    let mut line = late.take();
+    until("a part is written", || kernel::other(&line).is_some_and(|e| e.unsent > 0));
+    // There is nobody for a further attempt.
+    drop(late);
+    std::io::Write::write_all(&mut line, b"HTTP/1.1 200 OK\r\n\r\nwhole").expect("an answer");
+    // The end without the reset: nothing of the request is read, and the connection stays.
+    line.shutdown(std::net::Shutdown::Write).expect("an end");
+    let answer = asks.join().expect("no panic");
+    assert!(matches!(answer.status, 502 | 503), "{} {:?}", answer.status, answer.body);
+}
+
 /// A connection has served a request; while the gateway stands still, this comes on it, and the next request, that one first or last.
 /// It gets the answer to itself, in one attempt.
 fn beside(behind: &'static [&'static str], end: End, rests: bool, first: bool) -> Result<(), String> {
--- a/crates/platform/src/port.rs
+++ b/crates/platform/src/port.rs
@@ -106,13 +106,34 @@
         task::spawn("port", move || {
             let end = port.read(clock, &inbox, rising);
             port.unheard.store(true, Ordering::SeqCst);
-            let end = if port.outlet.was_cut() { End::Cut } else { end };
+            let end = port.ending(end);
             let (socket, serial) = (port.socket, port.serial);
             // The engine ends last; what comes after it concerns nobody.
             let _ = inbox.send(Message::Ended { socket, serial, end });
         })
     }
 
+    /// How it ended, by what its reader saw and by what went out on it.
+    ///
+    /// Danger: a node that ends or dies under a request says that nothing more will come, and breaks the connection a moment later.
+    /// Where the reader met the first and the writer not yet the second, an answer without a length counted as whole, to a
+    /// request that its node never got whole. Harm: such an answer from a node that answers early is not served.
+    fn ending(&self, seen: End) -> End {
+        let is_early = seen == End::Orderly && self.is_to_node() && self.outlet.is_pending();
+        if is_early {
+            self.outlet.close();
+        }
+        match seen {
+            _ if self.outlet.was_cut() => End::Cut,
+            _ if is_early => End::Broken,
+            seen => seen,
+        }
+    }
+
+    fn is_to_node(&self) -> bool {
+        matches!(self.socket, SocketId::Node(_))
+    }
+
     /// Reads until it ends; how it did.
     fn read(&self, clock: Clock, inbox: &Sender<Message>, rising: bool) -> End {
         let Ok(io) = CoIo::new(Held(self.stream.clone())) else { return End::Broken };
