A gateway is told of a change once its disk was given it

Cause, by reading: Following::handle told of what came into force at once, and settle wrote it to the disk at the end of the turn. A gateway that acted on a change and was killed between the two started behind what it had acted on (crates/planelink/src/follower.rs, after()). Change: what a turn brought is told after settle.

--- a/crates/planelink/src/follower.rs
+++ b/crates/planelink/src/follower.rs
@@ -220,6 +220,7 @@
             if self.gateway.is_touched || self.gateway.is_lost() {
                 self.gateway.settle(now);
             }
+            self.tell_all();
             if !self.net.is_due() {
                 break;
             }
@@ -247,16 +248,17 @@
     fn dialled(&mut self, now: Micros, conn: Option<Conn>) {
         let mut around = Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
         self.gateway.dialled(now, conn, &self.link, &mut around);
-        self.after();
     }
 
     fn handle(&mut self, now: Micros, input: Input) {
         let mut around = Around { net: &mut self.net, pool: None, out: &mut self.out, told: &mut self.told };
         self.gateway.handle(now, input, &self.link, &mut around);
-        self.after();
     }
 
-    fn after(&mut self) {
+    /// Tells what a turn brought, once the disk was given it.
+    ///
+    /// Danger: a gateway that acts on a change and is killed before its disk has it starts behind what it acted on.
+    fn tell_all(&mut self) {
         for told in self.told.drain(..) {
             match told {
                 Told::InForce(Taken::Delta { region, upto, changed, .. }) => {
--- a/crates/planelink/tests/follow.rs
+++ b/crates/planelink/tests/follow.rs
@@ -9,8 +9,8 @@
 
 use common::{LONG, SITE, Site, change, copy_files, follow, records, until};
 use peer::channel::ChannelError;
-use plane::{Cursor, Epoch, ProposalError, Region, Version};
-use planelink::{Followed, ProposeError, Proposer};
+use plane::{Bounds, Copy, Cursor, Epoch, ProposalError, Region, Version};
+use planelink::{FollowOptions, Followed, Follower, ProposeError, Proposer, Store};
 
 fn at(epoch: u64, version: u64) -> Cursor {
     Cursor { epoch: Epoch(epoch), version: Version(version) }
@@ -72,6 +72,39 @@
     assert_eq!((upto, held), (at(2, 3), vec![node("n1", b"up"), node("n2", b"down"), node("n3", b"up")]));
 }
 
+/// Danger: a gateway that acts on a change which its disk has not been given starts behind it when its process is killed there.
+#[test]
+fn what_a_gateway_is_told_its_disk_was_given_before() {
+    let (at_machine, at_gateway) = (tempfile::tempdir().unwrap(), tempfile::tempdir().unwrap());
+    let site = Site::new(&[("c1", 1, true)]);
+    let _machine = site.start("c1", at_machine.path());
+    let (folder, regions) = (at_gateway.path().to_owned(), site.regions());
+    let (tell, told) = std::sync::mpsc::channel();
+    // What a start would find if the process were killed in this moment.
+    let options = FollowOptions { name: "g1".into(), link: site.link(1), folder: folder.clone(), seed: 1 };
+    let follower = Follower::start(options, move |followed| {
+        let (Followed::Changed { upto, .. } | Followed::Whole { upto, .. }) = followed else { return };
+        let killed = tempfile::tempdir().unwrap();
+        copy_files(&folder, killed.path());
+        let (_, bodies) = Store::open(killed.path()).unwrap();
+        let mut copy = Copy::new(regions.iter().copied(), Bounds::default());
+        bodies.iter().for_each(|body| drop(copy.restore(body, None).unwrap()));
+        // Who looks has gone only if the test has failed.
+        let _ = tell.send((upto, copy.cursor(Region(1))));
+    })
+    .unwrap();
+    until("level", || follower.look().level);
+    for n in 1..=20 {
+        site.put("c1", &format!("n{n}"), b"up");
+    }
+    until("all of them", || follower.look().entries == 20);
+    drop(follower);
+    let told: Vec<_> = told.try_iter().collect();
+    assert!(told.len() >= 2, "{told:?}");
+    let behind: Vec<_> = told.iter().filter(|(upto, held)| held < upto).collect();
+    assert!(behind.is_empty(), "told, and not on the disk: {behind:?}");
+}
+
 #[test]
 fn deletions_and_changes_of_another_region_come_through_the_own_regions_machine() {
     let folders = [(); 3].map(|()| tempfile::tempdir().unwrap());
