--- a/crates/capacity/examples/slopes.rs
+++ b/crates/capacity/examples/slopes.rs
@@ -55,7 +55,7 @@
         command,
         date: SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_secs(),
         cores: std::thread::available_parallelism()?.get(),
-        load: std::fs::read_to_string("/proc/loadavg")?.split(' ').next().unwrap_or_default().parse()?,
+        load: Some(std::fs::read_to_string("/proc/loadavg")?.split(' ').next().unwrap_or_default().parse()?),
         seed,
         look,
     })
--- a/crates/capacity/src/report.rs
+++ b/crates/capacity/src/report.rs
@@ -21,8 +21,10 @@
     pub date: u64,
     /// Cores that the machine granted.
     pub cores: usize,
-    /// Tasks that ran or wanted to as it began, in the mean of a minute: times taken beside many others are too long.
-    pub load: f64,
+    /// Tasks that ran or wanted to as it began, in the mean of a minute: times taken beside many others are too long. None where
+    /// it was not written down, as in reports of before.
+    #[serde(default)]
+    pub load: Option<f64>,
     /// The seed of all that is drawn.
     pub seed: u64,
     /// It took the smaller sizes only: no slope.
--- a/crates/capacity/src/report/table.rs
+++ b/crates/capacity/src/report/table.rs
@@ -106,10 +106,11 @@
     text.push_str("\n## How each was taken\n\n");
     for entry in &report.rows {
         let taken = &entry.taken;
+        let load = taken.load.map_or("unknown".to_owned(), |load| format!("{load:.1}"));
         let _ = writeln!(
             text,
-            "- `{}`: {} Taken at {} s since 1970 on {} cores, load {:.1} as it began: `{}`.",
-            entry.name, entry.how, taken.date, taken.cores, taken.load, taken.command
+            "- `{}`: {} Taken at {} s since 1970 on {} cores, load {load} as it began: `{}`.",
+            entry.name, entry.how, taken.date, taken.cores, taken.command
         );
         if let Some(why) = &entry.no_fit {
             let _ = writeln!(text, "  No fit: {why}.");
--- a/crates/capacity/tests/report.rs
+++ b/crates/capacity/tests/report.rs
@@ -11,7 +11,7 @@
 }
 
 fn taken(date: u64, look: bool) -> Taken {
-    Taken { command: "slopes --only it".into(), date, cores: 3, load: 0.5, seed: 1, look }
+    Taken { command: "slopes --only it".into(), date, cores: 3, load: Some(0.5), seed: 1, look }
 }
 
 fn names(report: &Report) -> Vec<&str> {
@@ -143,3 +143,25 @@
         assert_eq!(figure(x), wanted, "{x}");
     }
 }
+
+/// Danger: a report that the tool cannot read any more cannot be added to, and its measurements are taken anew or not at all.
+#[test]
+fn the_projects_own_report_and_those_without_a_load_are_read_and_added_to() {
+    let own = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/capacity");
+    let mut report = Report::load(&own).expect("it is read");
+    let before = report.rows.len();
+    assert!(before > 40 && report.failed.is_empty(), "{before} rows, failed: {:?}", report.failed);
+    report.add("by_hand", &[row("by_hand", 1.0, 10.0, None)], &taken(5, false));
+    assert_eq!(report.rows.len(), before + 1);
+
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut text: serde_json::Value = serde_json::to_value(&report).expect("it is written");
+    for row in text["rows"].as_array_mut().expect("rows") {
+        row["taken"].as_object_mut().expect("how it was taken").remove("load");
+    }
+    std::fs::write(folder.path().join("slopes.json"), text.to_string()).expect("a report of before");
+    let mut old = Report::load(folder.path()).expect("it is read");
+    old.add("by_hand", &[row("by_hand", 2.0, 10.0, None)], &taken(6, false));
+    assert_eq!(old.rows.len(), before + 1);
+    assert!(old.markdown().contains("load unknown") && old.markdown().contains("load 0.5"));
+}
