--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -1,5 +1,7 @@
 //! Serving copies: to each what changed behind its cursor, as fast as it takes it and no faster than the machine may send.
 
+mod options;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -14,30 +16,13 @@
 use crate::message::{Message, WireEntry};
 use crate::planted::{Plant, planted};
 
+pub use options::FeedOptions;
+
 /// Deltas that are kept for others who stand at the same cursor.
 const MADE: usize = 64;
 /// Whole states of a region that are held for their readers at a time.
 const FROZEN: usize = 2;
 
-/// Settings of a machine's feed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FeedOptions {
-    /// Copies that are served at a time; more are told to come back.
-    pub subscribers: usize,
-    /// Bytes a second that go out to all of them.
-    pub rate: u64,
-    /// Bytes that may wait for one of them to take them; it gets nothing more until it has.
-    pub unsent: usize,
-    /// Who is told to come back does so no sooner than this, in microseconds.
-    pub pause: Micros,
-}
-
-impl Default for FeedOptions {
-    fn default() -> Self {
-        FeedOptions { subscribers: 1500, rate: 24 << 20, unsent: 64 << 10, pause: 5_000_000 }
-    }
-}
-
 /// Where a copy stands in one region.
 #[derive(Clone, Debug)]
 enum Stand {
