A key that one message changes twice is counted once, not below none

To blame: Copy::delta (plane/src/copy.rs) took what stood before each change from the table, also for a second change of the same key in one message, so that the larger value was taken off twice and the sum of bytes ran below none (in debug a panic; the sum of digests was wrong as well). A writer's body has a key twice when a proposal does. Ruled out: the bounds themselves and the disk, whose bodies were whole. Change: what stands before a change is the one before it in the message.

--- a/crates/plane/src/copy.rs
+++ b/crates/plane/src/copy.rs
@@ -4,7 +4,7 @@
 mod terms;
 mod whole;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::entry::{Cursor, Entry, Key, Region};
@@ -178,8 +178,12 @@
         }
         let entries = came.check(held, &line, &bounds, pool)?;
         let (mut sum, mut count, mut bytes) = (part.table.digest(), all.0, all.1);
+        // Danger: a writer may change a key twice at once. What stood before the second change is the first, not what is held; counted
+        // twice, bytes fell below none, and a state well within its bounds was turned away, a machine's own disk among it.
+        let mut latest: HashMap<&Key, &Arc<Entry>> = HashMap::with_capacity(entries.len());
         for entry in &entries {
-            if let Some(before) = part.table.get(&entry.key) {
+            let before = latest.insert(&entry.key, entry).or_else(|| part.table.get(&entry.key));
+            if let Some(before) = before.filter(|before| before.value.is_some()) {
                 (sum, count, bytes) = (sum.without(before.digest()), count - 1, bytes - before.size());
             }
             if entry.value.is_some() {
