Tests of the plane's link fail at once with the error of a process that ended

Seen: the tests of planelink/tests/cut.rs fail now and then with a condition that never came within 30 s. A machine that cannot listen ends with its error on a thread that nobody asks, so no run told why. Now each wait looks at the errors of the processes that its test started; what is waited for and for how long is unchanged.

--- a/crates/planelink/tests/common/mod.rs
+++ b/crates/planelink/tests/common/mod.rs
@@ -1,12 +1,14 @@
 //! Sites of a few control machines in this process, and how conditions are waited for.
 #![allow(dead_code)]
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{self, Receiver};
+use std::sync::{Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
@@ -23,10 +25,29 @@
     std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
 }
 
+/// Where a process leaves the error that ended it.
+type Failure = Arc<Mutex<Option<String>>>;
+
+thread_local! {
+    /// Of the processes that this test has started.
+    static FAILURES: RefCell<Vec<Failure>> = const { RefCell::new(Vec::new()) };
+}
+
+/// Fails the test if a process that it has started could not start or go on.
+fn assert_all_run() {
+    FAILURES.with_borrow(|failures| {
+        for failure in failures {
+            let why = failure.lock().unwrap_or_else(PoisonError::into_inner);
+            assert!(why.is_none(), "a process has ended: {}", why.as_deref().unwrap_or_default());
+        }
+    });
+}
+
 /// Waits for a condition.
 pub fn until(what: &str, mut is_so: impl FnMut() -> bool) {
     let end = Instant::now() + LONG;
     while !is_so() {
+        assert_all_run();
         assert!(Instant::now() < end, "never: {what}");
         thread::yield_now();
     }
@@ -47,13 +68,23 @@
         let stop = Arc::new(AtomicBool::new(false));
         let stopped = stop.clone();
         let tell: planelink::Tell = Box::new(move |line: &str| drop(tell.send(line.to_owned())));
-        Process { stop, thread: Some(thread::spawn(move || run(tell, stopped))), lines }
+        let failure = Failure::default();
+        FAILURES.with_borrow_mut(|failures| failures.push(failure.clone()));
+        let run = move || {
+            let result = run(tell, stopped);
+            if let Err(error) = &result {
+                *failure.lock().unwrap_or_else(PoisonError::into_inner) = Some(error.to_string());
+            }
+            result
+        };
+        Process { stop, thread: Some(thread::spawn(run)), lines }
     }
 
     /// The next line of which something holds.
     pub fn line(&self, what: &str, holds: impl Fn(&Value) -> bool) -> Value {
         let end = Instant::now() + LONG;
         loop {
+            assert_all_run();
             let left = end.saturating_duration_since(Instant::now());
             let line = self.lines.recv_timeout(left).unwrap_or_else(|_| panic!("never said: {what}"));
             let value: Value = serde_json::from_str(&line).expect("a line of JSON");
@@ -169,6 +200,7 @@
         let proposal = Proposal { changes };
         let end = Instant::now() + LONG;
         loop {
+            assert_all_run();
             let proposer = Proposer::connect(self.address(machine), SITE, &"put".into());
             match proposer.and_then(|mut proposer| proposer.propose(&proposal, LONG)) {
                 Ok(Err(ProposalError::Recovering(_))) => {}
