A change for one machine is taken by another that answers at its address: failing test

Symptom: 'crowbay control put' with a site file that names c9 where c1 listens prints '1/volume/letters 1.1, durable at c9', and c1 has the change.

--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -96,6 +96,35 @@
     String::from_utf8_lossy(&output.stderr).into_owned()
 }
 
+/// The address of a machine that was replaced is given to another one. An operator whose site file still names the old one there
+/// proposes a change to it, and the machine that answers takes the change, or refuses it in the old one's name: the greeting,
+/// which says who answers, was passed over.
+#[test]
+fn a_change_for_one_machine_is_not_taken_by_another_that_answers_at_its_address() {
+    let (plane, _machine) = Plane::lit();
+    let outdated = plane.stage.path("outdated.toml");
+    let present = std::fs::read_to_string(&plane.site).expect("the site file");
+    let present = present.replace("[[control.machine]]\nname = \"c1\"", "[[control.machine]]\nname = \"c9\"");
+    std::fs::write(&outdated, present).expect("a file");
+    let done = plane.run(&[
+        "control",
+        "put",
+        "--config",
+        text(&outdated),
+        "--region",
+        "1",
+        "volume",
+        "letters",
+        "x",
+    ]);
+    let said = told(&done);
+    assert!(!done.status.success(), "it was taken: {}", String::from_utf8_lossy(&done.stdout));
+    assert!(said.contains("c9") && said.contains("c1"), "it says whom it wanted and whom it met: {said}");
+    // One from the present file is the first that comes into force.
+    plane.put_and_seen(&["volume", "ledger", "x"]);
+    assert_eq!(plane.control().entries, 1);
+}
+
 #[test]
 fn a_change_reaches_the_gateway_and_its_status_shows_the_version() {
     let (plane, machine) = Plane::lit();
