A proposal is made only to the machine that it is meant for

Callers saw: 'crowbay control put' reports a change as durable at c9 that c1 has taken, where c9's address was given to c1; or a refusal by another machine in the name of the one that was meant (NotWriter, Foreign).

Cause: Proposer::connect passed over the greeting (proposer.rs, 'if let Word::Hello(_)'); the site's number, which all machines share, was all that was compared. Ruled out: the writer itself, which answered truly for who it is.

The mend holds because the name is compared before the first question is written, and a machine says no other name than its own. ProposeError::OtherMachine names whom it wanted and whom it met.

--- a/crates/crowbay/src/control_plane.rs
+++ b/crates/crowbay/src/control_plane.rs
@@ -10,7 +10,7 @@
 use plane::{Change, Key, Micros, Proposal, ProposalError, Region};
 use planecheck::Verdict;
 use planelab::{DayError, DayOptions};
-use planelink::{ProposeError, Proposer};
+use planelink::{MachineAddress, ProposeError, Proposer};
 use records::Clock;
 use settings::{ControlTable, Site};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -119,7 +119,9 @@
         Failure { code, what: format!("{}: {error}", writer.name) }
     };
     let name = PeerName(format!("put-{}", std::process::id()));
-    let mut proposer = Proposer::connect(writer.listen, site.number(), &name).map_err(unanswered)?;
+    let machine =
+        MachineAddress { site: site.number(), name: writer.name.as_str().into(), address: writer.listen };
+    let mut proposer = Proposer::connect(&machine, &name).map_err(unanswered)?;
     let proposed = proposer.propose(&Proposal { changes: vec![change] }, within).map_err(unanswered)?;
     let stamps = proposed.map_err(|error| {
         let code = match error {
--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -97,8 +97,9 @@
 }
 
 /// The address of a machine that was replaced is given to another one. An operator whose site file still names the old one there
-/// proposes a change to it, and the machine that answers takes the change, or refuses it in the old one's name: the greeting,
-/// which says who answers, was passed over.
+/// proposed a change to it, and whoever answered took the change, or refused it in the old one's name. The cause: the greeting,
+/// which says who answers, was passed over by `Proposer::connect`. What showed it: "1/volume/letters 1.1, durable at c9" was
+/// printed for a change that c1 had taken.
 #[test]
 fn a_change_for_one_machine_is_not_taken_by_another_that_answers_at_its_address() {
     let (plane, _machine) = Plane::lit();
--- a/crates/planelab/src/stage.rs
+++ b/crates/planelab/src/stage.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use planecheck::{NOTES, Note};
+use planelink::MachineAddress;
 use records::{Clock, Micros};
 
 use crate::board::{Board, Failed, Slot};
@@ -134,11 +135,15 @@
 
     /// One who asks a region's writer.
     pub(crate) fn writer(&self, region: u16) -> Result<Writer, DayError> {
-        let writes = self.machines.iter().find(|m| m.region == region && m.writes);
-        let address = writes.map(|m| m.listen);
-        let address = address.ok_or_else(|| DayError::Option(format!("region {region} has no writer")))?;
+        let writer = self.machines.iter().find(|m| m.region == region && m.writes);
+        let writer = writer.ok_or_else(|| DayError::Option(format!("region {region} has no writer")))?;
+        let machine = MachineAddress {
+            site: self.number,
+            name: writer.child.name.as_str().into(),
+            address: writer.listen,
+        };
         let name = format!("lab{region}");
-        Ok(Writer::new(region, address, self.number, &name, self.options.patience, &self.ledger))
+        Ok(Writer::new(region, machine, &name, self.options.patience, &self.ledger))
     }
 
     /// Starts the changes of a usual day.
--- a/crates/planelab/src/writer.rs
+++ b/crates/planelab/src/writer.rs
@@ -1,13 +1,12 @@
 //! Asking a region's writer for changes, until it takes them.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use peer::PeerName;
 use plane::{Change, Proposal, ProposalError, Stamp};
-use planelink::Proposer;
+use planelink::{MachineAddress, Proposer};
 
 use crate::error::DayError;
 use crate::line::Held;
@@ -62,8 +61,7 @@
 /// One who asks a writer.
 pub(crate) struct Writer {
     region: u16,
-    address: SocketAddr,
-    site: u64,
+    machine: MachineAddress,
     name: PeerName,
     proposer: Option<Proposer>,
     patience: Duration,
@@ -73,14 +71,13 @@
 impl Writer {
     pub(crate) fn new(
         region: u16,
-        address: SocketAddr,
-        site: u64,
+        machine: MachineAddress,
         name: &str,
         patience: Duration,
         ledger: &Ledger,
     ) -> Writer {
         let (name, ledger) = (PeerName(name.to_owned()), ledger.clone());
-        Writer { region, address, site, name, proposer: None, patience, ledger }
+        Writer { region, machine, name, proposer: None, patience, ledger }
     }
 
     /// Proposes these together, again and again until they are taken.
@@ -124,7 +121,7 @@
 
     fn once(&mut self, proposal: &Proposal) -> Result<plane::Proposed, String> {
         if self.proposer.is_none() {
-            let connected = Proposer::connect(self.address, self.site, &self.name);
+            let connected = Proposer::connect(&self.machine, &self.name);
             self.proposer = Some(connected.map_err(|e| e.to_string())?);
         }
         match &mut self.proposer {
--- a/crates/planelink/src/lib.rs
+++ b/crates/planelink/src/lib.rs
@@ -36,5 +36,5 @@
 pub use life::LifeError;
 pub use machine::run_machine;
 pub use options::{HollowRun, LinkOptions, MachineRun, Stuck, Tell};
-pub use proposer::{ProposeError, Proposer};
+pub use proposer::{MachineAddress, ProposeError, Proposer};
 pub use store::{Store, StoreError};
--- a/crates/planelink/src/proposer.rs
+++ b/crates/planelink/src/proposer.rs
@@ -11,8 +11,8 @@
 /// Time to connect and to be greeted.
 const CONNECT: Duration = Duration::from_secs(2);
 
-/// Why a question has no answer. Whether its changes come into force is not known, but for [`ProposeError::TooLong`] and
-/// [`ProposeError::Passed`], where they don't.
+/// Why a question has no answer. Whether its changes come into force is not known, but for [`ProposeError::TooLong`],
+/// [`ProposeError::Passed`] and [`ProposeError::OtherMachine`], where they don't.
 #[derive(Debug, thiserror::Error)]
 pub enum ProposeError {
     /// The machine cannot be reached, or the connection broke.
@@ -24,6 +24,18 @@
     /// It ended the connection, and said why.
     #[error("the control machine at {0} ended the connection: {1}")]
     Bye(SocketAddr, &'static str),
+    /// Another machine than the one that was meant answers there. Nothing was proposed to it.
+    #[error(
+        "the control machine at {address} is {met}, not {wanted}; nothing was proposed: correct the address of {wanted} in the site file"
+    )]
+    OtherMachine {
+        /// Where it was met.
+        address: SocketAddr,
+        /// The machine that was meant.
+        wanted: PeerName,
+        /// The machine that answered.
+        met: PeerName,
+    },
     /// No answer in time.
     #[error("the control machine at {0} gave no answer in time; the change may still come into force")]
     Late(SocketAddr),
@@ -38,6 +50,17 @@
     Form(SocketAddr),
 }
 
+/// A control machine, as a site's configuration names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct MachineAddress {
+    /// What tells its site from another.
+    pub site: u64,
+    /// Its name.
+    pub name: PeerName,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
 /// A connection to a control machine over which changes are proposed. It ends when it is dropped.
 #[derive(Debug)]
 pub struct Proposer {
@@ -49,25 +72,35 @@
 }
 
 impl Proposer {
-    /// Connects, and is greeted by the machine.
+    /// Connects under a name of its own, and is greeted by the machine.
     ///
     /// # Errors
-    /// The machine cannot be reached, or is of another site.
-    pub fn connect(address: SocketAddr, site: u64, name: &PeerName) -> Result<Proposer, ProposeError> {
+    /// The machine cannot be reached, is of another site, or is another one than was meant.
+    pub fn connect(machine: &MachineAddress, own_name: &PeerName) -> Result<Proposer, ProposeError> {
+        let MachineAddress { site, address, .. } = *machine;
         let failed = |error| ProposeError::Io(address, error);
         let stream = TcpStream::connect_timeout(&address, CONNECT).map_err(failed)?;
         stream.set_nodelay(true).map_err(failed)?;
         let life = Life::after(None, Nonce(rand::random()));
         let mut proposer = Proposer { address, stream, channel: Channel::new(site), asked: 0 };
-        proposer.write(&channel::hello(&Greeting { site, name: name.clone(), life }))?;
+        proposer.write(&channel::hello(&Greeting { site, name: own_name.clone(), life }))?;
         let end = Instant::now() + CONNECT;
         loop {
-            if let Word::Hello(_) = proposer.word(end)? {
-                return Ok(proposer);
+            if let Word::Hello(greeting) = proposer.word(end)? {
+                return proposer.greeted_by(greeting.name, &machine.name);
             }
         }
     }
 
+    /// Danger: an address may have been given to another machine since the site file was written. That one would take the change,
+    /// or refuse it, in the name of the one that was meant.
+    fn greeted_by(self, met: PeerName, wanted: &PeerName) -> Result<Proposer, ProposeError> {
+        if met == *wanted {
+            return Ok(self);
+        }
+        Err(ProposeError::OtherMachine { address: self.address, wanted: wanted.clone(), met })
+    }
+
     /// Proposes changes and waits for the answer. The machine's own refusal is an answer, with its reason; nothing of it comes
     /// into force.
     ///
--- a/crates/planelink/tests/common/mod.rs
+++ b/crates/planelink/tests/common/mod.rs
@@ -14,7 +14,9 @@
 
 use peer::PeerName;
 use plane::{Change, Kind, Place, Proposal, ProposalError, Proposed, Region, Stamp};
-use planelink::{FollowOptions, Followed, Follower, HollowRun, LinkOptions, MachineRun, Proposer, RunError};
+use planelink::{
+    FollowOptions, Followed, Follower, HollowRun, LinkOptions, MachineAddress, MachineRun, Proposer, RunError,
+};
 use serde_bytes::ByteBuf;
 use serde_json::Value;
 
@@ -128,7 +130,10 @@
             writer,
         };
         let places: Vec<Place> = machines.iter().map(place).collect();
-        let addresses = places.iter().map(|place| (place.name.clone(), free())).collect();
+        let addresses = places
+            .iter()
+            .map(|place| (place.name.clone(), free()))
+            .collect();
         Site { places, addresses }
     }
 
@@ -143,6 +148,11 @@
         self.addresses[&PeerName::from(name)]
     }
 
+    /// The machine as a proposer is told of it.
+    pub fn machine(&self, name: &str) -> MachineAddress {
+        MachineAddress { site: SITE, name: name.into(), address: self.address(name) }
+    }
+
     pub fn machine_run(&self, name: &str, folder: &Path) -> MachineRun {
         let (places, addresses) = (self.places.clone(), self.addresses.clone());
         let mut run =
@@ -201,7 +211,7 @@
         let end = Instant::now() + LONG;
         loop {
             assert_all_run();
-            let proposer = Proposer::connect(self.address(machine), SITE, &"put".into());
+            let proposer = Proposer::connect(&self.machine(machine), &"put".into());
             match proposer.and_then(|mut proposer| proposer.propose(&proposal, LONG)) {
                 Ok(Err(ProposalError::Recovering(_))) => {}
                 Ok(proposed) => return proposed,
--- a/crates/planelink/tests/follow.rs
+++ b/crates/planelink/tests/follow.rs
@@ -10,7 +10,7 @@
 use common::{LONG, SITE, Site, change, copy_files, follow, records, until};
 use peer::channel::ChannelError;
 use plane::{Bounds, Copy, Cursor, Epoch, ProposalError, Region, Version};
-use planelink::{FollowOptions, Followed, Follower, ProposeError, Proposer, Store};
+use planelink::{FollowOptions, Followed, Follower, MachineAddress, ProposeError, Proposer, Store};
 
 fn at(epoch: u64, version: u64) -> Cursor {
     Cursor { epoch: Epoch(epoch), version: Version(version) }
@@ -159,7 +159,8 @@
     let site = Site::new(&[("c1", 1, true)]);
     let machine = site.start("c1", folders[0].path());
     site.put("c1", "n1", b"up");
-    let error = Proposer::connect(site.address("c1"), SITE + 1, &"put".into()).expect_err("another site");
+    let elsewhere = MachineAddress { site: SITE + 1, ..site.machine("c1") };
+    let error = Proposer::connect(&elsewhere, &"put".into()).expect_err("another site");
     assert!(matches!(error, ProposeError::Channel(_, ChannelError::Site(SITE))), "{error}");
     machine.line("it is counted", |line| line["turned_away"] == 1);
     let mut link = site.link(1);
