Addresses that tests name beforehand are leased, not given back to the system

Symptom: a_machine_that_does_not_hear_its_writer_serves_on_and_is_level_after_it failed in 1 of 22 runs, a condition never came within 30 s.

Cause: free() had the system choose a port and gave it back; until its machine bound it, any other listener or connection of the machine could be given the same. Named by the processes' own errors, one test program at a time, 3 of 65 runs: 'cannot listen ... 127.0.0.1:46853: Address already in use' (and 34751), and Foreign { key: "1/node/n0", owner: 1 }, another test's machine in the place of the own. Ruled out: load and the plane itself (0 of 400 beside busy processes).

Why the mend holds: loopback leases a host of 127.0.0.0/8 by a listener kept bound on it, gives each port of it once, and connections take theirs on 127.0.0.1. The same fault stood in peerlink's, the appliance's, the control plane's and the platform's tests, the console's bench and planelab; all use it now.

--- a/crates/crowbay/benches/console.rs
+++ b/crates/crowbay/benches/console.rs
@@ -56,9 +56,8 @@
     let done = Command::new(EXE).arg("init").arg(&file).args(args).output().expect("it runs");
     assert!(done.status.success(), "{}", String::from_utf8_lossy(&done.stderr));
     let text = std::fs::read_to_string(&file).expect("it was written");
-    let port =
-        std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port").port();
-    let text = text.replace("127.0.0.1:4420", &format!("127.0.0.1:{port}"));
+    let address = loopback::address().expect("an address");
+    let text = text.replace("127.0.0.1:4420", &address.to_string());
     let text = text.replace("base_us = 500", "base_us = 0").replace("us_per_kib = 20", "us_per_kib = 0");
     let text =
         text.replace("rate = 2000 ", "rate = 1000000 ").replace("reserve = 1000 ", "reserve = 1000000 ");
--- a/crates/crowbay/tests/appliance.rs
+++ b/crates/crowbay/tests/appliance.rs
@@ -30,10 +30,6 @@
     supervisor: Option<Child>,
 }
 
-fn free_port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port()
-}
-
 impl Stage {
     fn new(nodes: u32, gateways: u32) -> Stage {
         Stage::with(nodes, gateways, |text| text)
@@ -48,10 +44,11 @@
         let done =
             Command::new(EXE).args(args).args(["--nodes", &numbers[0], "--gateways", &numbers[1]]).output();
         assert!(done.unwrap().status.success());
-        // Ports that nobody uses now; a gateway that lost the race for one would be started again on it.
+        // Addresses that nobody else is given.
         let mut text = std::fs::read_to_string(&file).unwrap();
         for g in 0..gateways as u16 {
-            text = text.replace(&format!("127.0.0.1:{}", 4420 + g), &format!("127.0.0.1:{}", free_port()));
+            let address = loopback::address().unwrap();
+            text = text.replace(&format!("127.0.0.1:{}", 4420 + g), &address.to_string());
         }
         let text = edit(text.replace("[rules]", "[appliance]\nrecords = true\n\n[rules]"));
         std::fs::write(&file, text).unwrap();
--- a/crates/crowbay/tests/common/machine.rs
+++ b/crates/crowbay/tests/common/machine.rs
@@ -1,7 +1,6 @@
 //! Control machines as processes, and what they say of themselves.
 
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -11,12 +10,6 @@
 
 use super::process::{EXE, text, until};
 
-/// An address that nobody uses now.
-pub fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("its address")
-}
-
 /// A control machine that is killed when it is dropped.
 pub struct Machine {
     child: Child,
--- a/crates/crowbay/tests/control.rs
+++ b/crates/crowbay/tests/control.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
-use common::machine::{Machine, free_address};
+use common::machine::Machine;
 use common::process::{EXE, text};
 use common::stage::{self, Stage};
 use gateway::{ControlStatus, NodeLineState, Status};
@@ -25,7 +25,7 @@
     fn dark(machines: &[&str]) -> Plane {
         let mut tables = "[control]\nspread_ms = 50\nmachine_spread_ms = 20\n".to_owned();
         for (n, name) in machines.iter().enumerate() {
-            let (listen, writer) = (free_address(), n == 0);
+            let (listen, writer) = (loopback::address().expect("an address"), n == 0);
             let machine =
                 format!("name = \"{name}\"\nregion = 1\nlisten = \"{listen}\"\nwriter = {writer}\n");
             tables += &format!("\n[[control.machine]]\n{machine}");
--- a/crates/crowbay/tests/platform.rs
+++ b/crates/crowbay/tests/platform.rs
@@ -3,7 +3,7 @@
 mod stage;
 
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,8 +17,8 @@
 fn it_serves_with_discovery_down_and_goes_over_to_another_on_sighup() {
     let (a, b) = (Arc::new(Node::default()), Arc::new(Node::default()));
     let (at_a, at_b) = (a.start(), b.start());
-    // Nobody listens there: the port was given back.
-    let nowhere = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    // Nobody listens there.
+    let nowhere = loopback::address().expect("an address");
     let known = list(3, &[("a", at_a)]);
     let process = Process::start(&config(nowhere, 256, &known));
     let mut client = Client::new(process.address).expect("a connection");
--- a/crates/crowbay/tests/restarting.rs
+++ b/crates/crowbay/tests/restarting.rs
@@ -170,7 +170,7 @@
 #[test]
 fn killed_and_started_at_once_under_the_same_address() {
     let puppet = Puppet::start();
-    let (at, own) = (puppet.address, address::own());
+    let (at, own) = (puppet.address, loopback::address().expect("an address"));
     let mut config = settings(nobody(), &list(1, &[("a", at)]));
     config["listen"] = json!(own.to_string());
     let mut slowest = Duration::ZERO;
--- a/crates/crowbay/tests/stage/mod.rs
+++ b/crates/crowbay/tests/stage/mod.rs
@@ -2,7 +2,6 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
-pub mod address;
 pub mod asked;
 pub mod customer;
 pub mod departure;
--- a/crates/peerlink/tests/sockets.rs
+++ b/crates/peerlink/tests/sockets.rs
@@ -43,14 +43,15 @@
     next(told, "up", |t| if let Told::Up { life, .. } = t { Some(life.incarnation) } else { None })
 }
 
-fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+/// An address that nobody else is given until its peer listens there.
+fn address() -> SocketAddr {
+    loopback::address().expect("an address")
 }
 
 #[test]
 fn two_meet_ask_and_notice_that_a_disk_was_put_back() {
     let (da, db) = (tempfile::tempdir().expect("a folder"), tempfile::tempdir().expect("a folder"));
-    let (at_a, at_b) = (free(), free());
+    let (at_a, at_b) = (address(), address());
     let (a, told_a) = start("a", at_a, ("b", at_b), da.path());
     let (b, told_b) = start("b", at_b, ("a", at_a), db.path());
     assert_eq!((up(&told_a), up(&told_b)), (Incarnation(1), Incarnation(1)));
@@ -112,7 +113,7 @@
 #[test]
 fn a_damaged_life_is_told_and_not_taken_for_none() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (a, _told) = start("a", free(), ("b", free()), folder.path());
+    let (a, _told) = start("a", address(), ("b", address()), folder.path());
     drop(a);
     let file = folder.path().join("life");
     let mut bytes = std::fs::read(&file).expect("its life");
@@ -120,7 +121,7 @@
     std::fs::write(&file, bytes).expect("damaged");
     let options = PeerOptions {
         name: "a".into(),
-        listen: free(),
+        listen: address(),
         peers: Vec::new(),
         site: 7,
         folder: folder.path().to_owned(),
--- a/crates/planelab/src/error.rs
+++ b/crates/planelab/src/error.rs
@@ -11,6 +11,9 @@
     /// An option cannot be.
     #[error("{0}")]
     Option(String),
+    /// There are no addresses for its machines.
+    #[error(transparent)]
+    Addresses(#[from] loopback::LeaseError),
     /// The site file that was written is not taken.
     #[error("the site file that was written for the day is not taken: {0}")]
     Site(String),
--- a/crates/planelab/src/site.rs
+++ b/crates/planelab/src/site.rs
@@ -1,13 +1,11 @@
 //! The site file of a day.
 
 use std::fmt::Write;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 
-use crate::options::Size;
+use loopback::LeaseError;
 
-/// Ports for listeners lie between these, below those that the system gives to connections: a machine that comes back finds
-/// its own free.
-const PORTS: std::ops::Range<u16> = 10_000..30_000;
+use crate::options::Size;
 
 /// What a site file needs beside the control plane. Its one gateway and node are not run.
 const REST: &str = r#"
@@ -107,12 +105,10 @@
     text
 }
 
-/// Free addresses on loopback. Others may take them before they are used; a machine that finds its own taken says so.
-pub(crate) fn addresses(count: usize) -> Vec<SocketAddr> {
-    // Several days at once, as tests are, begin at different places.
-    let start = (std::process::id() % 400) as u16 * 50;
-    let from = PORTS.start + start;
-    let all =
-        (from..PORTS.end).chain(PORTS.start..from).map(|port| SocketAddr::from((Ipv4Addr::LOCALHOST, port)));
-    all.filter(|address| TcpListener::bind(address).is_ok()).take(count).collect()
+/// Addresses on loopback that nobody else is given while this process lives.
+///
+/// # Errors
+/// There are no more.
+pub(crate) fn addresses(count: usize) -> Result<Vec<SocketAddr>, LeaseError> {
+    (0..count).map(|_| loopback::address()).collect()
 }
--- a/crates/planelab/src/stage.rs
+++ b/crates/planelab/src/stage.rs
@@ -78,10 +78,7 @@
             }
             std::fs::create_dir_all(&folder).map_err(failed(&folder))?;
         }
-        let listen = site::addresses(size.machine_count());
-        if listen.len() < size.machine_count() {
-            return Err(DayError::Option("not enough free ports on this machine".into()));
-        }
+        let listen = site::addresses(size.machine_count())?;
         let path = out.join("site.toml");
         std::fs::write(&path, site::site_file(size, &listen)).map_err(failed(&path))?;
         let number = settings::Site::load(&path).map_err(|e| DayError::Site(e.to_string()))?.number();
--- a/crates/planelink/tests/common/mod.rs
+++ b/crates/planelink/tests/common/mod.rs
@@ -23,10 +23,6 @@
 pub const LONG: Duration = Duration::from_secs(30);
 pub const SITE: u64 = 7;
 
-pub fn free() -> SocketAddr {
-    std::net::TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
-}
-
 /// Where a process leaves the error that ended it.
 type Failure = Arc<Mutex<Option<String>>>;
 
@@ -132,7 +128,7 @@
         let places: Vec<Place> = machines.iter().map(place).collect();
         let addresses = places
             .iter()
-            .map(|place| (place.name.clone(), free()))
+            .map(|place| (place.name.clone(), loopback::address().expect("an address")))
             .collect();
         Site { places, addresses }
     }
