The time of a pipelined request counts from its own last byte

Callers saw: a request sent behind an open one on a connection was given its whole time anew when the gateway came to it. In the soak of restarts nodes were told up to 1.4 s more than the client had left, and such requests had no answer 0.6 s after their time.

Cause: Machine::answer went on with what had come ahead as of now (self.pump(now, id, now)), so that admit() took nothing off its patience. Only connections that pipeline showed it; one request at a time was never late.

The test in crossings.rs was told 400 ms in place of 200 without the mend.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -5,6 +5,8 @@
 use decisions::{Micros, RequestId};
 use http1::{Limits, RequestDecoder};
 
+use crate::arrivals::Arrivals;
+
 /// A connection that is told its end, and read on so that the peer can read what was written last.
 pub(crate) struct Leaving {
     /// Bytes that are still read.
@@ -16,6 +18,7 @@
 /// A client's connection.
 pub(crate) struct Client {
     pub(crate) decoder: RequestDecoder,
+    pub(crate) arrivals: Arrivals,
     /// Since when it owes us something: when it was accepted, or its last answer went out, or a request began to come.
     pub(crate) since: Micros,
     /// For how long from then a whole request is waited for.
@@ -38,6 +41,7 @@
     pub(crate) fn new(now: Micros, limits: Limits, patience: Micros) -> Self {
         Client {
             decoder: RequestDecoder::new(limits),
+            arrivals: Arrivals::default(),
             since: now,
             patience,
             due: now,
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod arrivals;
 mod ask;
 mod client;
 mod closing;
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -26,9 +26,10 @@
             self.agenda.set(client, id, at + client.patience / 2);
         }
         client.decoder.receive(bytes);
+        client.arrivals.note(bytes.len(), at);
         // First, so that these bytes do not count as under way any more.
         self.outputs.push(Output::Resume(SocketId::Client(id)));
-        self.pump(now, id, at);
+        self.pump(now, id);
     }
 
     /// More has come behind an open request than is kept.
@@ -50,7 +51,7 @@
     }
 
     /// Handles the requests that a client has sent, one at a time.
-    pub(super) fn pump(&mut self, now: Micros, id: u64, at: Micros) {
+    pub(super) fn pump(&mut self, now: Micros, id: u64) {
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
             if client.open.is_some() || client.leaving.is_some() {
@@ -62,7 +63,12 @@
                     let go_on = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
                     self.outputs.push(Output::Write(SocketId::Client(id), go_on));
                 }
-                Ok(Some(Incoming::Whole(request))) => self.request(now, id, at, request),
+                Ok(Some(Incoming::Whole(request))) => {
+                    // Danger: one that has waited behind another is older than this moment. Counted from now, its node would be told
+                    // more time than its client has left, and its answer come to nobody.
+                    let at = client.arrivals.last_byte(client.decoder.held()).unwrap_or(now);
+                    self.request(now, id, at, request);
+                }
                 Err(fault) => {
                     self.rejected += 1;
                     tracing::debug!(%fault, "a client's bytes cannot be read");
@@ -236,7 +242,7 @@
         let keep = client.open.take().is_some_and(|(_, keep)| keep) && client.spilled == 0;
         client.served = true;
         self.write(now, id, status, fields, body, keep);
-        self.pump(now, id, now);
+        self.pump(now, id);
     }
 
     /// Few places are left. Danger: clients that ask once and keep their connection hold places, theirs and ours, on which
--- a/crates/platform/tests/crossings.rs
+++ b/crates/platform/tests/crossings.rs
@@ -317,3 +317,33 @@
     assert_eq!(s.statuses(waits), [502], "its node said nothing, and it may have run");
     assert!(s.finished.contains(&waits));
 }
+
+/// A client sends its second request behind its first, whose node takes its time. The second one's time counts from its own last
+/// byte, and not from the moment in which the gateway comes to it: its node was told 400 ms after 250 of them had passed, and the
+/// client had its answer, or none, when it was no longer there to read it. What showed it: in the soak of restarts nodes were told
+/// up to 1.4 s more than was left, and requests behind others had no answer 0.6 s after their time, on connections that pipeline
+/// alone. The cause: `Machine::answer` went on with what had come ahead as if it had come then.
+#[test]
+fn the_time_of_a_request_behind_an_open_one_counts_from_its_own_last_byte() {
+    let mut s = Stage::usual();
+    let client = asked(&mut s, &look("r1", 0));
+    let node = s.raise();
+    assert!(s.take(node).contains("X-Timeout-Ms: 400\r\n"));
+    s.pass(100_000);
+    let second = look("r2", 1);
+    s.bytes(client, &second[..second.len() - 1]);
+    s.pass(50_000);
+    s.bytes(client, &second[second.len() - 1..]);
+    s.pass(100_000);
+    // A third one's bytes do not make the second one younger.
+    s.bytes(client, look("r3", 1));
+    s.pass(100_000);
+    s.bytes(node, ok("1"));
+    assert_eq!(s.statuses(client), [200]);
+    let other = s.raise();
+    let second = s.take(other);
+    assert!(second.contains("X-Request-ID: r2\r\n") && second.contains("X-Timeout-Ms: 200\r\n"), "{second}");
+    // Its node says nothing: it has its answer when its time is over.
+    s.pass(200_000);
+    assert!(!s.statuses(client).is_empty());
+}
