--- a/crates/plane/src/copy.rs
+++ b/crates/plane/src/copy.rs
@@ -9,10 +9,10 @@
 
 use crate::entry::{Cursor, Entry, Key, Region};
 use crate::epochs::Epochs;
-use crate::frozen::Frozen;
 use crate::io::Conn;
 use crate::message::Message;
 use crate::pool::Pool;
+use crate::snapshot::Snapshot;
 use crate::table::Table;
 
 use check::Came;
@@ -105,8 +105,8 @@
             let mut entries: Vec<_> = part.table.iter().cloned().collect();
             entries.sort_unstable_by_key(|entry| entry.stamp.version);
             let (floor, epochs, digest) = (part.cursor.version, part.epochs.clone(), part.table.digest());
-            let frozen = Frozen::new(*region, part.cursor, floor, epochs, digest, entries);
-            Some((0..frozen.len()).map(move |at| frozen.message(at).body()))
+            let snapshot = Snapshot::new(*region, part.cursor, floor, epochs, digest, entries);
+            Some((0..snapshot.len()).map(move |at| snapshot.message(at).body()))
         };
         self.parts.iter().filter_map(of).flatten().collect()
     }
--- a/crates/plane/src/feed.rs
+++ b/crates/plane/src/feed.rs
@@ -10,26 +10,26 @@
 use crate::Micros;
 use crate::copy::Copy;
 use crate::entry::{Cursor, Region};
-use crate::frozen::{Frozen, PIECE};
 use crate::index::Index;
 use crate::io::{Conn, Counts};
 use crate::message::{Message, WireEntry};
 use crate::planted::{Plant, planted};
+use crate::snapshot::{PIECE, Snapshot};
 
 pub use options::FeedOptions;
 
-/// Deltas that are kept for others who stand at the same cursor.
-const MADE: usize = 64;
-/// Whole states of a region that are held for their readers at a time.
-const FROZEN: usize = 2;
+/// Deltas that are cached for others at the same cursor.
+const CACHED_DELTAS: usize = 64;
+/// Snapshots of a region that are held for their readers at a time.
+const SNAPSHOTS: usize = 2;
 
-/// Where a copy stands in one region.
+/// A subscriber's position in one region.
 #[derive(Clone, Debug)]
-enum Stand {
+enum Position {
     /// It has all up to here.
     At(Cursor),
     /// It gets the whole state, and this frame next.
-    Whole(Rc<RefCell<Frozen>>, usize),
+    Whole(Rc<RefCell<Snapshot>>, usize),
     /// It knows more than this machine, as far as is known.
     Ahead(Cursor),
     /// Asked for, and not answered yet.
@@ -40,10 +40,10 @@
 
 #[derive(Debug, Default)]
 struct Subscriber {
-    stands: BTreeMap<Region, Stand>,
+    positions: BTreeMap<Region, Position>,
     unsent: usize,
-    /// In the line of those who get something.
-    in_line: bool,
+    /// It is queued for what it gets next.
+    is_queued: bool,
     /// Which region comes first next, so that none waits for another.
     turn: usize,
 }
@@ -56,9 +56,9 @@
     pub(crate) indexes: &'a BTreeMap<Region, Index>,
 }
 
-/// A delta that was made for one copy and serves the others that stand where it stood.
+/// A delta that was encoded for one subscriber and serves the others at the same cursor.
 #[derive(Clone, Debug)]
-struct Made {
+struct CachedDelta {
     upto: Cursor,
     frame: Arc<[u8]>,
 }
@@ -68,9 +68,9 @@
 pub struct Feed {
     options: FeedOptions,
     subscribers: BTreeMap<Conn, Subscriber>,
-    line: VecDeque<Conn>,
-    made: HashMap<(Region, Cursor), Made>,
-    frozen: BTreeMap<Region, VecDeque<Rc<RefCell<Frozen>>>>,
+    queue: VecDeque<Conn>,
+    deltas: HashMap<(Region, Cursor), CachedDelta>,
+    snapshots: BTreeMap<Region, VecDeque<Rc<RefCell<Snapshot>>>>,
     /// Bytes that may go out now, and when that was so.
     tokens: i64,
     filled: Micros,
@@ -83,9 +83,9 @@
         Feed {
             options,
             subscribers: BTreeMap::new(),
-            line: VecDeque::new(),
-            made: HashMap::new(),
-            frozen: BTreeMap::new(),
+            queue: VecDeque::new(),
+            deltas: HashMap::new(),
+            snapshots: BTreeMap::new(),
             tokens: 0,
             filled: now,
             counts: Counts::default(),
@@ -131,7 +131,7 @@
         }
         let subscriber = self.subscribers.entry(conn).or_default();
         for (region, cursor) in wanted {
-            subscriber.stands.insert(region, Stand::Asked(cursor));
+            subscriber.positions.insert(region, Position::Asked(cursor));
         }
         self.queue(conn);
         None
@@ -141,10 +141,10 @@
     pub fn doubts(&mut self, conn: Conn, regions: &[Region]) {
         let Some(subscriber) = self.subscribers.get_mut(&conn) else { return };
         for region in regions {
-            if let Some(stand) = subscriber.stands.get_mut(region)
-                && let Stand::Asked(cursor) = *stand
+            if let Some(position) = subscriber.positions.get_mut(region)
+                && let Position::Asked(cursor) = *position
             {
-                *stand = Stand::Doubted(cursor);
+                *position = Position::Doubted(cursor);
             }
         }
     }
@@ -171,7 +171,7 @@
 
     /// A region has changed: its copies are told in their turn.
     pub fn advanced(&mut self, region: Region) {
-        self.made.retain(|(of, _), _| *of != region);
+        self.deltas.retain(|(of, _), _| *of != region);
         let conns: Vec<Conn> = self.subscribers.keys().copied().collect();
         for conn in conns {
             self.queue(conn);
@@ -181,12 +181,12 @@
     /// A region was replaced by a whole state: what was made of the one before is no more, and all who stood at its end are told
     /// the digest of this one, so that those who hold other content ask for all of it.
     pub fn replaced(&mut self, region: Region) {
-        self.frozen.remove(&region);
+        self.snapshots.remove(&region);
         for subscriber in self.subscribers.values_mut() {
-            if let Some(stand) = subscriber.stands.get_mut(&region)
-                && let Stand::At(cursor) = *stand
+            if let Some(position) = subscriber.positions.get_mut(&region)
+                && let Position::At(cursor) = *position
             {
-                *stand = Stand::Asked(cursor);
+                *position = Position::Asked(cursor);
             }
         }
         self.advanced(region);
@@ -194,7 +194,7 @@
 
     /// When it wants to send next; none while nobody waits.
     pub fn next_due(&self) -> Option<Micros> {
-        if self.line.is_empty() {
+        if self.queue.is_empty() {
             return None;
         }
         let lack = (1 - self.tokens).max(0);
@@ -221,9 +221,9 @@
         }
         let mut ended = Vec::new();
         while self.tokens > 0 {
-            let Some(conn) = self.line.pop_front() else { break };
+            let Some(conn) = self.queue.pop_front() else { break };
             let Some(mut subscriber) = self.subscribers.remove(&conn) else { continue };
-            subscriber.in_line = false;
+            subscriber.is_queued = false;
             // Danger: what waits for a reader that takes nothing would pile up here. It gets its next message when it has taken
             // the last; what changes meanwhile is one cursor.
             let sent = (subscriber.unsent < self.options.unsent || planted(Plant::QueueUnbounded))
@@ -245,20 +245,20 @@
     }
 
     fn queue(&mut self, conn: Conn) {
-        if let Some(subscriber) = self.subscribers.get_mut(&conn).filter(|s| !s.in_line) {
-            subscriber.in_line = true;
-            self.line.push_back(conn);
+        if let Some(subscriber) = self.subscribers.get_mut(&conn).filter(|s| !s.is_queued) {
+            subscriber.is_queued = true;
+            self.queue.push_back(conn);
         }
     }
 
     /// The next message for a copy.
     fn next(&mut self, s: &mut Subscriber, source: &Source, ended: &mut Vec<Conn>) -> Option<Arc<[u8]>> {
-        let regions: Vec<Region> = s.stands.keys().copied().collect();
+        let regions: Vec<Region> = s.positions.keys().copied().collect();
         for n in 0..regions.len() {
             let region = regions[(s.turn + n) % regions.len()];
-            let stand = s.stands.get(&region).cloned()?;
-            if let Some((next, frame)) = self.step(region, stand, source, ended) {
-                s.stands.insert(region, next);
+            let position = s.positions.get(&region).cloned()?;
+            if let Some((next, frame)) = self.step(region, position, source, ended) {
+                s.positions.insert(region, next);
                 s.turn = (s.turn + n + 1) % regions.len();
                 return Some(frame);
             }
@@ -269,23 +269,23 @@
     fn step(
         &mut self,
         region: Region,
-        stand: Stand,
+        position: Position,
         source: &Source,
         ended: &mut Vec<Conn>,
-    ) -> Option<(Stand, Arc<[u8]>)> {
+    ) -> Option<(Position, Arc<[u8]>)> {
         let at = source.copy.cursor(region);
-        let doubted = matches!(stand, Stand::Doubted(_));
-        let (cursor, asked) = match stand {
-            Stand::At(cursor) => (cursor, false),
-            Stand::Ahead(cursor) if cursor > at || at == Cursor::default() => return None,
-            Stand::Ahead(cursor) | Stand::Asked(cursor) | Stand::Doubted(cursor) => (cursor, true),
-            Stand::Whole(frozen, number) => {
-                let frame = frozen.borrow_mut().frame(number)?;
-                let upto = frozen.borrow().upto;
-                let last = number + 1 == frozen.borrow().len();
+        let doubted = matches!(position, Position::Doubted(_));
+        let (cursor, asked) = match position {
+            Position::At(cursor) => (cursor, false),
+            Position::Ahead(cursor) if cursor > at || at == Cursor::default() => return None,
+            Position::Ahead(cursor) | Position::Asked(cursor) | Position::Doubted(cursor) => (cursor, true),
+            Position::Whole(snapshot, number) => {
+                let frame = snapshot.borrow_mut().frame(number)?;
+                let upto = snapshot.borrow().upto;
+                let last = number + 1 == snapshot.borrow().len();
                 // Then its level, with the digest, as for whoever asks anew.
                 return Some((
-                    if last { Stand::Asked(upto) } else { Stand::Whole(frozen, number + 1) },
+                    if last { Position::Asked(upto) } else { Position::Whole(snapshot, number + 1) },
                     frame,
                 ));
             }
@@ -298,7 +298,7 @@
             return asked
                 .then(|| Message::Behind { region, at }.frame())
                 .flatten()
-                .map(|f| (Stand::Ahead(cursor), f));
+                .map(|f| (Position::Ahead(cursor), f));
         }
         if cursor == at && !asked {
             return None;
@@ -310,17 +310,17 @@
         if cursor == Cursor::default() || cursor.version < index.floor() || strayed || doubted {
             return self.whole(region, cursor, source, ended);
         }
-        if let Some(made) = self.made.get(&(region, cursor)) {
-            return Some((Stand::At(made.upto), made.frame.clone()));
+        if let Some(delta) = self.deltas.get(&(region, cursor)) {
+            return Some((Position::At(delta.upto), delta.frame.clone()));
         }
-        let Some(made) = self.delta(region, cursor, source) else {
+        let Some(delta) = self.delta(region, cursor, source) else {
             return self.whole(region, cursor, source, ended);
         };
-        if self.made.len() >= MADE {
-            self.made.clear();
+        if self.deltas.len() >= CACHED_DELTAS {
+            self.deltas.clear();
         }
-        self.made.insert((region, cursor), made.clone());
-        Some((Stand::At(made.upto), made.frame))
+        self.deltas.insert((region, cursor), delta.clone());
+        Some((Position::At(delta.upto), delta.frame))
     }
 
     fn whole(
@@ -329,17 +329,17 @@
         held: Cursor,
         source: &Source,
         ended: &mut Vec<Conn>,
-    ) -> Option<(Stand, Arc<[u8]>)> {
-        let frozen = self.freeze(region, held, source, ended)?;
+    ) -> Option<(Position, Arc<[u8]>)> {
+        let snapshot = self.snapshot(region, held, source, ended)?;
         self.counts.wholes += 1;
-        self.step(region, Stand::Whole(frozen, 0), source, ended)
+        self.step(region, Position::Whole(snapshot, 0), source, ended)
     }
 
     /// All that changed behind a cursor, if one message holds it.
     ///
     /// Danger: each key comes once, at its latest version. A reader that had a part of it would hold a state that never was, without
     /// the keys whose versions of before are in none of the parts, and would serve it on. Harm: who missed much gets the whole state.
-    fn delta(&mut self, region: Region, after: Cursor, source: &Source) -> Option<Made> {
+    fn delta(&mut self, region: Region, after: Cursor, source: &Source) -> Option<CachedDelta> {
         let (upto, index) = (source.copy.cursor(region), source.indexes.get(&region)?);
         let skipped = usize::from(planted(Plant::ResumeSkips));
         let fitting = index.fitting(after.version)?.into_iter().skip(skipped);
@@ -348,19 +348,19 @@
         let epochs = source.copy.epochs(region).between(after.epoch, upto.epoch);
         let digest = source.copy.table(region).map(|table| table.digest());
         let message = Message::Delta { region, after, upto, epochs, entries, digest };
-        Some(Made { upto, frame: message.frame()? })
+        Some(CachedDelta { upto, frame: message.frame()? })
     }
 
     /// The whole state as it is now, or as it was a few changes ago but not before what its reader holds.
-    fn freeze(
+    fn snapshot(
         &mut self,
         region: Region,
         held: Cursor,
         source: &Source,
         ended: &mut Vec<Conn>,
-    ) -> Option<Rc<RefCell<Frozen>>> {
+    ) -> Option<Rc<RefCell<Snapshot>>> {
         let index = source.indexes.get(&region)?;
-        let all = self.frozen.entry(region).or_default();
+        let all = self.snapshots.entry(region).or_default();
         if let Some(last) = all.back() {
             let upto = last.borrow().upto;
             // What has changed since then has to fit behind it, or its readers would begin again and again; and it must not end
@@ -372,15 +372,16 @@
         let entries = index.behind(crate::Version(0)).cloned().collect();
         let digest = source.copy.table(region)?.digest();
         let (upto, epochs) = (source.copy.cursor(region), source.copy.epochs(region));
-        let frozen = Rc::new(RefCell::new(Frozen::new(region, upto, index.floor(), epochs, digest, entries)));
-        all.push_back(frozen.clone());
+        let snapshot =
+            Rc::new(RefCell::new(Snapshot::new(region, upto, index.floor(), epochs, digest, entries)));
+        all.push_back(snapshot.clone());
         // Danger: readers that take nothing would hold one whole state after another. Who is still at the oldest of more than
         // two is ended, and asks anew.
-        while all.len() > FROZEN {
+        while all.len() > SNAPSHOTS {
             let Some(old) = all.pop_front() else { break };
-            let holds = |s: &Subscriber| matches!(s.stands.get(&region), Some(Stand::Whole(f, _)) if Rc::ptr_eq(f, &old));
+            let holds = |s: &Subscriber| matches!(s.positions.get(&region), Some(Position::Whole(f, _)) if Rc::ptr_eq(f, &old));
             ended.extend(self.subscribers.iter().filter(|(_, s)| holds(s)).map(|(conn, _)| *conn));
         }
-        Some(frozen)
+        Some(snapshot)
     }
 }
--- a/crates/plane/src/index.rs
+++ b/crates/plane/src/index.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::entry::{Entry, Key, Version};
-use crate::frozen::weight;
+use crate::snapshot::weight;
 
 /// Bytes of entries in a delta, about: with what is around them it fits a frame.
 const DELTA: usize = 160 << 10;
--- a/crates/plane/src/machine.rs
+++ b/crates/plane/src/machine.rs
@@ -13,10 +13,10 @@
 use crate::copy::{Bounds, Copy, Refusal, Taken};
 use crate::entry::{Cursor, Region};
 use crate::feed::{Feed, FeedOptions, Source};
-use crate::frozen::Frozen;
 use crate::index::Index;
 use crate::io::{Conn, Counts, Input, Output};
 use crate::message::Message;
+use crate::snapshot::Snapshot;
 use crate::subscription::Subscription;
 use crate::writer::Writer;
 
@@ -149,8 +149,8 @@
             }
             let entries = index.behind(crate::Version(0)).cloned().collect();
             let (epochs, digest) = (self.copy.epochs(region), self.copy.table(region)?.digest());
-            let frozen = Frozen::new(region, upto, index.floor(), epochs, digest, entries);
-            Some((0..frozen.len()).map(move |at| frozen.message(at).body()))
+            let snapshot = Snapshot::new(region, upto, index.floor(), epochs, digest, entries);
+            Some((0..snapshot.len()).map(move |at| snapshot.message(at).body()))
         };
         self.copy.regions().filter_map(of).flatten().collect()
     }
--- a/crates/plane/src/frozen.rs
+++ b/crates/plane/src/snapshot.rs
@@ -15,9 +15,9 @@
     40 + entry.key.name.len() + entry.value.as_ref().map_or(0, |value| value.len())
 }
 
-/// A whole state.
+/// A snapshot of a region.
 #[derive(Debug)]
-pub(crate) struct Frozen {
+pub(crate) struct Snapshot {
     region: Region,
     pub(crate) upto: Cursor,
     floor: Version,
@@ -29,7 +29,7 @@
     frames: Vec<Option<Arc<[u8]>>>,
 }
 
-impl Frozen {
+impl Snapshot {
     pub(crate) fn new(
         region: Region,
         upto: Cursor,
@@ -37,7 +37,7 @@
         epochs: Epochs,
         digest: Digest,
         entries: Vec<Arc<Entry>>,
-    ) -> Frozen {
+    ) -> Snapshot {
         let (mut starts, mut bytes) = (Vec::new(), PIECE);
         for (at, entry) in entries.iter().enumerate() {
             if bytes >= PIECE {
@@ -47,7 +47,7 @@
             bytes += weight(entry);
         }
         let frames = vec![None; starts.len() + 2];
-        Frozen { region, upto, floor, epochs, digest, entries, starts, frames }
+        Snapshot { region, upto, floor, epochs, digest, entries, starts, frames }
     }
 
     /// How many frames it has.
