--- a/crates/crowbay/tests/restart_soak.rs
+++ b/crates/crowbay/tests/restart_soak.rs
@@ -6,8 +6,8 @@
 use restartsoak::plan::Plan;
 use restartsoak::{Options, check, play};
 
-/// One without and one with a crowd of idle clients among them.
-const SEEDS: [u64; 4] = [1, 2, 3, 13];
+/// One with a crowd of idle clients and one with silent watches among them.
+const SEEDS: [u64; 5] = [1, 2, 3, 6, 13];
 /// Lives for each seed.
 const LIVES: usize = 3;
 
--- a/crates/restartsoak/src/plan.rs
+++ b/crates/restartsoak/src/plan.rs
@@ -148,25 +148,31 @@
                 slack: 8.0,
             },
         ];
-        let discovery = (0..lives).map(|_| discovery_trouble(random, has_crowd)).collect();
+        let discovery: Vec<_> = (0..lives).map(|_| discovery_trouble(random, has_crowd)).collect();
+        let faults =
+            [random.random_range(0.0..0.03), random.random_range(0.0..0.03), random.random_range(0.0..0.05)];
+        let drain_grace = millis(random, 600, 1500);
+        let cold = (random.random_range(20.0..60.0_f64).round(), SECOND);
+        let mut lives: Vec<LifePlan> = (0..lives).map(|_| life(random)).collect();
+        for (life, trouble) in lives.iter_mut().zip(&discovery) {
+            if *trouble == DiscoveryTrouble::Silent && life.serves.is_some() {
+                outlast_silence(random, life);
+            }
+        }
         Plan {
             seed,
             classes,
             tariffs,
-            drain_grace: millis(random, 600, 1500),
+            drain_grace,
             most_attempts: 3,
             budget: (2 * SECOND, 3.0, 0.15),
-            cold: (random.random_range(20.0..60.0_f64).round(), SECOND),
+            cold,
             warm_after: 4 * SECOND,
             sockets: 128,
             crowd: if has_crowd { 160 } else { 0 },
-            node_faults: [
-                random.random_range(0.0..0.03),
-                random.random_range(0.0..0.03),
-                random.random_range(0.0..0.05),
-            ],
+            node_faults: faults,
             discovery,
-            lives: (0..lives).map(|_| life(random)).collect(),
+            lives,
         }
     }
 
@@ -185,6 +191,13 @@
     *drawn.unwrap_or(&DiscoveryTrouble::None)
 }
 
+/// A life in which watches fall silent at its beginning lasts until what they miss counts as told, and a node drains meanwhile.
+fn outlast_silence(random: &mut StdRng, life: &mut LifePlan) {
+    let serves = random.random_range(8_000..=9_000) * MILLI;
+    life.serves = Some(serves);
+    life.drains = Some(random.random_range(1_000..=5_000) * MILLI - serves);
+}
+
 /// Stops with so much time between them that none is longer than stated.
 fn stops(random: &mut StdRng) -> Vec<(Micros, Micros)> {
     let mut at = 0;
--- a/crates/restartsoak/src/trouble.rs
+++ b/crates/restartsoak/src/trouble.rs
@@ -13,6 +13,9 @@
 use crate::plan::{DiscoveryTrouble, LifePlan};
 use crate::records::{self, Micros, Phase, Recorder, Stop, now};
 
+/// Watches fall silent so long after a life is ready.
+const WATCHED: Micros = 300 * records::MILLI;
+
 /// Something that happens at a moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Act {
@@ -61,7 +64,9 @@
         acts.extend(plan.drains.map(|after| (ends + after, Act::Drain(at(1)))));
         acts.extend(plan.stops.iter().map(|(after, span)| (begins + after, Act::Stop(*span))));
         if trouble != DiscoveryTrouble::None {
-            acts.push((begins + (ends - begins) / 2, Act::Discovery(trouble)));
+            let silent = trouble == DiscoveryTrouble::Silent;
+            let at = begins + if silent { WATCHED } else { (ends - begins) / 2 };
+            acts.push((at, Act::Discovery(trouble)));
             acts.push((ends + 2 * records::SECOND, Act::DiscoveryReturns));
         }
         if plan.hangs {
