--- a/crates/restartsoak/src/check/attempts.rs
+++ b/crates/restartsoak/src/check/attempts.rs
@@ -28,7 +28,7 @@
             add(Rule::Duplicate, at, what);
         }
         for attempt in attempts {
-            if let Some(what) = after_the_end(play, request, attempt) {
+            if let Some(what) = after_the_end(request, attempt) {
                 add(Rule::AfterTheEnd, attempt.begun, what);
             }
             if let Some(what) = told_too_long(play, request, attempt) {
@@ -68,15 +68,13 @@
     })
 }
 
-fn after_the_end(play: &Play<'_>, request: &Request, attempt: &Attempt) -> Option<String> {
+fn after_the_end(request: &Request, attempt: &Attempt) -> Option<String> {
     let late = attempt.begun - request.ended;
     let allowed = match request.outcome {
         Outcome::Left => AFTER_LEAVING + SLACK,
         Outcome::Answered { .. } => SLACK,
         Outcome::Ended | Outcome::Cut | Outcome::Silent | Outcome::Unsent => return None,
     };
-    // A process that is stopped between its clock and a write cannot know better.
-    let allowed = allowed + play.stopped(attempt.begun);
     (late > allowed).then(|| format!("an attempt {} ms after {:?}", late / MILLI, request.outcome))
 }
 
