--- a/crates/decisions/src/cold.rs
+++ b/crates/decisions/src/cold.rs
@@ -24,9 +24,9 @@
     /// chance by a whole turn more at least: its mean leaves `DEVIATIONS` free to there (by the quantiles of
     /// Cornish and Fisher). Harm: a sixth of what a node bears is not dealt, in groups of three up to a half.
     fn chance(&self, many: f64, calls: f64, group: f64) -> f64 {
-        let (asks, hosts) = (self.mem.asks as f64, f64::from(self.set.hosts));
-        let (used, shards) = (self.mem.used as f64, self.mem.shards.len().max(1) as f64);
-        let seen = (asks - self.mem.once as f64) / asks.max(1.0);
+        let (asks, hosts) = (self.mem.spread.asks as f64, f64::from(self.set.hosts));
+        let (used, shards) = (self.mem.spread.used as f64, self.mem.shards.len().max(1) as f64);
+        let seen = (asks - self.mem.spread.once as f64) / asks.max(1.0);
         let sharers = (hosts * used / shards / seen.max(1e-9)).clamp(1.0, hosts);
         let most = ((calls + 2.0 * calls.sqrt() + 2.0) * many / calls).floor() + 0.5;
         let varies = 1.0 + (many / sharers).min(1.0) * (group - 1.0);
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -46,12 +46,27 @@
 mod queue;
 mod scheduler;
 mod state;
+mod sums;
 mod verdict;
 
 pub use interface::*;
 pub use scheduler::Scheduler;
 
 impl Scheduler {
+    /// What is thought of a node, for operators; nothing follows from it here.
+    pub fn look(&self, id: NodeId) -> Option<NodeLook> {
+        let (now, v) = (self.mem.now, self.view());
+        let node = self.mem.nodes.get(&id)?;
+        Some(NodeLook {
+            bound: node.bound(law::RESERVE, &v),
+            load: node.load(&v),
+            held: node.held() as usize,
+            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting.len()),
+            silent: node.silent(now),
+            cold: node.started.is_some_and(|t| now - t < self.set.warm_after),
+        })
+    }
+
     /// Shards gone through for something to send, and lines of the list put in place, since the start: what a change costs.
     pub fn work(&self) -> (u64, u64) {
         (self.mem.pumped, self.mem.relisted)
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -44,13 +44,7 @@
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
         // Of repeats only what meets a shard first: they would make few shards look like all that there are.
         if open.ask.shard.is_some() && (shard.asks == 0 || !open.needs_right()) {
-            shard.asks += 1;
-            self.mem.asks += 1;
-            match shard.asks {
-                1 => (self.mem.used, self.mem.once) = (self.mem.used + 1, self.mem.once + 1),
-                2 => self.mem.once -= 1,
-                _ => {}
-            }
+            self.mem.spread.met(&mut shard.asks);
         }
         let plan = &self.set.plans[open.ask.plan];
         if open.attempts.is_empty() {
@@ -192,16 +186,7 @@
         node.sends.push_back((now, open.ask.units));
         node.unheard.get_or_insert(now);
         node.last_send = now;
-        let (zone, shard, started) = (node.zone, node.shard, node.started);
-        open.attempts.push(Attempt {
-            zone,
-            shard,
-            sent: now,
-            started,
-            charged,
-            waits: false,
-            fate: Fate::Out,
-        });
+        open.attempts.push(Attempt::out_at(node, now, charged));
         if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
             shard.last_key = open.ask.key;
         }
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -103,27 +103,13 @@
         actions.append(&mut self.mem.actions);
     }
 
-    /// What is thought of a node, for operators; nothing follows from it here.
-    pub fn look(&self, id: NodeId) -> Option<NodeLook> {
-        let (now, v) = (self.mem.now, self.view());
-        let node = self.mem.nodes.get(&id)?;
-        Some(NodeLook {
-            bound: node.bound(RESERVE, &v),
-            load: node.load(&v),
-            held: node.held() as usize,
-            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting.len()),
-            silent: node.silent(now),
-            cold: node.started.is_some_and(|t| now - t < self.set.warm_after),
-        })
-    }
-
     /// Danger: in a crowd a host hears from one node every few seconds only, so that its L is stale. The L of
     /// all its nodes stands in as the answers age, as a mean of logarithms: a few sick nodes do not close the
     /// rest. Shows surges everywhere at once. Harm: a sick node seldom heard of is tried again too soon.
     pub(crate) fn view(&self) -> View {
         let weight = self.all.weight.sum;
         // Of all hosts, those whose volumes lie at a node: as many as this host uses of the shards.
-        let used = self.mem.used as f64 / self.mem.shards.len().max(1) as f64;
+        let used = self.mem.spread.used as f64 / self.mem.shards.len().max(1) as f64;
         let fresh = (ALL / (f64::from(self.set.hosts) * used)).min(1.0);
         let mean = |sum: f64| if weight > 0.0 { (sum / weight).exp() } else { 1.0 };
         let (load, delay) = (mean(self.all.ratio.sum), mean(self.all.delay.sum));
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+pub(crate) use crate::sums::*;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Wake {
@@ -36,6 +37,12 @@
 }
 
 impl Attempt {
+    /// One that goes out to a node now.
+    pub(crate) fn out_at(node: &Node, now: Micros, charged: bool) -> Self {
+        let (zone, shard, started) = (node.zone, node.shard, node.started);
+        Attempt { zone, shard, sent: now, started, charged, waits: false, fate: Fate::Out }
+    }
+
     /// It may have run, or may yet.
     pub(crate) fn doubtful(&self) -> bool {
         matches!(self.fate, Fate::Out | Fate::MayHaveRun)
@@ -104,46 +111,6 @@
     }
 }
 
-/// A sum that fades over a span, in microseconds.
-#[derive(Clone, Copy)]
-pub(crate) struct Fading {
-    pub(crate) span: f64,
-    pub(crate) sum: f64,
-    pub(crate) at: Micros,
-}
-
-impl Fading {
-    pub(crate) fn over(span: f64) -> Self {
-        Fading { span, sum: 0.0, at: 0 }
-    }
-    pub(crate) fn read(&self, now: Micros) -> f64 {
-        self.sum * (-((now - self.at) as f64) / self.span).exp()
-    }
-    pub(crate) fn add(&mut self, now: Micros, x: f64) {
-        self.sum = self.read(now) + x;
-        self.at = now;
-    }
-}
-
-/// Smoothed latencies: their ratios to the aim, themselves, and the weight of both.
-#[derive(Clone, Copy)]
-pub(crate) struct Mean {
-    pub(crate) ratio: Fading,
-    pub(crate) delay: Fading,
-    pub(crate) weight: Fading,
-}
-
-impl Mean {
-    pub(crate) fn over(span: f64) -> Self {
-        Mean { ratio: Fading::over(span), delay: Fading::over(span), weight: Fading::over(span) }
-    }
-    pub(crate) fn add(&mut self, now: Micros, ratio: f64, delay: f64) {
-        self.ratio.add(now, ratio);
-        self.delay.add(now, delay);
-        self.weight.add(now, 1.0);
-    }
-}
-
 /// What a host knows of its nodes in common.
 #[derive(Clone, Copy)]
 pub(crate) struct View {
@@ -155,25 +122,6 @@
     pub(crate) delay: f64,
 }
 
-/// A store of units that fills at a rate up to a cap.
-#[derive(Clone, Copy)]
-pub(crate) struct Store {
-    pub(crate) level: f64,
-    pub(crate) at: Micros,
-    pub(crate) rate: f64,
-    pub(crate) cap: f64,
-}
-
-impl Store {
-    pub(crate) fn read(&self, now: Micros) -> f64 {
-        (self.level + self.rate * (now - self.at) as f64 / 1e6).min(self.cap)
-    }
-    pub(crate) fn add(&mut self, now: Micros, x: f64) {
-        self.level = (self.read(now) + x).min(self.cap);
-        self.at = now;
-    }
-}
-
 pub(crate) struct Volume {
     pub(crate) limit: Option<Store>,
     pub(crate) reserve: Store,
@@ -358,10 +306,8 @@
     pub(crate) requests: BTreeMap<RequestId, Open>,
     pub(crate) nodes: BTreeMap<NodeId, Node>,
     pub(crate) shards: BTreeMap<ShardId, Shard>,
-    /// Shards with a volume that this host serves, those asked for once, and all such requests.
-    pub(crate) used: usize,
-    pub(crate) once: usize,
-    pub(crate) asks: u64,
+    /// How this host's requests spread over the shards.
+    pub(crate) spread: Spread,
     pub(crate) volumes: BTreeMap<VolumeId, Volume>,
     pub(crate) turns: BTreeMap<KeyId, Turn>,
     /// Of requests that ended unserved: the end of the aim, and when they ended.
