decisions: a queue that is sent within its aim goes in order of arrival

Cause: within a worth Shard::waiting was kept latest due first (Scheduler::enqueue, '-open.due'). Where more is in hand than the bound and the queue never empties, its oldest are passed over until on_wake refuses them at their due time.

The mend: order of arrival until somebody has waited for a quarter of the aim, then latest due first as before, by rank of worth.

--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -144,7 +144,7 @@
 
     /// Ends a request here; it is forgotten once nothing of it is out.
     pub(crate) fn close(&mut self, id: RequestId) {
-        self.dequeue(id);
+        self.dequeue(id, false);
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
         if !open.finished {
             open.finished = true;
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -61,7 +61,7 @@
             bound: node.bound(law::RESERVE, &v),
             load: node.load(&v),
             held: node.held() as usize,
-            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting.len()),
+            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting),
             silent: node.silent(now),
             cold: node.started.is_some_and(|t| now - t < self.set.warm_after),
         })
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -1,4 +1,4 @@
-//! What waits, per shard, by worth and then latest due first; and what goes out.
+//! What waits, per shard, by worth and then in order of arrival or latest due first; and what goes out.
 
 use crate::cold::GOLDEN;
 use crate::interface::*;
@@ -11,6 +11,19 @@
 const SCAN: usize = 24;
 /// Multiple of a volume's usual rate that counts as within its share in a crowd.
 const OVER: f64 = 2.0;
+/// The part of its aim for which a request may wait before its queue counts as behind.
+const PROMPT: f64 = 0.25;
+
+impl Queue {
+    /// Danger: under an overload that lasts, whoever came first is sent when it can only just be late, so that the
+    /// latest due goes first. Where a queue merely never empties, that passes its oldest over until they are late, on
+    /// a node that could have served them in a moment. So it is the order of arrival while what waits is sent well
+    /// within its aim. Harm: as an overload begins, up to `PROMPT` of the aims is spent before the order changes.
+    fn in_order(&self) -> impl Iterator<Item = RequestId> {
+        let order = if self.behind { &self.latest_due } else { &self.by_arrival };
+        order.iter().map(|(_, id)| *id)
+    }
+}
 
 impl Scheduler {
     /// The shard that a request is to wait at: its own, that of the nodes which know its key, or, for a
@@ -21,7 +34,7 @@
         }
         let v = self.view();
         let fill = |n: &Node| {
-            let waiting = self.mem.shards.get(&n.shard).map_or(0, |s| s.waiting.len());
+            let waiting = self.mem.shards.get(&n.shard).map_or(0, |s| s.waiting);
             (n.out.len() + waiting + 1) as f64 / n.bound(RESERVE, &v) * n.load(&v).max(0.1)
         };
         let usable = |n: &&Node| {
@@ -73,27 +86,35 @@
             _ => self.set.spare_worth,
         };
         let worth = (class.worth * plan.price * step).max(1e-6);
-        let place = ((-2.0 * worth.log2()).round() as i32, -open.due, id);
+        let prompt = now + (PROMPT * class.aim as f64) as Micros;
+        let place = Place { rank: (-2.0 * worth.log2()).round() as i32, due: -open.due, id, prompt };
         open.place = Some((shard_id, place));
         shard.insert(place, open.ask.key, open.needs_right());
         self.mem.dirty.insert(shard_id);
     }
 
-    pub(crate) fn dequeue(&mut self, id: RequestId) {
+    /// Takes a request out of its queue: it is sent, or ended.
+    pub(crate) fn dequeue(&mut self, id: RequestId, sent: bool) {
+        let now = self.mem.now;
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
         let Some((shard, place)) = open.place.take() else { return };
         let Some(shard) = self.mem.shards.get_mut(&shard) else { return };
-        shard.remove(place, open.ask.key);
+        if let Some(queue) = shard.remove(place, open.ask.key) {
+            queue.behind = queue.is_overdue(now) || !sent && (queue.behind || place.prompt < now);
+        }
     }
 
     pub(crate) fn pump(&mut self, shard_id: ShardId) {
         let now = self.mem.now;
+        if let Some(shard) = self.mem.shards.get_mut(&shard_id) {
+            shard.queues.values_mut().for_each(|queue| queue.behind |= queue.is_overdue(now));
+        }
         loop {
             let Some(shard) = self.mem.shards.get(&shard_id) else { return };
-            if shard.waiting.is_empty() {
+            if shard.waiting == 0 {
                 return;
             }
-            if let (Some(come_back), Some(&(_, _, id))) = (self.barred(shard_id), shard.needy.first()) {
+            if let (Some(come_back), Some(&Place { id, .. })) = (self.barred(shard_id), shard.needy.first()) {
                 self.finish(id, come_back);
                 continue;
             }
@@ -120,7 +141,8 @@
                 let node = &self.mem.nodes[&node_id];
                 // A request on the data just sent to the node costs it far less: runs stay together.
                 let run = shard.last_key.and_then(|k| shard.by_key.get(&k)).and_then(|line| line.first());
-                for &(_, _, id) in run.into_iter().chain(shard.waiting.iter()).take(SCAN) {
+                let waiting = shard.queues.values().flat_map(Queue::in_order);
+                for id in run.map(|place| place.id).into_iter().chain(waiting).take(SCAN) {
                     match self.verdict(id, node) {
                         Verdict::Go => {
                             chosen = Some((id, node_id));
@@ -161,7 +183,7 @@
 
     fn send(&mut self, id: RequestId, node_id: NodeId) {
         let (now, v) = (self.mem.now, self.view());
-        self.dequeue(id);
+        self.dequeue(id, true);
         let (Some(open), Some(node)) = (self.mem.requests.get_mut(&id), self.mem.nodes.get_mut(&node_id))
         else {
             return;
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -49,8 +49,17 @@
     }
 }
 
-/// Place in a shard's queue: worth first, then due time, the latest first.
-pub(crate) type Place = (i32, Micros, RequestId);
+/// A request's place among those that wait at a shard.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Place {
+    /// What its units are worth, the most valuable first.
+    pub(crate) rank: i32,
+    /// The end of its aim, negative: the latest first.
+    pub(crate) due: Micros,
+    pub(crate) id: RequestId,
+    /// Until when it waits well within its aim.
+    pub(crate) prompt: Micros,
+}
 
 pub(crate) struct Open {
     pub(crate) ask: Request,
@@ -213,6 +222,22 @@
     }
 }
 
+/// Requests of one worth that wait at a shard, in both orders.
+#[derive(Default)]
+pub(crate) struct Queue {
+    pub(crate) latest_due: BTreeSet<(Micros, RequestId)>,
+    pub(crate) by_arrival: BTreeSet<(Micros, RequestId)>,
+    /// What waited here was not sent well within its aim.
+    pub(crate) behind: bool,
+}
+
+impl Queue {
+    /// Whether some request has waited for too long.
+    pub(crate) fn is_overdue(&self, now: Micros) -> bool {
+        self.by_arrival.first().is_some_and(|(prompt, _)| *prompt < now)
+    }
+}
+
 /// What is left of what a shard was last said to bear beyond first attempts, and the advice without any left.
 #[derive(Clone, Copy)]
 pub(crate) struct Rights {
@@ -224,7 +249,9 @@
     pub(crate) nodes: Vec<NodeId>,
     /// Requests taken for it.
     pub(crate) asks: u64,
-    pub(crate) waiting: BTreeSet<Place>,
+    /// Requests that wait, by rank, and how many there are in all.
+    pub(crate) queues: BTreeMap<i32, Queue>,
+    pub(crate) waiting: usize,
     pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
     /// Of those that wait, those whose next attempt takes a right.
     pub(crate) needy: BTreeSet<Place>,
@@ -244,7 +271,8 @@
         Shard {
             nodes: Vec::new(),
             asks: 0,
-            waiting: BTreeSet::new(),
+            queues: BTreeMap::new(),
+            waiting: 0,
             by_key: BTreeMap::new(),
             needy: BTreeSet::new(),
             last_key: None,
@@ -260,7 +288,10 @@
 
 impl Shard {
     pub(crate) fn insert(&mut self, place: Place, key: Option<KeyId>, needy: bool) {
-        self.waiting.insert(place);
+        let queue = self.queues.entry(place.rank).or_default();
+        queue.latest_due.insert((place.due, place.id));
+        queue.by_arrival.insert((place.prompt, place.id));
+        self.waiting += 1;
         if needy {
             self.needy.insert(place);
         }
@@ -268,8 +299,8 @@
             self.by_key.entry(key).or_default().insert(place);
         }
     }
-    pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) {
-        self.waiting.remove(&place);
+    /// Takes a request out of its queue, which is returned.
+    pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) -> Option<&mut Queue> {
         self.needy.remove(&place);
         if let Some(key) = key
             && let Some(line) = self.by_key.get_mut(&key)
@@ -279,6 +310,11 @@
                 self.by_key.remove(&key);
             }
         }
+        let queue = self.queues.get_mut(&place.rank)?;
+        queue.latest_due.remove(&(place.due, place.id));
+        queue.by_arrival.remove(&(place.prompt, place.id));
+        self.waiting -= 1;
+        Some(queue)
     }
 }
 
