decisions: a repeat whose aim is over is sent where a node has room to spare

Cause: on_request took the end of the earlier try's aim as the request's own due time, so that on_wake refused it at once, and remember stamped the same end anew with each such refusal. Ruled out: load (the node in the tests is idle) and the cap (rights were left).

--- a/crates/crowbay/tests/repeats.rs
+++ b/crates/crowbay/tests/repeats.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::process::until;
 use common::stage::{self, NODES, Stage, hurried};
 use gateway::Status;
@@ -82,3 +84,27 @@
     stage.node("node0", &[]);
     serve_until_well(&mut stage, &hosts);
 }
+
+/// The pause between two tries of a host.
+const ADVICE: Duration = Duration::from_millis(250);
+/// Tries that a host needs at most for a block on a node that is idle again.
+const TRIES: usize = 8;
+
+/// Guards against repeats that are refused for as long as they come, on an idle node, as the aim of the first try is over.
+#[test]
+fn a_host_that_comes_again_after_its_aim_is_served_by_an_idle_node() {
+    let mut stage = lit("window_ms = 5000\nfree = 30.0\nfleet_free = 60.0");
+    let host = stage.host("g1");
+    stage.write_served(&host, 0);
+    stage.until("g1", "its rights are there", |s| look(s, 0).left >= 2.0 && look(s, 0).allowed >= 2);
+    stage.order("g1", "node0", What::Hold(Side::Back));
+    assert!(stage.read(&host, 0).is_err(), "no answer comes");
+    stage.order("g1", "node0", What::Release(Side::Back));
+    let before = look(&stage.status("g1"), 0).spent;
+    let served = (0..TRIES).find(|_| {
+        std::thread::sleep(ADVICE);
+        stage.read(&host, 0).is_ok()
+    });
+    assert!(served.is_some(), "refused {TRIES} times");
+    assert!(look(&stage.status("g1"), 0).spent > before, "it was not taken for a repeat");
+}
--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -136,9 +136,13 @@
     }
 
     /// Keeps until when a request that ends unserved was due, for its repeat.
+    ///
+    /// Danger: each refusal of a late repeat that renewed what it took over kept its own cause alive. That ends
+    /// with the last try that came in time. Harm: a client that repeats for longer gets a new aim.
     pub(crate) fn remember(&mut self, id: RequestId) {
         if let Some(open) = self.mem.requests.get(&id) {
-            self.mem.unserved.insert(likeness(&open.ask), (open.first, self.mem.now));
+            let unserved = Unserved { due: open.first, ended: open.late.unwrap_or(self.mem.now) };
+            self.mem.unserved.insert(likeness(&open.ask), unserved);
         }
     }
 
@@ -148,7 +152,7 @@
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
         if !open.finished {
             open.finished = true;
-            for at in [open.unsent, open.due, open.deadline] {
+            for at in open.ends() {
                 self.mem.wakes.remove(&(at, Wake::Request(id)));
             }
         }
--- a/crates/decisions/src/law.rs
+++ b/crates/decisions/src/law.rs
@@ -100,6 +100,13 @@
         self.unheard.is_some_and(|t| now - t > SILENT)
     }
 
+    /// Whether it can do more than is asked of it: by its load, or, where nothing tells of it, if nothing is out.
+    pub(crate) fn has_spare(&self, v: &View) -> bool {
+        let is_known = v.prior > 0.0 || v.now - self.last_answer < SMOOTHING as Micros;
+        let is_light = self.failures == 0 && !self.silent(v.now) && self.load(v) < v.target[SPARE];
+        if is_known { is_light } else { self.out.is_empty() }
+    }
+
     /// When the node may take the next attempt, as far as its own state tells: `None` on an answer only.
     /// Danger: a node that is silent, unreachable or breaks off takes everything sent to it down with it.
     /// It gets single trials until it answers. Covers dead processes and machines, full connection
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -47,6 +47,7 @@
 mod scheduler;
 mod state;
 mod sums;
+mod sweep;
 mod verdict;
 
 pub use interface::*;
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -1,5 +1,7 @@
 //! What waits, per shard, by worth and then in order of arrival or latest due first; and what goes out.
 
+use std::collections::BTreeMap;
+
 use crate::cold::GOLDEN;
 use crate::interface::*;
 use crate::law::*;
@@ -25,6 +27,20 @@
     }
 }
 
+impl Shard {
+    /// Whether work whose aim is over may wait here.
+    ///
+    /// Danger: work for late answers crowds out what could still be in time, when two thousand clients come back at
+    /// once. It is turned away where what waits is not sent well within its aim, and where the law would give
+    /// nothing beyond the shares. Once a queue is behind, it is the last in it. Harm: as many come at once, those
+    /// in time wait for up to `PROMPT` of their aim.
+    fn admits_late(&self, rank: i32, nodes: &BTreeMap<NodeId, Node>, v: &View) -> bool {
+        let mut queues = self.queues.iter();
+        let behind = queues.any(|(r, q)| q.is_overdue(v.now) || *r == rank && q.behind);
+        (!behind || self.waiting == 0) && self.nodes.iter().any(|id| nodes[id].has_spare(v))
+    }
+}
+
 impl Scheduler {
     /// The shard that a request is to wait at: its own, that of the nodes which know its key, or, for a
     /// new object, the one whose node is least loaded under its bound.
@@ -86,8 +102,12 @@
             _ => self.set.spare_worth,
         };
         let worth = (class.worth * plan.price * step).max(1e-6);
+        let rank = (-2.0 * worth.log2()).round() as i32;
+        if open.late.is_some() && !shard.admits_late(rank, &self.mem.nodes, &v) {
+            return self.finish(id, 0);
+        }
         let prompt = now + (PROMPT * class.aim as f64) as Micros;
-        let place = Place { rank: (-2.0 * worth.log2()).round() as i32, due: -open.due, id, prompt };
+        let place = Place { rank, due: -open.first.min(open.due), id, prompt };
         open.place = Some((shard_id, place));
         shard.insert(place, open.ask.key, open.needs_right());
         self.mem.dirty.insert(shard_id);
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -11,8 +11,8 @@
 const PRIOR: f64 = 0.3;
 /// A like request within this time of one that ended unserved is its repeat, where clients do not say.
 const REPEAT: Micros = 50_000;
-/// Interval of forgetting.
-const SWEEP: Micros = 5_000_000;
+/// Interval of forgetting; a marked request within this time of a like one that ended unserved is its repeat.
+pub(crate) const SWEEP: Micros = 5_000_000;
 /// Pause before asking for the node list again after a failure.
 const ASK_AGAIN: Micros = 1_000_000;
 
@@ -66,8 +66,7 @@
             Event::Hastened { request, patience } => {
                 if let Some(open) = self.mem.requests.get_mut(&request) {
                     open.hasten(self.mem.now + patience);
-                    let ends = [open.unsent, open.due, open.deadline];
-                    self.mem.wakes.extend(ends.map(|at| (at, Wake::Request(request))));
+                    self.mem.wakes.extend(open.ends().map(|at| (at, Wake::Request(request))));
                 }
             }
             Event::Allowance { shard, further, come_back } => {
@@ -174,19 +173,23 @@
         volume.seen = now;
         volume.asked.add(now, ask.units);
         let in_order = class.in_order && ask.key.is_some();
-        let (mut first, deadline) = (now + class.aim, now + ask.patience);
+        let (own_aim, deadline) = (now + class.aim, now + ask.patience);
         // Danger: impatient clients repeat a request many times; all tries share one worth, and its aim runs
         // from the first. A repeat is due when the try before it was, so that it counts as late in time. Also
         // tells plain retries. Harm: where retries are not marked, a like request just after one that was
         // not served is taken for its repeat.
-        if let Some((before, ended)) = self.mem.unserved.remove(&likeness(&ask))
-            && (ask.retry || now - ended < REPEAT)
-        {
-            first = before;
-        }
-        let due = first.min(deadline);
+        let span = if ask.retry { SWEEP } else { REPEAT };
+        let before = self.mem.unserved.remove(&likeness(&ask)).filter(|u| now - u.ended < span);
+        // Danger: a repeat that comes after that aim was refused at once, and so were all behind it, on an idle
+        // node. It is late work, with an aim of its own to be sent in. Harm: see `admits_late`.
+        let late = before.filter(|u| u.due <= now);
+        let first = before.map_or(own_aim, |u| u.due);
+        let due = if late.is_some() { own_aim } else { first }.min(deadline);
         let mut open = Open::new(ask, RESERVE, first, due, deadline);
-        if plan.reserve > 0.0 && volume.reserve.read(now) >= open.ask.units {
+        open.late = late.map(|u| u.ended);
+        // Late work leaves half of the reserve to what comes in time.
+        let kept = if late.is_some() { volume.reserve.cap / 2.0 } else { 0.0 };
+        if plan.reserve > 0.0 && volume.reserve.read(now) >= open.ask.units + kept {
             volume.reserve.add(now, -open.ask.units);
         } else {
             open.step = SHARE;
@@ -195,13 +198,13 @@
         // gone elsewhere. What is not sent in time for its answer to be there by half of its time is answered
         // then: an eighth of that half is for the way back. Harm: a late place is lost.
         open.unsent = due.min(now + open.ask.patience * 7 / 16);
-        let (key, patience, unsent) = (open.ask.key, open.ask.patience, open.unsent);
+        let (key, patience, ends) = (open.ask.key, open.ask.patience, open.ends());
         self.mem.requests.insert(id, open);
         if patience <= 0 {
             self.finish(id, 0);
             return;
         }
-        self.mem.wakes.extend([unsent, due, deadline].map(|at| (at, Wake::Request(id))));
+        self.mem.wakes.extend(ends.map(|at| (at, Wake::Request(id))));
         if let (true, Some(key)) = (in_order, key) {
             let turn = self.mem.turns.entry(key).or_default();
             turn.line.push_back(id);
@@ -241,28 +244,4 @@
             Wake::Sweep => self.sweep(),
         }
     }
-
-    /// Forgets what no rule needs any more.
-    fn sweep(&mut self) {
-        let now = self.mem.now;
-        self.mem.wakes.insert((now + SWEEP, Wake::Sweep));
-        self.mem.volumes.retain(|_, v| {
-            now - v.seen < SWEEP
-                || v.limit.is_some_and(|s| s.read(now) < s.cap)
-                || v.reserve.read(now) < v.reserve.cap
-        });
-        self.mem.unserved.retain(|_, (_, ended)| now - *ended < SWEEP);
-        self.mem.turns.retain(|_, t| !t.line.is_empty() || now < t.rest);
-        let window = self.set.cold_window;
-        self.mem.nodes.values_mut().for_each(|n| n.sends.retain(|s| s.0 > now - window));
-        let counted = now - self.set.budget.map_or(0, |b| b.window);
-        self.mem.taken.retain(|&t| t >= counted);
-        self.mem.further.retain(|&t| t >= counted);
-        self.mem.nodes.retain(|_, n| {
-            n.state != NodeState::Gone || !n.out.is_empty() || now - n.last_send <= window.max(SWEEP)
-        });
-        for shard in self.mem.shards.values_mut() {
-            shard.asked.retain(|_, (f, _)| f.read(now) > 0.01);
-        }
-    }
 }
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -65,7 +65,10 @@
     pub(crate) ask: Request,
     /// The end of the aim, counted from the client's first try.
     pub(crate) first: Micros,
+    /// The end of its own aim, where that of the first try was over as it came.
     pub(crate) due: Micros,
+    /// When the try before it ended, if the aim that it takes over was past by then.
+    pub(crate) late: Option<Micros>,
     /// When it is given up if nothing of it has been sent.
     pub(crate) unsent: Micros,
     pub(crate) deadline: Micros,
@@ -76,6 +79,14 @@
     pub(crate) streaming: bool,
 }
 
+/// A request that ended unserved, for its repeat.
+#[derive(Clone, Copy)]
+pub(crate) struct Unserved {
+    /// The end of its aim, and when it ended.
+    pub(crate) due: Micros,
+    pub(crate) ended: Micros,
+}
+
 /// What a request and its client's repeats have in common.
 pub(crate) type Likeness = (VolumeId, Option<KeyId>, usize, u64);
 
@@ -89,6 +100,7 @@
             ask,
             first,
             due,
+            late: None,
             unsent: due,
             deadline,
             step,
@@ -104,6 +116,10 @@
             *at = deadline.min(*at);
         }
     }
+    /// When it is looked at for want of an answer.
+    pub(crate) fn ends(&self) -> [Micros; 3] {
+        [self.unsent, self.due, self.deadline]
+    }
     pub(crate) fn out(&self) -> bool {
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
@@ -346,8 +362,8 @@
     pub(crate) spread: Spread,
     pub(crate) volumes: BTreeMap<VolumeId, Volume>,
     pub(crate) turns: BTreeMap<KeyId, Turn>,
-    /// Of requests that ended unserved: the end of the aim, and when they ended.
-    pub(crate) unserved: BTreeMap<Likeness, (Micros, Micros)>,
+    /// Requests that ended unserved of late.
+    pub(crate) unserved: BTreeMap<Likeness, Unserved>,
     /// When requests were taken, and when further attempts went out.
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) further: VecDeque<Micros>,
