A repeat is one only of the same host's request, where the host is known

Seen by callers: a block that one host could not read made the reads of all other hosts of that block repeats: they took rights of the cap, and the end of an aim that was not theirs.

Cause: the likeness in decisions/src/state.rs and the key of the cap (gateway/src/rights.rs) were what is asked for, whoever asks.

Gateways of two versions do not know each other's repeats while they are rolled: such a repeat counts as a first request for the window.

--- a/crates/benchlink/src/lib.rs
+++ b/crates/benchlink/src/lib.rs
@@ -383,6 +383,7 @@
                     hosts: m.hosts.map_or(0, |h| h as u32),
                     patience: m.ttl_us,
                     retry: m.is_retry.unwrap_or(false),
+                    client: None,
                 };
                 instance.by_rid.insert(m.rid.clone(), id);
                 instance.requests.insert(id, Held { rid: m.rid, out: 0, open: true });
--- a/crates/capacity/src/parts/site.rs
+++ b/crates/capacity/src/parts/site.rs
@@ -102,5 +102,6 @@
         hosts: 3,
         patience: PATIENCE,
         retry: false,
+        client: None,
     }
 }
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -108,6 +108,7 @@
                     hosts: volume.hosts,
                     patience,
                     retry: operation.retry,
+                    client: operation.client,
                 };
                 (part, request)
             })
--- a/crates/core/src/operation.rs
+++ b/crates/core/src/operation.rs
@@ -1,7 +1,7 @@
 //! What a front hands in, and what it gets back.
 
 use bytes::Bytes;
-use decisions::Micros;
+use decisions::{ClientId, Micros};
 
 /// A front's name for an operation; not reused while the operation is open.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -51,6 +51,8 @@
     pub token: u64,
     /// It is known to be a client's repeat of one that ended unserved, here or at another gateway.
     pub retry: bool,
+    /// Whose it is, where that is known.
+    pub client: Option<ClientId>,
 }
 
 /// The one final answer.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -101,5 +101,6 @@
 }
 
 pub fn operation(ticket: u64, opcode: Opcode, slba: u64, blocks: u32, data: Bytes) -> Operation {
-    Operation { ticket: Ticket(ticket), opcode, nsid: 1, slba, blocks, data, token: ticket, retry: false }
+    let (retry, client) = (false, None);
+    Operation { ticket: Ticket(ticket), opcode, nsid: 1, slba, blocks, data, token: ticket, retry, client }
 }
--- a/crates/crowbay/tests/common/client.rs
+++ b/crates/crowbay/tests/common/client.rs
@@ -39,10 +39,14 @@
     }
 
     pub fn host(&self, gateway: &'static str) -> Host {
+        self.host_named(gateway, "nqn.2026-12.example:host1")
+    }
+
+    pub fn host_named(&self, gateway: &'static str, name: &str) -> Host {
         let options = HostOptions {
             address: self.gateways[gateway].ready().address,
             subsystem: "nqn.2026-12.example.crowbay:path".into(),
-            name: "nqn.2026-12.example:host1".into(),
+            name: name.into(),
             id: [1; 16],
             queues: 1,
             depth: 32,
--- a/crates/crowbay/tests/repeats.rs
+++ b/crates/crowbay/tests/repeats.rs
@@ -108,3 +108,20 @@
     assert!(served.is_some(), "refused {TRIES} times");
     assert!(look(&stage.status("g1"), 0).spent > before, "it was not taken for a repeat");
 }
+
+/// Guards against one host's failure that makes the reads of all others of the same block repeats.
+#[test]
+fn a_block_that_one_host_could_not_read_is_no_repeat_for_another() {
+    let mut stage = lit("window_ms = 5000\nfree = 30.0\nfleet_free = 60.0");
+    let (host, other) = (stage.host("g1"), stage.host_named("g1", "nqn.2026-12.example:host2"));
+    stage.write_served(&host, 0);
+    stage.until("g1", "its rights are there", |s| look(s, 0).left >= 2.0 && look(s, 0).allowed >= 2);
+    stage.order("g1", "node0", What::Hold(Side::Back));
+    assert!(stage.read(&host, 0).is_err(), "no answer comes");
+    stage.order("g1", "node0", What::Release(Side::Back));
+    let before = look(&stage.status("g1"), 0).spent;
+    stage.read_served(&other, 0);
+    assert_eq!(look(&stage.status("g1"), 0).spent, before, "the other host's read took a right");
+    stage.read_served(&host, 0);
+    assert!(look(&stage.status("g1"), 0).spent > before, "the repeat took none");
+}
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -26,6 +26,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ShardId(pub u32);
 
+/// Who a request is from, as far as its host can tell: the same number on every connection of that client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientId(pub u64);
+
 /// Whether a request of a class may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeats {
@@ -202,6 +206,8 @@
     pub patience: Micros,
     /// It is known to be a client's further try.
     pub retry: bool,
+    /// Whose it is, where that is known.
+    pub client: Option<ClientId>,
 }
 
 /// How an attempt ended.
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -31,6 +31,7 @@
 //! let request = Request {
 //!     id: RequestId(1), class: 0, plan: 0, volume: VolumeId(9), key: Some(KeyId(5)),
 //!     shard: Some(ShardId(3)), units: 2.0, hosts: 1, patience: 750_000, retry: false,
+//!     client: None,
 //! };
 //! scheduler.handle(1_000, Event::Request(request), &mut actions);
 //! assert!(actions.contains(&Action::Send { request: RequestId(1), node: NodeId(0), patience: 0 }));
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -87,11 +87,11 @@
     pub(crate) ended: Micros,
 }
 
-/// What a request and its client's repeats have in common.
-pub(crate) type Likeness = (VolumeId, Option<KeyId>, usize, u64);
+/// What a request and its client's repeats have in common; the client too, where it is known.
+pub(crate) type Likeness = (Option<ClientId>, VolumeId, Option<KeyId>, usize, u64);
 
 pub(crate) fn likeness(ask: &Request) -> Likeness {
-    (ask.volume, ask.key, ask.class, ask.units.to_bits())
+    (ask.client, ask.volume, ask.key, ask.class, ask.units.to_bits())
 }
 
 impl Open {
--- a/crates/decisions/tests/cold_fleet/mod.rs
+++ b/crates/decisions/tests/cold_fleet/mod.rs
@@ -323,6 +323,7 @@
             hosts: self.volumes.hosts_of(ask.volume),
             patience: SECOND,
             retry: ask.again,
+            client: None,
         };
         self.give(h, Event::Request(request));
     }
--- a/crates/decisions/tests/common/mod.rs
+++ b/crates/decisions/tests/common/mod.rs
@@ -84,6 +84,7 @@
         hosts: 1,
         patience: SECOND,
         retry: false,
+        client: None,
     }
 }
 
--- a/crates/decisions/tests/list_change.rs
+++ b/crates/decisions/tests/list_change.rs
@@ -51,6 +51,7 @@
         hosts: 1,
         patience: 5_000_000,
         retry: false,
+        client: None,
     };
     let mut actions = Vec::new();
     // A minute later, when limits that begin empty have filled.
--- a/crates/decisions/tests/repeats.rs
+++ b/crates/decisions/tests/repeats.rs
@@ -80,6 +80,31 @@
     );
 }
 
+/// Guards against one client's refusal that makes the requests of all others for the same block late.
+#[test]
+fn a_like_request_of_another_client_is_no_repeat() {
+    for retry in [false, true] {
+        let mut h = node_that_does_not_keep_up();
+        assert!(h.refused(104).is_some());
+        h.wait(10_000);
+        let of = |id: u64, client: u64| Request {
+            key: request(104).key,
+            client: Some(ClientId(client)),
+            retry,
+            ..request(id)
+        };
+        // The refused one named no client; one that names its own is refused, and then another's comes.
+        h.ask(of(200, 1));
+        h.wait(210_000);
+        assert!(h.refused(200).is_some());
+        h.wait(10_000);
+        h.ask(of(201, 2));
+        assert!(h.refused(201).is_none(), "another client's, marked {retry}");
+        h.ask(of(202, 1));
+        assert!(h.refused(202).is_some(), "the same client's, marked {retry}");
+    }
+}
+
 /// A node that serves one request at a time, in turn of arrival.
 struct BusyNode {
     h: Host,
--- a/crates/decisions/tests/stands.rs
+++ b/crates/decisions/tests/stands.rs
@@ -21,6 +21,7 @@
         hosts: 1,
         patience,
         retry: false,
+        client: None,
     }
 }
 
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -62,6 +62,7 @@
         hosts: 1,
         patience: 400_000,
         retry: false,
+        client: None,
     }
 }
 
--- a/crates/gateway/src/engine/commands.rs
+++ b/crates/gateway/src/engine/commands.rs
@@ -1,7 +1,8 @@
 //! Clients' commands: taken, turned away, aborted, answered.
 
 use nvme::{Completion, IoCommand, Status as NvmeStatus, StatusCode};
-use storage_core::{Answer, Micros, Opcode, Operation, Ticket};
+use repeats::key_of_host;
+use storage_core::{Answer, ClientId, Micros, Opcode, Operation, Ticket};
 
 use super::{Client, Engine, Taken};
 use crate::connection::ConnectionId;
@@ -44,7 +45,8 @@
         }
         self.next_ticket += 1;
         let ticket = Ticket(self.next_ticket);
-        let asked = self.asked(now, &command);
+        let Some(host) = self.clients.get(&id).map(|client| client.host.clone()) else { return };
+        let asked = self.asked(now, &host, &command);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.tickets.insert(command.cid, ticket);
         let (cid, compares) = (command.cid, command.opcode == nvme::io::COMPARE);
@@ -57,7 +59,8 @@
         let expected = compares.then(|| std::mem::take(&mut data));
         self.tickets.insert(ticket, Taken { connection: id, cid, bytes, expected, asked });
         let retry = asked.is_some_and(|a| a.is_repeat);
-        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token, retry };
+        let client = (!host.is_empty()).then(|| ClientId(key_of_host(&host, 0)));
+        let operation = Operation { ticket, opcode, nsid, slba, blocks, data, token, retry, client };
         self.core.submit(now, operation, &mut self.effects);
     }
 
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -79,12 +79,12 @@
     }
 
     /// What is known of a command for the cap; none without it.
-    pub(super) fn asked(&self, now: Micros, command: &IoCommand) -> Option<Asked> {
+    pub(super) fn asked(&self, now: Micros, host: &str, command: &IoCommand) -> Option<Asked> {
         let rights = self.together.as_ref()?.rights.as_ref()?;
         let volume = self.options.catalogue.volume(command.nsid)?;
         let extent = (command.slba / volume.extent_blocks.max(1)) as usize;
         let shard = volume.shards.get(extent % volume.shards.len().max(1))?.0;
-        let key = Rights::key(command);
+        let key = Rights::key(host, command);
         Some(Asked { key, shard, is_repeat: rights.is_repeat(now, key) })
     }
 
--- a/crates/gateway/src/engine/orders.rs
+++ b/crates/gateway/src/engine/orders.rs
@@ -59,6 +59,7 @@
                         data: Bytes::new(),
                         token: 0,
                         retry: false,
+                        client: None,
                     };
                     self.core.submit(now, read, &mut self.effects);
                 }
--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -8,7 +8,9 @@
 use decisions::Outcome;
 use nvme::IoCommand;
 use peer::{PeerName, Told};
-use repeats::{Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, ShardState, key_of};
+use repeats::{
+    Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, ShardState, key_of, key_of_host,
+};
 use storage_core::{AttemptId, Micros, Send, Wanted};
 
 use crate::company::Company;
@@ -73,9 +75,12 @@
         self.allowances.drain(..)
     }
 
-    /// A key by which a command and its repeats at any gateway are known: what it is to do, not who asks nor when.
-    pub(crate) fn key(command: &IoCommand) -> u64 {
-        key_of(command.nsid, command.slba, command.opcode, command.blocks)
+    /// A key by which a command and its repeats at any gateway are known: who asks, and for what.
+    ///
+    /// Danger: a block that many hosts read is refused to one of them, and the reads of all others count as repeats. Harm: a host that
+    /// comes again under another name is not known.
+    pub(crate) fn key(host: &str, command: &IoCommand) -> u64 {
+        key_of_host(host, key_of(command.nsid, command.slba, command.opcode, command.blocks))
     }
 
     /// Whether a command like this ended unserved within the window, here or at a peer.
--- a/crates/platform/src/ask.rs
+++ b/crates/platform/src/ask.rs
@@ -145,6 +145,8 @@
         hosts,
         patience: (stated - waited).max(0),
         retry,
+        // A connection is no client: the platform's clients come again on another one.
+        client: None,
     };
     Ok(Ask {
         request: ask,
--- a/crates/repeats/src/key.rs
+++ b/crates/repeats/src/key.rs
@@ -1,6 +1,6 @@
 //! The key by which a repeat is known as one.
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// A request's key: equal for a request and its repeats at any gateway, in any process and version.
 ///
@@ -17,6 +17,14 @@
     xxh3_64(&bytes)
 }
 
+/// The key of a request of this host: the same at every gateway that the host uses, and another one for the same blocks asked for by
+/// another host.
+///
+/// XXH3 (64 bits) of the host's name, with the request's [`key_of`] as the seed.
+pub fn key_of_host(host: &str, key: u64) -> u64 {
+    xxh3_64_with_seed(host.as_bytes(), key)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -38,5 +46,15 @@
         }
     }
 
+    #[test]
+    fn two_hosts_that_ask_for_the_same_have_two_keys() {
+        let key = key_of(1, 4096, 0, 8);
+        assert_eq!(key_of_host("nqn.a", key), key_of_host("nqn.a", key));
+        assert_ne!(key_of_host("nqn.a", key), key_of_host("nqn.b", key));
+        assert_ne!(key_of_host("nqn.a", key), key_of_host("nqn.a", key + 1));
+        assert_eq!(key_of_host("nqn.a", key), KNOWN_OF_HOST);
+    }
+
     const KNOWN: u64 = 7_475_634_194_794_638_259;
+    const KNOWN_OF_HOST: u64 = 7_498_595_048_485_242_740;
 }
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -32,7 +32,7 @@
 pub mod sketch;
 
 pub use cap::{Allowance, Cap, Input, Output};
-pub use key::key_of;
+pub use key::{key_of, key_of_host};
 pub use look::{Counts, ShardLook};
 pub use message::KIND;
 pub use options::{CapOptions, OptionsError, Plant, RECOVERING_FREE, RESERVE, RIGHT, Terms, Trial, Way};
