lab: the bench of the fleet's tables leases its peers' addresses

Cause: it bound port 0 four times, gave the ports back and named them in its site; until the gateways bound them, any other connection of the machine could take them, as docs/incidents/ports-given-away.md tells of the tests. Mended as there, by crate loopback. No other place of the workspace gives a port back: the searches for listeners on port 0 show such that are kept or told only.

--- a/crates/lab/examples/together.rs
+++ b/crates/lab/examples/together.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeMap;
 use std::error::Error;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use emulator::Node;
@@ -46,11 +46,7 @@
     let mut args = std::env::args().skip(1);
     let mut next = |or: f64| args.next().map_or(Ok(or), |a| a.parse::<f64>());
     let (seconds, rounds, slice) = (next(1.0)?, next(5.0)? as usize, next(0.0)?);
-    // Ports that are free now.
-    let held: Vec<TcpListener> =
-        (0..GATEWAYS).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<Result<_, _>>()?;
-    let peers: Vec<SocketAddr> = held.iter().map(TcpListener::local_addr).collect::<Result<_, _>>()?;
-    drop(held);
+    let peers: Vec<SocketAddr> = (0..GATEWAYS).map(|_| loopback::address()).collect::<Result<_, _>>()?;
     let tables = format!(
         "[fleet]\n\n[repeats]\n\n[candidate]\nnumber = 1\nslice = {slice:?}\n\n[[candidate.volume]]\nname = \"bench\"\n\
          extent_blocks = 64\nshards = [1, 0]\n"
