platform: the log tells the life of each request that ended without a final answer

Now each request that ends without an answer keeps its connection, times, attempts with their ends, and what ended it; 64 are kept, the log takes them with its line of every 10 s and at the end.

--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -115,6 +115,11 @@
         self.requests.get(&request).map(|h| &h.payload)
     }
 
+    /// The same, to be changed.
+    pub fn payload_mut(&mut self, request: RequestId) -> Option<&mut P> {
+        self.requests.get_mut(&request).map(|h| &mut h.payload)
+    }
+
     /// Whether an attempt is out.
     pub fn is_out(&self, attempt: AttemptId) -> bool {
         self.out.contains_key(&attempt)
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -166,10 +166,12 @@
             self.machine.tick(now);
             self.carry_out(now);
             if self.machine.is_over() {
+                self.log_unanswered();
                 return tracing::info!("{}; all is answered", self.machine.summary());
             }
             if now >= self.next_summary {
                 self.next_summary = now + SUMMARY;
+                self.log_unanswered();
                 tracing::info!("{}", self.machine.summary());
             }
             let due = self.machine.next_due();
@@ -194,6 +196,10 @@
         }
     }
 
+    fn log_unanswered(&mut self) {
+        self.machine.take_unanswered().iter().for_each(|line| tracing::info!("{line}"));
+    }
+
     fn message(&mut self, message: Message) {
         let now = self.clock.now();
         match message {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,6 +25,7 @@
 mod port;
 mod sizes;
 mod socket;
+mod unanswered;
 mod watch;
 
 pub use ask::{Ask, Rejection, admit};
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -22,6 +22,7 @@
 use crate::outcome::load_of;
 use crate::sizes::Sizes;
 use crate::socket::{End, Output, SocketId};
+use crate::unanswered::{AttemptRecords, Cause, Unanswered, UnansweredLog};
 
 /// What a client or a node may send at most; the protocol's bodies hold 64 KiB.
 pub(crate) const LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 8 };
@@ -66,6 +67,7 @@
     /// When its last byte was read, and when its time is over.
     read: Micros,
     until: Micros,
+    attempts: AttemptRecords,
 }
 
 struct Address {
@@ -108,6 +110,7 @@
     ending: bool,
     shut: bool,
     rejected: u64,
+    unanswered: UnansweredLog,
     outputs: Vec<Output>,
 }
 
@@ -153,6 +156,7 @@
             ending: false,
             shut: false,
             rejected: 0,
+            unanswered: UnansweredLog::default(),
             outputs: Vec::new(),
         };
         machine.list(now, &config.known, true);
@@ -187,7 +191,7 @@
         self.dispatcher.open()
     }
 
-    /// Entries of all tables: what a gateway that serves nobody keeps.
+    /// Entries of all tables: what a gateway that serves nobody keeps, beside lines that wait for the log.
     pub fn held(&self) -> usize {
         let nodes = self.dispatcher.node_views().len() + self.nodes.len();
         let requests = self.dispatcher.open() + self.dispatcher.out().count() + self.ids.len();
@@ -217,6 +221,11 @@
         )
     }
 
+    /// Lines on the requests that ended without a final answer since the last call, for the log.
+    pub fn take_unanswered(&mut self) -> Vec<String> {
+        self.unanswered.take_lines()
+    }
+
     /// A client's connection was accepted.
     pub fn accepted(&mut self, now: Micros, id: u64) {
         self.newest = id;
@@ -293,7 +302,7 @@
     pub fn ended(&mut self, now: Micros, socket: SocketId, end: End) {
         self.exhausted = false;
         match socket {
-            SocketId::Client(id) => self.client_gone(now, id),
+            SocketId::Client(id) => self.client_gone(now, id, end),
             SocketId::Node(id) => {
                 let news = self.links.ended(id, end);
                 self.news(now, id, news, false);
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -10,6 +10,19 @@
             tracing::warn!(id, late, open, "an answer goes out after its request's time");
         }
     }
+
+    /// Its life, as it ends without a final answer.
+    pub(super) fn unanswered(&self, now: Micros, cause: Cause) -> Unanswered {
+        Unanswered {
+            id: self.ask.id.clone(),
+            client: self.client,
+            read: self.read,
+            until: self.until,
+            ended: now,
+            cause,
+            attempts: self.attempts.clone(),
+        }
+    }
 }
 
 impl Machine {
@@ -81,10 +94,13 @@
         answer: Option<&http1::Answer>,
     ) {
         let load = answer.and_then(load_of);
+        if let Some(pending) = self.dispatcher.payload_mut(attempt.request) {
+            pending.attempts.ended(now, attempt.n, outcome);
+        }
         if let Some(pending) = self.dispatcher.ended(now, attempt, outcome, load) {
             let body = answer.map(|a| a.body.clone()).unwrap_or_default();
             pending.note(now);
-            self.answer(now, pending.client, &pending.ask.id, 200, &[], body);
+            self.answer(now, &pending, 200, &[], body);
         }
     }
 
@@ -92,8 +108,16 @@
     pub(super) fn settle(&mut self, now: Micros) {
         while let Some(step) = self.dispatcher.step() {
             match step {
-                Step::Send { attempt, node, .. } => self.send(now, attempt, node),
-                Step::Forget(attempt, ..) => {
+                Step::Send { attempt, node, .. } => {
+                    if let Some(pending) = self.dispatcher.payload_mut(attempt.request) {
+                        pending.attempts.decided(now, node);
+                    }
+                    self.send(now, attempt, node);
+                }
+                Step::Forget(attempt, _, outcome) => {
+                    if let Some(pending) = self.dispatcher.payload_mut(attempt.request) {
+                        pending.attempts.ended(now, attempt.n, outcome);
+                    }
                     if let Some(id) = self.links.forget_attempt(attempt) {
                         self.outputs.push(Output::Close(SocketId::Node(id)));
                     }
@@ -121,29 +145,23 @@
 
     /// The module has given up: its answer goes at once.
     pub(super) fn over(&mut self, now: Micros, pending: &Pending, verdict: Verdict) {
-        let (client, id) = (pending.client, pending.ask.id.as_str());
         pending.note(now);
+        let (status, body) = match verdict {
+            Verdict::Refused { .. } => (503, Bytes::from_static(b"refused\n")),
+            Verdict::Failed => (502, Bytes::from_static(b"failed\n")),
+        };
         match verdict {
             Verdict::Refused { come_back } if come_back > 0 => {
                 let after = format!("{}.{:06}", come_back / 1_000_000, come_back % 1_000_000);
-                self.answer(
-                    now,
-                    client,
-                    id,
-                    503,
-                    &[("Retry-After", &after)],
-                    Bytes::from_static(b"refused\n"),
-                );
-            }
-            Verdict::Refused { .. } => {
-                self.answer(now, client, id, 503, &[], Bytes::from_static(b"refused\n"))
+                self.answer(now, pending, status, &[("Retry-After", &after)], body);
             }
-            Verdict::Failed => self.answer(now, client, id, 502, &[], Bytes::from_static(b"failed\n")),
+            _ => self.answer(now, pending, status, &[], body),
         }
     }
 
-    pub(super) fn withdraw(&mut self, now: Micros, request: RequestId) {
-        let Some(pending) = self.dispatcher.withdraw(now, request) else { return };
+    /// Takes back a request that nobody waits for any more; what it was.
+    pub(super) fn withdraw(&mut self, now: Micros, request: RequestId) -> Option<Pending> {
+        let pending = self.dispatcher.withdraw(now, request)?;
         self.ids.remove(&pending.ask.id);
         // Nobody waits for its attempts. What has not begun never does, whatever the settings allow; what is partly written has
         // not begun either, and ends with its connection; what has gone out a node may stop, where that is permitted.
@@ -163,5 +181,6 @@
             }
         }
         self.settle(now);
+        Some(pending)
     }
 }
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -100,7 +100,11 @@
             taken.patience = taken.patience.min(ends - now).max(0);
         }
         let until = now + taken.patience;
-        let request = self.dispatcher.take(now, taken, Pending { client: id, ask, read: at, until });
+        let request = self.dispatcher.take(
+            now,
+            taken,
+            Pending { client: id, ask, read: at, until, attempts: AttemptRecords::default() },
+        );
         if let Some(client) = self.clients.get_mut(&id) {
             client.open = Some((request, keep));
             self.agenda.remove(client, id);
@@ -186,11 +190,13 @@
     }
 
     /// The client has closed its connection, or it broke: what it asked is taken back.
-    pub(super) fn client_gone(&mut self, now: Micros, id: u64) {
+    pub(super) fn client_gone(&mut self, now: Micros, id: u64, end: End) {
         let Some(client) = self.clients.remove(&id) else { return };
         self.agenda.remove(&client, id);
-        if let Some((request, _)) = client.open {
-            self.withdraw(now, request);
+        if let Some((request, _)) = client.open
+            && let Some(pending) = self.withdraw(now, request)
+        {
+            self.unanswered.push(pending.unanswered(now, Cause::ClientEnded(end)));
         }
         self.outputs.push(Output::Close(SocketId::Client(id)));
         self.make_room(now);
@@ -231,14 +237,16 @@
     pub(super) fn answer(
         &mut self,
         now: Micros,
-        id: u64,
-        request: &str,
+        pending: &Pending,
         status: u16,
         fields: &[(&str, &str)],
         body: Bytes,
     ) {
-        self.ids.remove(request);
-        let Some(client) = self.clients.get_mut(&id) else { return };
+        let id = pending.client;
+        self.ids.remove(&pending.ask.id);
+        let Some(client) = self.clients.get_mut(&id) else {
+            return self.unanswered.push(pending.unanswered(now, Cause::NoConnection));
+        };
         let keep = client.open.take().is_some_and(|(_, keep)| keep) && client.spilled == 0;
         client.served = true;
         self.write(now, id, status, fields, body, keep);
