--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -137,7 +137,7 @@
 
     /// Keeps until when a request that ends unserved was due, for its repeat.
     ///
-    /// Danger: each refusal of a late repeat that renewed what it took over kept its own cause alive. That ends
+    /// Danger: each refusal of a late repeat that renewed what it took over kept its own cause alive. It ends
     /// with the last try that came in time. Harm: a client that repeats for longer gets a new aim.
     pub(crate) fn remember(&mut self, id: RequestId) {
         if let Some(open) = self.mem.requests.get(&id) {
--- a/crates/decisions/src/law.rs
+++ b/crates/decisions/src/law.rs
@@ -100,7 +100,7 @@
         self.unheard.is_some_and(|t| now - t > SILENT)
     }
 
-    /// Whether it can do more than is asked of it: by its load, or, where nothing tells of it, if nothing is out.
+    /// Whether it can do more than is asked of it: by its load, or, where none is known, if nothing is out.
     pub(crate) fn has_spare(&self, v: &View) -> bool {
         let is_known = v.prior > 0.0 || v.now - self.last_answer < SMOOTHING as Micros;
         let is_light = self.failures == 0 && !self.silent(v.now) && self.load(v) < v.target[SPARE];
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -17,10 +17,10 @@
 const PROMPT: f64 = 0.25;
 
 impl Queue {
-    /// Danger: under an overload that lasts, whoever came first is sent when it can only just be late, so that the
-    /// latest due goes first. Where a queue merely never empties, that passes its oldest over until they are late, on
-    /// a node that could have served them in a moment. So it is the order of arrival while what waits is sent well
-    /// within its aim. Harm: as an overload begins, up to `PROMPT` of the aims is spent before the order changes.
+    /// Danger: under an overload that lasts, whoever came first can only just be late, so that the latest due
+    /// goes first. Where a queue merely never empties, that passes its oldest over until they are late, on a
+    /// node that could serve them in a moment. So it is the order of arrival while what waits is sent well
+    /// within its aim. Harm: as an overload begins, up to `PROMPT` of the aims is spent.
     fn in_order(&self) -> impl Iterator<Item = RequestId> {
         let order = if self.behind { &self.latest_due } else { &self.by_arrival };
         order.iter().map(|(_, id)| *id)
@@ -30,10 +30,10 @@
 impl Shard {
     /// Whether work whose aim is over may wait here.
     ///
-    /// Danger: work for late answers crowds out what could still be in time, when two thousand clients come back at
-    /// once. It is turned away where what waits is not sent well within its aim, and where the law would give
-    /// nothing beyond the shares. Once a queue is behind, it is the last in it. Harm: as many come at once, those
-    /// in time wait for up to `PROMPT` of their aim.
+    /// Danger: late work crowds out what could be in time, when two thousand clients come back at once. It is
+    /// turned away where what waits is not sent well within its aim, and where the law would give nothing
+    /// beyond the shares. Once a queue is behind, it is the last in it. Harm: as many come at once, those in
+    /// time wait for up to `PROMPT` of their aim.
     fn admits_late(&self, rank: i32, nodes: &BTreeMap<NodeId, Node>, v: &View) -> bool {
         let mut queues = self.queues.iter();
         let behind = queues.any(|(r, q)| q.is_overdue(v.now) || *r == rank && q.behind);
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -180,8 +180,8 @@
         // not served is taken for its repeat.
         let span = if ask.retry { SWEEP } else { REPEAT };
         let before = self.mem.unserved.remove(&likeness(&ask)).filter(|u| now - u.ended < span);
-        // Danger: a repeat that comes after that aim was refused at once, and so were all behind it, on an idle
-        // node. It is late work, with an aim of its own to be sent in. Harm: see `admits_late`.
+        // Danger: a repeat after that aim was refused at once, and so were all behind it, on an idle node. It
+        // is late work, with an aim of its own to be sent in. Harm: see `admits_late`.
         let late = before.filter(|u| u.due <= now);
         let first = before.map_or(own_aim, |u| u.due);
         let due = if late.is_some() { own_aim } else { first }.min(deadline);
