--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -97,10 +97,7 @@
         if a.outcome == Outcome::Served
             && let Some(shard) = self.mem.shards.get_mut(&attempt.shard)
         {
-            shard.served.add(now, open.ask.units);
-            shard.peak *= (-((now - shard.peak_at) as f64) / PEAK_FADE).exp();
-            shard.peak = shard.peak.max(shard.served.read(now));
-            shard.peak_at = now;
+            shard.serve(now, open.ask.units, PEAK_FADE);
         }
         let class = &self.set.classes[open.ask.class];
         if class.in_order
@@ -146,30 +143,6 @@
         }
     }
 
-    /// Ends a request here; it is forgotten once nothing of it is out.
-    pub(crate) fn close(&mut self, id: RequestId) {
-        self.dequeue(id, false);
-        let Some(open) = self.mem.requests.get_mut(&id) else { return };
-        if !open.finished {
-            open.finished = true;
-            for at in open.ends() {
-                self.mem.wakes.remove(&(at, Wake::Request(id)));
-            }
-        }
-        if open.out() {
-            return;
-        }
-        let Some(open) = self.mem.requests.remove(&id) else { return };
-        let Some(key) = open.ask.key.filter(|_| self.set.classes[open.ask.class].in_order) else { return };
-        let Some(turn) = self.mem.turns.get_mut(&key) else { return };
-        if turn.line.front() == Some(&id) {
-            turn.line.pop_front();
-            self.next_turn(key);
-        } else {
-            turn.line.retain(|&r| r != id);
-        }
-    }
-
     pub(crate) fn next_turn(&mut self, key: KeyId) {
         let Some(turn) = self.mem.turns.get(&key) else { return };
         if self.mem.now < turn.rest {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -46,10 +46,12 @@
 mod law;
 mod queue;
 mod scheduler;
+mod shards;
 mod state;
 mod sums;
 mod sweep;
 mod verdict;
+mod wakes;
 
 pub use interface::*;
 pub use scheduler::Scheduler;
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -224,11 +224,8 @@
         let aim = self.set.classes[open.ask.class].aim.max(1);
         let part = STEPS.map(|step| node.bound(step, &v).min(1.0));
         node.paid = STEPS.map(|step| node.paid[step].max(now) + node.gap(step, &v));
-        node.out.insert((id, open.attempts.len() as u32), Flight { sent: now, aim, part, overtaken: 0 });
-        node.sends.push_back((now, open.ask.units));
-        node.unheard.get_or_insert(now);
-        node.last_send = now;
         open.attempts.push(Attempt::out_at(node, now, charged));
+        node.begin((id, open.last_attempt()), Flight { sent: now, aim, part, overtaken: 0 }, open.ask.units);
         if let Some(shard) = self.mem.shards.get_mut(&node.shard) {
             shard.last_key = open.ask.key;
         }
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -81,24 +81,12 @@
                 }
             }
         }
-        while let Some(&(at, wake)) = self.mem.wakes.first()
-            && at <= self.mem.now
-        {
-            self.mem.wakes.pop_first();
-            self.on_wake(wake);
-        }
+        self.wake_due();
         while let Some(shard) = self.mem.dirty.pop_first() {
             self.mem.pumped += 1;
             self.pump(shard);
         }
-        if let Some(&(at, _)) = self.mem.wakes.first()
-            && self.mem.armed.is_none_or(|armed| at < armed)
-        {
-            self.mem.armed = Some(at);
-            self.mem.token += 1;
-            let after = (at - self.mem.now).max(1);
-            self.mem.actions.push(Action::SetTimer { after, token: self.mem.token });
-        }
+        self.arm_timer();
         actions.append(&mut self.mem.actions);
     }
 
@@ -215,7 +203,7 @@
         self.enqueue(id);
     }
 
-    fn on_wake(&mut self, wake: Wake) {
+    pub(crate) fn on_wake(&mut self, wake: Wake) {
         let now = self.mem.now;
         match wake {
             Wake::Request(id) => {
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use crate::interface::*;
+pub(crate) use crate::shards::*;
 pub(crate) use crate::sums::*;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -49,18 +50,6 @@
     }
 }
 
-/// A request's place among those that wait at a shard.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Place {
-    /// What its units are worth, the most valuable first.
-    pub(crate) rank: i32,
-    /// The end of its aim, negative: the latest first.
-    pub(crate) due: Micros,
-    pub(crate) id: RequestId,
-    /// Until when it waits well within its aim.
-    pub(crate) prompt: Micros,
-}
-
 pub(crate) struct Open {
     pub(crate) ask: Request,
     /// The end of the aim, counted from the client's first try.
@@ -127,6 +116,10 @@
     pub(crate) fn unwritten(&self) -> bool {
         self.attempts.iter().all(|a| matches!(a.fate, Fate::Unreached | Fate::NotSent))
     }
+    /// The number of its last attempt.
+    pub(crate) fn last_attempt(&self) -> u32 {
+        self.attempts.len().saturating_sub(1) as u32
+    }
     /// No attempt of it counts against its volume's limit.
     pub(crate) fn uncharged(&self) -> bool {
         self.attempts.iter().all(|a| !a.charged)
@@ -236,21 +229,13 @@
             hold: 0,
         }
     }
-}
 
-/// Requests of one worth that wait at a shard, in both orders.
-#[derive(Default)]
-pub(crate) struct Queue {
-    pub(crate) latest_due: BTreeSet<(Micros, RequestId)>,
-    pub(crate) by_arrival: BTreeSet<(Micros, RequestId)>,
-    /// What waited here was not sent well within its aim.
-    pub(crate) behind: bool,
-}
-
-impl Queue {
-    /// Whether some request has waited for too long.
-    pub(crate) fn is_overdue(&self, now: Micros) -> bool {
-        self.by_arrival.first().is_some_and(|(prompt, _)| *prompt < now)
+    /// Notes an attempt of so many units that goes out to it.
+    pub(crate) fn begin(&mut self, attempt: (RequestId, u32), flight: Flight, units: f64) {
+        self.out.insert(attempt, flight);
+        self.sends.push_back((flight.sent, units));
+        self.unheard.get_or_insert(flight.sent);
+        self.last_send = flight.sent;
     }
 }
 
@@ -261,79 +246,6 @@
     pub(crate) come_back: Micros,
 }
 
-pub(crate) struct Shard {
-    pub(crate) nodes: Vec<NodeId>,
-    /// Requests taken for it.
-    pub(crate) asks: u64,
-    /// Requests that wait, by rank, and how many there are in all.
-    pub(crate) queues: BTreeMap<i32, Queue>,
-    pub(crate) waiting: usize,
-    pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
-    /// Of those that wait, those whose next attempt takes a right.
-    pub(crate) needy: BTreeSet<Place>,
-    pub(crate) last_key: Option<KeyId>,
-    /// Units beyond the reserve that each volume asked for lately, and the weight of its plan.
-    pub(crate) asked: BTreeMap<VolumeId, (Fading, f64)>,
-    pub(crate) reserved: Fading,
-    pub(crate) served: Fading,
-    /// Best service seen, fading slowly: what the node can do for this host.
-    pub(crate) peak: f64,
-    pub(crate) peak_at: Micros,
-    pub(crate) wake: Option<Micros>,
-}
-
-impl Shard {
-    pub(crate) fn new(span: f64) -> Self {
-        Shard {
-            nodes: Vec::new(),
-            asks: 0,
-            queues: BTreeMap::new(),
-            waiting: 0,
-            by_key: BTreeMap::new(),
-            needy: BTreeSet::new(),
-            last_key: None,
-            asked: BTreeMap::new(),
-            reserved: Fading::over(span),
-            served: Fading::over(span),
-            peak: 0.0,
-            peak_at: 0,
-            wake: None,
-        }
-    }
-}
-
-impl Shard {
-    pub(crate) fn insert(&mut self, place: Place, key: Option<KeyId>, needy: bool) {
-        let queue = self.queues.entry(place.rank).or_default();
-        queue.latest_due.insert((place.due, place.id));
-        queue.by_arrival.insert((place.prompt, place.id));
-        self.waiting += 1;
-        if needy {
-            self.needy.insert(place);
-        }
-        if let Some(key) = key {
-            self.by_key.entry(key).or_default().insert(place);
-        }
-    }
-    /// Takes a request out of its queue, which is returned.
-    pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) -> Option<&mut Queue> {
-        self.needy.remove(&place);
-        if let Some(key) = key
-            && let Some(line) = self.by_key.get_mut(&key)
-        {
-            line.remove(&place);
-            if line.is_empty() {
-                self.by_key.remove(&key);
-            }
-        }
-        let queue = self.queues.get_mut(&place.rank)?;
-        queue.latest_due.remove(&(place.due, place.id));
-        queue.by_arrival.remove(&(place.prompt, place.id));
-        self.waiting -= 1;
-        Some(queue)
-    }
-}
-
 /// The next number of the splitmix64 sequence.
 pub(crate) fn next_random(state: &mut u64) -> u64 {
     *state = state.wrapping_add(0x9e37_79b9_7f4a_7c15);
--- a/crates/decisions/src/sweep.rs
+++ b/crates/decisions/src/sweep.rs
@@ -28,4 +28,28 @@
             shard.asked.retain(|_, (f, _)| f.read(now) > 0.01);
         }
     }
+
+    /// Ends a request here; it is forgotten once nothing of it is out.
+    pub(crate) fn close(&mut self, id: RequestId) {
+        self.dequeue(id, false);
+        let Some(open) = self.mem.requests.get_mut(&id) else { return };
+        if !open.finished {
+            open.finished = true;
+            for at in open.ends() {
+                self.mem.wakes.remove(&(at, Wake::Request(id)));
+            }
+        }
+        if open.out() {
+            return;
+        }
+        let Some(open) = self.mem.requests.remove(&id) else { return };
+        let Some(key) = open.ask.key.filter(|_| self.set.classes[open.ask.class].in_order) else { return };
+        let Some(turn) = self.mem.turns.get_mut(&key) else { return };
+        if turn.line.front() == Some(&id) {
+            turn.line.pop_front();
+            self.next_turn(key);
+        } else {
+            turn.line.retain(|&r| r != id);
+        }
+    }
 }
