together and bench path count what was not served in all rounds, not in the median one

A row showed the round with the median rate, and commands not served in the other rounds counted nowhere, so that the listed fault at depth 32 looked as if it came in one run of ten.

--- a/crates/lab/examples/together.rs
+++ b/crates/lab/examples/together.rs
@@ -10,7 +10,7 @@
 
 use emulator::Node;
 use gateway::{Gateway, NodeLine};
-use lab::{BenchPoint, BenchRow, point};
+use lab::{BenchRow, median, point};
 use records::{Op, Recorder};
 use settings::Site;
 
@@ -37,11 +37,6 @@
     Ok(Site::parse(&(text + tables)).map_err(told)?)
 }
 
-fn median(mut points: Vec<BenchPoint>) -> BenchPoint {
-    points.sort_by(|a, b| a.rate.total_cmp(&b.rate));
-    points[points.len() / 2]
-}
-
 fn main() -> Result<(), Box<dyn Error>> {
     let mut args = std::env::args().skip(1);
     let mut next = |or: f64| args.next().map_or(Ok(or), |a| a.parse::<f64>());
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -27,7 +27,7 @@
     pub depths: Vec<u32>,
     /// Sizes, in KiB.
     pub sizes: Vec<u32>,
-    /// Rounds; straight and through alternate, and the median counts.
+    /// Rounds; straight and through alternate. The median of the rates counts, and what was not served in any round.
     pub rounds: u32,
     /// Measure the journal of work in hand, kept in this folder, in place of the way itself.
     pub journal: Option<PathBuf>,
@@ -61,7 +61,7 @@
     pub p999: u64,
     /// CPU time of the process for each command, in microseconds.
     pub cpu: f64,
-    /// Commands that were not served.
+    /// Commands that were not served; of a row, in all its rounds.
     pub unserved: u64,
 }
 
@@ -175,9 +175,12 @@
     }
 }
 
-fn median(mut points: Vec<BenchPoint>) -> BenchPoint {
+/// The round with the median rate; commands that were not served are those of all rounds.
+pub fn median(mut points: Vec<BenchPoint>) -> BenchPoint {
     points.sort_by(|a, b| a.rate.total_cmp(&b.rate));
-    points.get(points.len() / 2).copied().unwrap_or_default()
+    let unserved = points.iter().map(|p| p.unserved).sum();
+    let middle = points.get(points.len() / 2).copied().unwrap_or_default();
+    BenchPoint { unserved, ..middle }
 }
 
 /// Keeps `depth` commands out on the site's first volume for a span.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -24,7 +24,7 @@
 mod timeline;
 mod weather;
 
-pub use bench::{BenchOptions, BenchPoint, BenchRow, bench_path, point};
+pub use bench::{BenchOptions, BenchPoint, BenchRow, bench_path, median, point};
 pub use cut_down::{CutDown, cut_down};
 pub use day::{Played, play};
 pub use demo::{Demo, DemoReady, demo_site};
