decisions: requests may wait for a right, up to a limit that is told, in place of a refusal at once

A request that needs a right and found none was refused in the same moment, whatever its patience, though rights come as requests are served. Event::AwaitLimit says how many may wait at a shard; without it all is as before. They wait outside of the queues, so that what needs no right is never behind them, by worth and then in order of arrival; those beyond the limit, and those of a class in order, are refused at once with the advice; those that wait in vain are refused in their time with it. take_shortages tells how many wait.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use bytes::Bytes;
-use decisions::{Micros, NodeId, NodeLook, Outcome, Repeats, Request, RequestId, ShardId, VolumeId};
-use dispatch::{AttemptId, Dispatcher, ListedNode, NodeView, Step};
+use decisions::{Micros, NodeId, Outcome, Repeats, Request, RequestId, ShardId, Shortage, VolumeId};
+use dispatch::{AttemptId, Dispatcher, ListedNode, Step};
 
 use crate::catalogue::{Catalogue, Part};
 use crate::effect::{Effect, End, Send};
 use crate::operation::{Answer, Operation, Ticket};
-use crate::views::{EndedView, OpenView, Tally, VolumeView};
+use crate::views::{EndedView, Tally, VolumeView};
 use crate::wanted::{Wanted, Wants};
 
 #[derive(Clone, Debug, PartialEq)]
@@ -47,7 +47,7 @@
 /// One gateway's core.
 pub struct Core {
     pub(crate) catalogue: Catalogue,
-    dispatcher: Dispatcher<Place>,
+    pub(crate) dispatcher: Dispatcher<Place>,
     pub(crate) now: Micros,
     pub(crate) open: HashMap<Ticket, Open>,
     token_salt: u64,
@@ -232,8 +232,8 @@
     }
 
     /// What a shard bears from now on beyond first attempts, in place of what was allowed before: so many further attempts,
-    /// or first ones of operations with `retry`; the rest is refused at once with this advice, in microseconds. A shard
-    /// never named is unlimited.
+    /// or first ones of operations with `retry`; the rest is refused with this advice, in microseconds, at once or after it
+    /// has waited ([`Core::limit_awaiting`]). A shard never named is unlimited.
     pub fn allow(
         &mut self,
         now: Micros,
@@ -248,6 +248,17 @@
         self.settle(effects);
     }
 
+    /// How many parts may wait for a right of a shard while it has none left; none until this is told.
+    pub fn limit_awaiting(&mut self, now: Micros, shard: ShardId, most: u32) {
+        self.advance(now);
+        self.dispatcher.limit_awaiting(self.now, shard, most);
+    }
+
+    /// The shards at which other parts wait for a right than were told of last.
+    pub fn take_shortages(&mut self) -> Vec<Shortage> {
+        self.dispatcher.take_shortages()
+    }
+
     /// What was turned away for want of rights since the last call, oldest first; the last few hundred at most.
     pub fn take_wanted(&mut self) -> VecDeque<Wanted> {
         self.wants.take()
@@ -276,67 +287,6 @@
         }
     }
 
-    /// What the module thinks of a node.
-    pub fn look(&self, node: NodeId) -> Option<NodeLook> {
-        self.dispatcher.look(node)
-    }
-
-    /// The last operations that ended unserved, oldest first.
-    pub fn ended_views(&self) -> impl DoubleEndedIterator<Item = &EndedView> {
-        self.ended.iter()
-    }
-
-    /// How many ended unserved, by reason.
-    pub fn reasons(&self) -> &BTreeMap<&'static str, u64> {
-        &self.reasons
-    }
-
-    /// Operations that are owed an answer.
-    pub fn open_operations(&self) -> usize {
-        self.open.len()
-    }
-
-    /// Attempts out, those of finished operations included.
-    pub fn attempts_out(&self) -> usize {
-        self.dispatcher.out().count()
-    }
-
-    /// Counts since the start.
-    pub fn tally(&self) -> Tally {
-        let dispatch::Counts { sent, further, late, .. } = self.dispatcher.counts();
-        Tally { sent, further, late, ..self.tally }
-    }
-
-    /// The nodes known, by number.
-    pub fn node_views(&self) -> &BTreeMap<NodeId, NodeView> {
-        self.dispatcher.node_views()
-    }
-
-    /// The volumes, by namespace identifier.
-    pub fn volume_views(&self) -> &BTreeMap<u32, VolumeView> {
-        &self.volumes
-    }
-
-    /// The open operations, oldest first.
-    pub fn open_views(&self) -> Vec<OpenView> {
-        let mut nodes: HashMap<RequestId, Vec<NodeId>> = HashMap::new();
-        for (attempt, node) in self.dispatcher.out() {
-            nodes.entry(attempt.request).or_default().push(node);
-        }
-        let view = |(&ticket, open): (&Ticket, &Open)| OpenView {
-            ticket,
-            nsid: open.operation.nsid,
-            opcode: open.operation.opcode,
-            class: open.class,
-            taken: open.taken,
-            attempts: open.pieces.iter().map(|p| p.sent).sum(),
-            nodes: open.pieces.iter().filter_map(|p| nodes.get(&p.request)).flatten().copied().collect(),
-        };
-        let mut views: Vec<OpenView> = self.open.iter().map(view).collect();
-        views.sort_by_key(|v| (v.taken, v.ticket));
-        views
-    }
-
     fn advance(&mut self, now: Micros) {
         self.now = self.now.max(now);
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,5 +23,5 @@
 pub use crate::operation::{Answer, Opcode, Operation, Ticket};
 pub use crate::views::{EndedView, OpenView, Tally, VolumeView};
 pub use crate::wanted::Wanted;
-pub use decisions::ClientId;
+pub use decisions::{ClientId, Shortage};
 pub use dispatch::{AttemptId, ListedNode, Micros, NodeLook, NodeState, NodeView, Outcome};
--- a/crates/core/src/views.rs
+++ b/crates/core/src/views.rs
@@ -1,7 +1,11 @@
 //! What the core shows of itself: counts, volumes, operations open and ended. Nothing follows from it.
 
-use decisions::{Micros, NodeId, Outcome};
+use std::collections::{BTreeMap, HashMap};
 
+use decisions::{Micros, NodeId, NodeLook, Outcome, RequestId};
+use dispatch::NodeView;
+
+use crate::core::{Core, Open};
 use crate::operation::{Opcode, Ticket};
 
 /// Counts since the start.
@@ -101,3 +105,66 @@
         }
     }
 }
+
+impl Core {
+    /// What the module thinks of a node.
+    pub fn look(&self, node: NodeId) -> Option<NodeLook> {
+        self.dispatcher.look(node)
+    }
+
+    /// The last operations that ended unserved, oldest first.
+    pub fn ended_views(&self) -> impl DoubleEndedIterator<Item = &EndedView> {
+        self.ended.iter()
+    }
+
+    /// How many ended unserved, by reason.
+    pub fn reasons(&self) -> &BTreeMap<&'static str, u64> {
+        &self.reasons
+    }
+
+    /// Operations that are owed an answer.
+    pub fn open_operations(&self) -> usize {
+        self.open.len()
+    }
+
+    /// Attempts out, those of finished operations included.
+    pub fn attempts_out(&self) -> usize {
+        self.dispatcher.out().count()
+    }
+
+    /// Counts since the start.
+    pub fn tally(&self) -> Tally {
+        let dispatch::Counts { sent, further, late, .. } = self.dispatcher.counts();
+        Tally { sent, further, late, ..self.tally }
+    }
+
+    /// The nodes known, by number.
+    pub fn node_views(&self) -> &BTreeMap<NodeId, NodeView> {
+        self.dispatcher.node_views()
+    }
+
+    /// The volumes, by namespace identifier.
+    pub fn volume_views(&self) -> &BTreeMap<u32, VolumeView> {
+        &self.volumes
+    }
+
+    /// The open operations, oldest first.
+    pub fn open_views(&self) -> Vec<OpenView> {
+        let mut nodes: HashMap<RequestId, Vec<NodeId>> = HashMap::new();
+        for (attempt, node) in self.dispatcher.out() {
+            nodes.entry(attempt.request).or_default().push(node);
+        }
+        let view = |(&ticket, open): (&Ticket, &Open)| OpenView {
+            ticket,
+            nsid: open.operation.nsid,
+            opcode: open.operation.opcode,
+            class: open.class,
+            taken: open.taken,
+            attempts: open.pieces.iter().map(|p| p.sent).sum(),
+            nodes: open.pieces.iter().filter_map(|p| nodes.get(&p.request)).flatten().copied().collect(),
+        };
+        let mut views: Vec<OpenView> = self.open.iter().map(view).collect();
+        views.sort_by_key(|v| (v.taken, v.ticket));
+        views
+    }
+}
--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -118,6 +118,7 @@
     /// Gives the one final answer: a refusal where nothing can have run or a repeat is harmless.
     pub(crate) fn finish(&mut self, id: RequestId, come_back: Micros) {
         let Some(open) = self.mem.requests.get(&id).filter(|o| !o.finished) else { return };
+        let come_back = self.mem.awaited(open).map_or(come_back, |rights| rights.come_back);
         let class = &self.set.classes[open.ask.class];
         let harmless = matches!(class.repeats, Repeats::Safe | Repeats::Keyed { group: Group::All, .. })
             || open.doubt().next().is_none();
--- a/crates/decisions/src/interface.rs
+++ b/crates/decisions/src/interface.rs
@@ -311,6 +311,14 @@
         /// What is refused for want of them is to come back after this span; no longer than the settings' advice.
         come_back: Micros,
     },
+    /// How many requests of a shard may wait for a right while it has none left; those beyond are refused at once, or at the
+    /// next `Allowance` if they wait already. None may until this is told; those of a class in order never do.
+    AwaitLimit {
+        /// The shard.
+        shard: ShardId,
+        /// So many.
+        most: u32,
+    },
 }
 
 /// What the module thinks of a node, for operators.
@@ -330,6 +338,17 @@
     pub cold: bool,
 }
 
+/// Requests that wait at a shard for a right, for whoever deals the rights out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shortage {
+    /// The shard.
+    pub shard: ShardId,
+    /// So many wait.
+    pub waiting: u32,
+    /// Worth of the class of the first of them, times the price of its plan; 0 if none waits.
+    pub worth: f64,
+}
+
 /// What a host is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -75,4 +75,17 @@
     pub fn work(&self) -> (u64, u64) {
         (self.mem.pumped, self.mem.relisted)
     }
+
+    /// The shards at which other requests wait for a right than were told of last.
+    pub fn take_shortages(&mut self) -> Vec<Shortage> {
+        let shards = std::mem::take(&mut self.mem.short);
+        let shortage = |shard| {
+            let waiting = self.mem.shards.get(&shard).map_or(0, |s| s.awaiting.len() as u32);
+            let first = self.mem.first_awaiting(shard).and_then(|place| self.mem.requests.get(&place.id));
+            let worth =
+                first.map_or(0.0, |o| self.set.classes[o.ask.class].worth * self.set.plans[o.ask.plan].price);
+            Shortage { shard, waiting, worth }
+        };
+        shards.into_iter().map(shortage).collect()
+    }
 }
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -108,8 +108,7 @@
         }
         let prompt = now + (PROMPT * class.aim as f64) as Micros;
         let place = Place { rank, due: -open.first.min(open.due), id, prompt };
-        open.place = Some((shard_id, place));
-        shard.insert(place, open.ask.key, open.needs_right());
+        self.mem.put(shard_id, place);
         self.mem.dirty.insert(shard_id);
     }
 
@@ -117,10 +116,50 @@
     pub(crate) fn dequeue(&mut self, id: RequestId, sent: bool) {
         let now = self.mem.now;
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
-        let Some((shard, place)) = open.place.take() else { return };
-        let Some(shard) = self.mem.shards.get_mut(&shard) else { return };
-        if let Some(queue) = shard.remove(place, open.ask.key) {
-            queue.behind = queue.is_overdue(now) || !sent && (queue.behind || place.prompt < now);
+        let Some((shard_id, place)) = open.place.take() else { return };
+        let Some(shard) = self.mem.shards.get_mut(&shard_id) else { return };
+        match shard.remove(place, open.ask.key) {
+            Some(queue) => {
+                queue.behind = queue.is_overdue(now) || !sent && (queue.behind || place.prompt < now);
+            }
+            None => _ = self.mem.short.insert(shard_id),
+        }
+    }
+
+    /// Holds back a request that needs a right where none is left.
+    ///
+    /// Danger: rights come as requests are served, so that what is refused for want of one could go out within
+    /// a millisecond. As many as were said to wait do so, out of the queues, where they would hold up what
+    /// needs none. The others are answered at once, so that their clients come back when told. One in order
+    /// does not wait, as its line would. Harm: what waits in vain is answered that much later.
+    fn hold_back(&mut self, shard_id: ShardId, place: Place, rights: Rights) {
+        let Some(open) = self.mem.requests.get(&place.id) else { return };
+        let in_order = self.set.classes[open.ask.class].in_order;
+        if in_order {
+            return self.finish(place.id, rights.come_back);
+        }
+        self.dequeue(place.id, false);
+        self.mem.await_right(shard_id, place);
+        if let Some(id) = self.mem.too_many_awaiting(shard_id) {
+            self.finish(id, rights.come_back);
+        }
+    }
+
+    /// What a shard bears of repeats from now on: as many of those that wait for a right go on, and of the
+    /// others only so many wait as may.
+    pub(crate) fn on_allowance(&mut self, shard_id: ShardId, rights: Rights) {
+        self.mem.rights.insert(shard_id, rights);
+        self.mem.dirty.insert(shard_id);
+        for _ in 0..rights.left {
+            let Some(place) = self.mem.first_awaiting(shard_id) else { return };
+            self.dequeue(place.id, false);
+            let Some(open) = self.mem.requests.get(&place.id) else { return };
+            let aim = self.set.classes[open.ask.class].aim;
+            let prompt = self.mem.now + (PROMPT * aim as f64) as Micros;
+            self.mem.put(shard_id, Place { prompt, ..place });
+        }
+        while let Some(id) = self.mem.too_many_awaiting(shard_id) {
+            self.finish(id, rights.come_back);
         }
     }
 
@@ -134,8 +173,8 @@
             if shard.waiting == 0 {
                 return;
             }
-            if let (Some(come_back), Some(&Place { id, .. })) = (self.barred(shard_id), shard.needy.first()) {
-                self.finish(id, come_back);
+            if let (Some(rights), Some(&place)) = (self.barred(shard_id), shard.needy.first()) {
+                self.hold_back(shard_id, place, rights);
                 continue;
             }
             let mut wake: Option<Micros> = None;
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -70,11 +70,9 @@
                 }
             }
             Event::Allowance { shard, further, come_back } => {
-                self.mem.rights.insert(shard, Rights { left: further, come_back });
-                if further == 0 {
-                    self.mem.dirty.insert(shard);
-                }
+                self.on_allowance(shard, Rights { left: further, come_back });
             }
+            Event::AwaitLimit { shard, most } => _ = self.mem.await_limits.insert(shard, most),
             Event::Timer(token) => {
                 if token == self.mem.token {
                     self.mem.armed = None;
--- a/crates/decisions/src/shards.rs
+++ b/crates/decisions/src/shards.rs
@@ -17,6 +17,13 @@
     pub(crate) prompt: Micros,
 }
 
+impl Place {
+    /// Its turn among those that wait for a right: by worth, then in order of arrival.
+    pub(crate) fn turn(&self) -> (i32, RequestId) {
+        (self.rank, self.id)
+    }
+}
+
 /// Requests of one worth that wait at a shard, in both orders.
 #[derive(Default)]
 pub(crate) struct Queue {
@@ -43,6 +50,8 @@
     pub(crate) by_key: BTreeMap<KeyId, BTreeSet<Place>>,
     /// Of those that wait, those whose next attempt takes a right.
     pub(crate) needy: BTreeSet<Place>,
+    /// Those that wait for a right, by turn; none of them is in a queue, or counted as waiting.
+    pub(crate) awaiting: BTreeMap<(i32, RequestId), Place>,
     pub(crate) last_key: Option<KeyId>,
     /// Units beyond the reserve that each volume asked for lately, and the weight of its plan.
     pub(crate) asked: BTreeMap<VolumeId, (Fading, f64)>,
@@ -63,6 +72,7 @@
             waiting: 0,
             by_key: BTreeMap::new(),
             needy: BTreeSet::new(),
+            awaiting: BTreeMap::new(),
             last_key: None,
             asked: BTreeMap::new(),
             reserved: Fading::over(span),
@@ -94,8 +104,11 @@
             self.by_key.entry(key).or_default().insert(place);
         }
     }
-    /// Takes a request out of its queue, which is returned.
+    /// Takes a request out of its queue, which is returned, or out of those that wait for a right.
     pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) -> Option<&mut Queue> {
+        if self.awaiting.remove(&place.turn()).is_some() {
+            return None;
+        }
         self.needy.remove(&place);
         if let Some(key) = key
             && let Some(line) = self.by_key.get_mut(&key)
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -281,10 +281,14 @@
     pub(crate) further: VecDeque<Micros>,
     /// Of the shards named so far; never forgotten, as one not in it is unlimited.
     pub(crate) rights: BTreeMap<ShardId, Rights>,
+    /// Requests that may wait for a right, by shard.
+    pub(crate) await_limits: BTreeMap<ShardId, u32>,
     pub(crate) wakes: BTreeSet<(Micros, Wake)>,
     pub(crate) armed: Option<Micros>,
     pub(crate) token: u64,
     pub(crate) dirty: BTreeSet<ShardId>,
+    /// Shards at which other requests wait for a right than were last told of.
+    pub(crate) short: BTreeSet<ShardId>,
     pub(crate) actions: Vec<Action>,
     /// Shards gone through and lines of the list put in place, since the start.
     pub(crate) pumped: u64,
@@ -292,6 +296,41 @@
 }
 
 impl Memory {
+    /// The rights for want of which a request waits.
+    pub(crate) fn awaited(&self, open: &Open) -> Option<Rights> {
+        let (shard_id, place) = open.place?;
+        let awaits = self.shards.get(&shard_id)?.awaiting.contains_key(&place.turn());
+        self.rights.get(&shard_id).copied().filter(|_| awaits)
+    }
+    /// A request gets its place in a queue.
+    pub(crate) fn put(&mut self, shard_id: ShardId, place: Place) {
+        let (Some(open), Some(shard)) = (self.requests.get_mut(&place.id), self.shards.get_mut(&shard_id))
+        else {
+            return;
+        };
+        open.place = Some((shard_id, place));
+        shard.insert(place, open.ask.key, open.needs_right());
+    }
+    /// A request that is in no queue waits for a right.
+    pub(crate) fn await_right(&mut self, shard_id: ShardId, place: Place) {
+        let (Some(open), Some(shard)) = (self.requests.get_mut(&place.id), self.shards.get_mut(&shard_id))
+        else {
+            return;
+        };
+        open.place = Some((shard_id, place));
+        shard.awaiting.insert(place.turn(), place);
+        self.short.insert(shard_id);
+    }
+    /// The one that waits for a right with the first turn.
+    pub(crate) fn first_awaiting(&self, shard_id: ShardId) -> Option<Place> {
+        self.shards.get(&shard_id)?.awaiting.values().next().copied()
+    }
+    /// Of those that wait for a right the one with the last turn, if more wait than may.
+    pub(crate) fn too_many_awaiting(&self, shard_id: ShardId) -> Option<RequestId> {
+        let awaiting = &self.shards.get(&shard_id)?.awaiting;
+        let most = self.await_limits.get(&shard_id).map_or(0, |most| *most as usize);
+        awaiting.values().next_back().map(|place| place.id).filter(|_| awaiting.len() > most)
+    }
     /// Takes a node's line of the list: its shard names it, at its place in order, if it is on.
     pub(crate) fn relist(&mut self, e: &NodeEntry, span: f64) {
         self.relisted += 1;
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -47,14 +47,13 @@
 }
 
 impl Scheduler {
-    /// The advice for those that need a right at a shard which has none left.
+    /// What is known of the rights of a shard that has none left.
     ///
     /// Danger: every gateway keeps its own budget, and the sum over them, with clients that repeat at the
-    /// next one, holds down a shard that comes back. What it bears of repeats is dealt out from outside;
-    /// what gets none is answered at once, so that its client comes back when told and not when its time is
-    /// up. Harm: a further attempt that would have been served is turned away.
-    pub(crate) fn barred(&self, shard: ShardId) -> Option<Micros> {
-        self.mem.rights.get(&shard).filter(|r| r.left == 0).map(|r| r.come_back)
+    /// next one, holds down a shard that comes back. What it bears of repeats is dealt out from outside.
+    /// Harm: a further attempt that would have been served is turned away.
+    pub(crate) fn barred(&self, shard: ShardId) -> Option<Rights> {
+        self.mem.rights.get(&shard).filter(|r| r.left == 0).copied()
     }
 
     /// Whether a send still stands at the moment in which it can be begun; if not, it was never sent.
--- a/crates/decisions/tests/allowance.rs
+++ b/crates/decisions/tests/allowance.rs
@@ -245,6 +245,34 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    #[test]
+    fn no_more_go_out_than_allowed_where_some_wait_for_rights(
+        shape in 0..4usize, seed in 1..1_000_000u64, every in 2..40u64,
+    ) {
+        let (name, set) = drawn::shapes().swap_remove(shape);
+        let mut dice = drawn::Dice::new(seed ^ 0xaa17);
+        let (mut told, mut waited) = (Vec::new(), 0);
+        let h = drawn::play(set, seed, 600, |h, _| {
+            if dice.roll(every) == 0 {
+                let (shard, further) = (dice.roll(6) as u32, dice.roll(5).saturating_sub(1) as u32);
+                h.give(Event::AwaitLimit { shard: ShardId(shard), most: dice.roll(8) as u32 });
+                told.push((h.log.len(), ShardId(shard), further));
+                h.allow(shard, further, dice.roll(2_000_000) as Micros);
+                waited += h.scheduler.take_shortages().iter().map(|s| s.waiting).sum::<u32>();
+            }
+        });
+        let wrong = beyond(&h, &told);
+        prop_assert!(wrong.is_empty(), "{}: {:#?}", name, wrong);
+        prop_assert!(h.checker.open.is_empty(), "{}: still open", name);
+        prop_assert!(waited > 0 || every > 10, "{}: nobody waited", name);
+        let breaches: Vec<_> = h.checker.breaches.iter().filter(|b| !b.contains(": 4: ")).collect();
+        prop_assert!(breaches.is_empty(), "{}: {:#?}", name, breaches);
+    }
+}
+
 /// The count above finds a scheduler that heeds nothing.
 #[test]
 fn the_count_finds_one_that_was_not_told() {
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -6,7 +6,7 @@
 
 use decisions::{
     Action, Answer, Event, Micros, NodeEntry, NodeId, NodeLook, NodeState, Outcome, Request, RequestId,
-    Scheduler, Settings, ShardId,
+    Scheduler, Settings, ShardId, Shortage,
 };
 
 use crate::attempt::{AttemptId, Step, Verdict};
@@ -213,6 +213,17 @@
         self.events.push_back(Event::Allowance { shard, further, come_back });
     }
 
+    /// How many requests of a shard may wait for a right while it has none left; none until this is told.
+    pub fn limit_awaiting(&mut self, now: Micros, shard: ShardId, most: u32) {
+        self.advance(now);
+        self.events.push_back(Event::AwaitLimit { shard, most });
+    }
+
+    /// The shards at which other requests wait for a right than were told of last.
+    pub fn take_shortages(&mut self) -> Vec<Shortage> {
+        self.scheduler.take_shortages()
+    }
+
     /// The number of a node; a name that is new gets the next one.
     pub fn node_id(&mut self, name: &str) -> NodeId {
         if let Some(&id) = self.names.get(name) {
