repeats: the module is told of the first right at once, and repeats wait for one a slice at most

Callers saw commands refused on idle nodes when a load passed over blocks that it had had in hand as its connection ended: marked repeats, several in one batch, refused within a microsecond while the shard's account had over a hundred rights. Cause: what the module may send is a copy that was raised once a step at most and held under a part dealt from the fleet's account once a slice, and a request that met the copy at nought was refused whatever its patience.

Now a copy at nought is raised with the first right; parts are dealt up to what a shard has of its own, the rest stays for whoever needs it first, and all are dealt anew for a shard that stands at nought, once a step, and when some of what was dealt has fallen due. Up to 64 requests a shard wait for a right for a slice; after that as many as a slice has brought of late, none while the shard recovers: the rest is refused with the advice, which is drawn from the beginning and is no longer a whole window, or that of a trouble that is over. Allowances: what is handed to the module is the last word less the sends since, as a word that comes while sends are counted would grant these once more. Status and console tell how many wait, and how many were refused while there was a right.

--- a/crates/console/src/fleet.rs
+++ b/crates/console/src/fleet.rs
@@ -57,8 +57,8 @@
         };
         format!(
             "repeats, {shard}: {state}{why}; rights left {:.1}, allowed {}, spent {:.0}, earned {:.0}, lent {:.0}, \
-             borrowed {:.0}, held back {}",
-            l.left, l.allowed, l.spent, l.earned, l.lent, l.borrowed, l.held_back
+             borrowed {:.0}, waiting {}, held back {} (right not told {})",
+            l.left, l.allowed, l.spent, l.earned, l.lent, l.borrowed, l.waiting, l.held_back, l.not_told
         )
     };
     r.shards.iter().map(look).collect()
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -64,18 +64,23 @@
         self.settle(now);
     }
 
-    /// Tells the cap what was held back, and the module what it is allowed; whether there was something to tell it.
+    /// Tells the cap what was held back and what waits, and the module of one shard what it is allowed; whether there was something
+    /// to tell it.
     pub(super) fn allow(&mut self, now: Micros) -> bool {
         let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) else { return false };
         for wanted in self.core.take_wanted() {
             rights.wanted(now, wanted);
         }
-        let mut any = false;
-        for a in rights.allowances() {
-            any = true;
-            self.core.allow(now, ShardId(a.shard), a.further, a.come_back, &mut self.effects);
+        for shortage in self.core.take_shortages() {
+            rights.waits(now, shortage);
         }
-        any
+        let Some(allowance) = rights.next_allowance() else { return false };
+        let shard = ShardId(allowance.shard);
+        if let Some(most) = rights.new_await_limit(allowance.shard) {
+            self.core.limit_awaiting(now, shard, most);
+        }
+        self.core.allow(now, shard, allowance.further, allowance.come_back, &mut self.effects);
+        true
     }
 
     /// What is known of a command for the cap; none without it.
--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -9,9 +9,10 @@
 use nvme::IoCommand;
 use peer::{PeerName, Told};
 use repeats::{
-    Allowance, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, ShardState, key_of, key_of_host,
+    Allowance, Allowances, Cap, CapOptions, Counts, Input, KIND, Output, ShardLook, ShardState, key_of,
+    key_of_host,
 };
-use storage_core::{AttemptId, Micros, Send, Wanted};
+use storage_core::{AttemptId, Micros, Send, Shortage, Wanted};
 
 use crate::company::Company;
 
@@ -31,16 +32,16 @@
     company: Company,
     /// Shards of the attempts that are out.
     out: HashMap<AttemptId, u32>,
-    /// What is left of what the module was told that it may send, by shard.
-    allowed: BTreeMap<u32, u32>,
+    /// What the module may send, and is to be told of it.
+    allowances: Allowances,
+    /// How many it was told may wait for a right, by shard.
+    await_limits: BTreeMap<u32, u32>,
     /// Whether a node of a shard was seen cold, silent or refusing last.
     recovering: BTreeMap<u32, bool>,
     /// Shards of which a node refused since the last look.
     refused: BTreeMap<u32, bool>,
     peers: Vec<PeerName>,
     told: Vec<Output>,
-    /// For the module, in this order.
-    allowances: Vec<Allowance>,
 }
 
 impl Rights {
@@ -51,12 +52,12 @@
             cap,
             company,
             out: HashMap::new(),
-            allowed: BTreeMap::new(),
+            allowances: Allowances::default(),
+            await_limits: BTreeMap::new(),
             recovering: BTreeMap::new(),
             refused: BTreeMap::new(),
             peers: Vec::new(),
             told: Vec::new(),
-            allowances: Vec::new(),
         };
         rights.take(now, Input::Tick);
         rights
@@ -70,9 +71,15 @@
         (self.cap.look(now), self.cap.counts())
     }
 
-    /// What the module is to be told now.
-    pub(crate) fn allowances(&mut self) -> impl Iterator<Item = Allowance> {
-        self.allowances.drain(..)
+    /// The next that the module is to be told; what it sends upon that has to come here before this is called again.
+    pub(crate) fn next_allowance(&mut self) -> Option<Allowance> {
+        self.allowances.next_untold()
+    }
+
+    /// How many may wait for a right of a shard, if that is another number than the module was told.
+    pub(crate) fn new_await_limit(&mut self, shard: u32) -> Option<u32> {
+        let most = self.cap.may_wait(shard);
+        (self.await_limits.insert(shard, most) != Some(most)).then_some(most)
     }
 
     /// A key by which a command and its repeats at any gateway are known: who asks, and for what.
@@ -92,28 +99,22 @@
     pub(crate) fn sent(&mut self, now: Micros, send: &Send) {
         self.out.insert(send.attempt, send.shard.0);
         if send.further {
-            self.spend(send.shard.0);
+            self.allowances.spend(send.shard.0);
         }
         self.take(now, Input::Sent { shard: send.shard.0, further: send.further });
     }
 
     /// Whether a copy may go to a shard in the shadow: only beside normal traffic, and with a right of its own.
     pub(crate) fn bears_copy(&self, shard: u32) -> bool {
-        self.cap.state(shard) == ShardState::Normal && self.allowed.get(&shard).is_some_and(|n| *n > 0)
+        self.cap.state(shard) == ShardState::Normal && self.allowances.left(shard).is_some_and(|n| n > 0)
     }
 
     /// A copy in the shadow goes out.
     pub(crate) fn copied(&mut self, now: Micros, shard: u32) {
-        self.spend(shard);
+        self.allowances.spend(shard);
         self.take(now, Input::Sent { shard, further: true });
     }
 
-    fn spend(&mut self, shard: u32) {
-        if let Some(left) = self.allowed.get_mut(&shard) {
-            *left = left.saturating_sub(1);
-        }
-    }
-
     /// An attempt has ended, or nobody waits for it any more. One that never went out has spent its right all the same: a
     /// right too many is spent, never one too few.
     pub(crate) fn ended(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
@@ -144,6 +145,12 @@
         self.take(now, Input::Wanted { shard: shard.0, worth, left });
     }
 
+    /// Other parts wait for a right of a shard than before.
+    pub(crate) fn waits(&mut self, now: Micros, shortage: Shortage) {
+        let Shortage { shard, waiting, worth } = shortage;
+        self.take(now, Input::Waiting { shard: shard.0, waiting, worth });
+    }
+
     /// Shards with a node that this gateway sees cold or silent.
     ///
     /// Danger: were others' sights of silence taken for one's own, one gateway that is cut off from a node would hold the fleet in
@@ -186,10 +193,7 @@
         for output in self.told.drain(..) {
             match output {
                 Output::Send { to, body } => self.company.note_to(&to, KIND, body),
-                Output::Allow(allowance) => {
-                    self.allowed.insert(allowance.shard, allowance.further);
-                    self.allowances.push(allowance);
-                }
+                Output::Allow(allowance) => self.allowances.say(allowance),
                 Output::Entered { shard, state, why } => tracing::info!(shard, ?state, why, "repeats"),
                 Output::TurnedAway { from, why } => {
                     tracing::warn!(%from, why, "something that a member said of repeats was turned away");
--- a/crates/lab/examples/together.rs
+++ b/crates/lab/examples/together.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use emulator::Node;
-use gateway::{Gateway, NodeLine};
+use gateway::{ControlAnswer, ControlRequest, Gateway, NodeLine};
 use lab::{BenchRow, median, point};
 use records::{Op, Recorder};
 use settings::Site;
@@ -75,6 +75,16 @@
             println!("{}", row.line());
         }
     }
+    if let ControlAnswer::Status(status) = with[0].ask(ControlRequest::Status)? {
+        for look in status.repeats.iter().flat_map(|repeats| &repeats.shards) {
+            let shard = look.shard.map_or("all shards".into(), |shard| format!("shard {shard}"));
+            println!(
+                "{shard}, all rounds: {} sends with a right, {} refused for want of one, {} of these while there was one",
+                look.spent, look.held_back, look.not_told
+            );
+        }
+        println!("not served, by reason: {:?}", status.reasons);
+    }
     let up = with[0].view().map_or(0, |view| view.up().count());
     println!("members up in the view of the one that was measured: {up} of {GATEWAYS}");
     with.iter().chain([&without]).for_each(|g| _ = g.stop());
--- a/crates/repeats/src/advice.rs
+++ b/crates/repeats/src/advice.rs
@@ -5,9 +5,13 @@
 
 use crate::Micros;
 use crate::account::Account;
+use crate::cap::Allowance;
 use crate::options::{CapOptions, RECOVERING_FREE, RIGHT, SLICES, Terms};
 use crate::shard::{ShardState, Ward};
 
+/// Requests that may wait at a shard for a right, where rights may come at any moment.
+const MOST_WAITING: u32 = 64;
+
 /// When to ask peers again, and for how much.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Asking {
@@ -49,6 +53,13 @@
     pub(crate) worth: f64,
     pub(crate) dry_since: Option<Micros>,
     pub(crate) held_back: u64,
+    /// Of those held back, those for which there was a right that the module was not told of.
+    pub(crate) not_told: u64,
+    /// Requests that wait at the module for a right, and since when some do without a break.
+    pub(crate) waiting: u32,
+    pub(crate) short_since: Option<Micros>,
+    /// How many the module was last told may wait.
+    pub(crate) may_wait: u32,
 }
 
 impl Post {
@@ -58,8 +69,9 @@
         account: Account,
         now: Micros,
         terms: &Terms,
+        rng: &mut SmallRng,
     ) -> Self {
-        Post {
+        let mut post = Post {
             shard,
             ward: Ward::new(options, now),
             account,
@@ -67,11 +79,17 @@
             quota: 0,
             allowed: None,
             told: now,
-            come_back: options.window.min(options.most_advice),
+            come_back: 0,
             worth: 0.0,
             dry_since: None,
             held_back: 0,
-        }
+            not_told: 0,
+            waiting: 0,
+            short_since: None,
+            may_wait: 0,
+        };
+        post.draw(options, terms, rng);
+        post
     }
 
     /// The share that holds now.
@@ -89,10 +107,51 @@
         self.ward.width() < 1.0
     }
 
-    /// Rights that it needs soon: what was sent and held back over the last two slices.
+    /// Rights that it needs soon: for what waits, and for what was sent and held back over the last two slices.
     pub(crate) fn need(&self) -> u64 {
         let of_late = self.ward.sum(2);
-        u64::from(of_late.held) + u64::from(of_late.further)
+        u64::from(self.waiting) + u64::from(of_late.held) + u64::from(of_late.further)
+    }
+
+    /// Rights of its own account that its part of those over all shards leaves unused.
+    pub(crate) fn unused(&self) -> u32 {
+        self.rights().saturating_sub(self.quota)
+    }
+
+    /// Whole rights of its own account.
+    pub(crate) fn rights(&self) -> u32 {
+        u32::try_from(self.account.left() / RIGHT).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that may wait for a right while the module has none.
+    ///
+    /// Danger: rights come as requests are served, so that what finds none is refused a millisecond before there are some; and where
+    /// none come, what waits is answered late, and together. So as many may wait as are hoped to go on within a slice: any at first,
+    /// up to a bound; once some have waited for a slice without a break, what a slice has brought of late; none while the shard
+    /// recovers. Harm: a slice passes before a client of a shard that earns nothing is told to come back.
+    pub(crate) fn room(&self, now: Micros, options: &CapOptions, terms: &Terms) -> u32 {
+        if self.is_narrow() {
+            return 0;
+        }
+        if self.short_since.is_none_or(|since| now - since < terms.slice) {
+            return MOST_WAITING;
+        }
+        let served = f64::from(self.ward.sum(2).served) / 2.0;
+        ((served * self.share(options)) as u32).min(MOST_WAITING)
+    }
+
+    /// As many wait at the module as it says.
+    pub(crate) fn wait(&mut self, now: Micros, waiting: u32, worth: f64) {
+        self.waiting = waiting;
+        if waiting == 0 {
+            self.short_since = None;
+            return;
+        }
+        self.short_since.get_or_insert(now);
+        self.dry_since.get_or_insert(now);
+        if worth.is_finite() {
+            self.worth = self.worth.max(worth);
+        }
     }
 
     /// The worth that a want of it carries: it grows with every window in which nothing was allowed, so that no shard and no gateway waits
@@ -104,7 +163,7 @@
 
     /// What the module may send: whole rights, within the quota.
     pub(crate) fn target(&self) -> u32 {
-        u32::try_from(self.account.left() / RIGHT).unwrap_or(u32::MAX).min(self.quota)
+        self.rights().min(self.quota)
     }
 
     /// Draws the advice anew: uniform over the time in which what is held back could be served with the rights there are, and at least
@@ -123,4 +182,30 @@
         let most = (span as Micros).clamp(4 * terms.slice, options.most_advice.max(4 * terms.slice));
         self.come_back = rng.random_range(terms.slice..=most).min(options.most_advice);
     }
+
+    /// What the module is to be told now, if anything: less at once, more when it matters.
+    ///
+    /// Danger: a module that stands at nought holds requests back for want of rights that are there. It is told of the first one at
+    /// once, and of more a step after the last time. Harm: where every right is used as it comes, each is told by itself.
+    pub(crate) fn tell(&mut self, now: Micros, options: &CapOptions, terms: &Terms) -> Option<Allowance> {
+        let target = self.target();
+        let may_wait = if target > 0 { MOST_WAITING } else { self.room(now, options, terms) };
+        if target > 0 {
+            self.dry_since = None;
+        }
+        let is_due = match self.allowed {
+            None | Some(0) if target > 0 => true,
+            None => true,
+            Some(before) if target < before => true,
+            Some(before) if target > before => {
+                now >= self.told.saturating_add(terms.step) && target - before >= (before / 4).max(1)
+            }
+            Some(_) => self.told == Micros::MIN || target == 0 && may_wait != self.may_wait,
+        };
+        if !is_due {
+            return None;
+        }
+        (self.allowed, self.told, self.may_wait) = (Some(target), now, may_wait);
+        Some(Allowance { shard: self.shard, further: target, come_back: self.come_back })
+    }
 }
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -10,7 +10,6 @@
 use crate::Micros;
 use crate::account::Account;
 use crate::advice::{Asking, Post};
-use crate::course::tell_module;
 use crate::lending::Lending;
 use crate::look::{Counts, ShardLook};
 use crate::options::{CapOptions, Plant, RIGHT, Terms, Trial, Way};
@@ -50,6 +49,15 @@
         /// What is left of its patience, microseconds.
         left: Micros,
     },
+    /// Other requests wait at the module for a right than before.
+    Waiting {
+        /// Their shard.
+        shard: u32,
+        /// So many wait now.
+        waiting: u32,
+        /// What it is worth to answer the first of them.
+        worth: f64,
+    },
     /// A node of a shard is cold, silent or refuses (own sight or the view's); or none is any more.
     Recovers {
         /// The shard.
@@ -128,6 +136,9 @@
     pub(crate) rng: SmallRng,
     pub(crate) posts: BTreeMap<u32, Post>,
     pub(crate) fleet: Account,
+    /// Whole rights over all shards that are dealt to shards, and when all may next be dealt anew for one that is short.
+    pub(crate) dealt: u64,
+    pub(crate) next_deal: Micros,
     pub(crate) fleet_asking: Asking,
     pub(crate) lending: Lending,
     pub(crate) sketch: Sketch,
@@ -162,6 +173,8 @@
             rng: SmallRng::seed_from_u64(seed),
             posts: BTreeMap::new(),
             fleet: Account::full(terms, 0),
+            dealt: 0,
+            next_deal: now,
             fleet_asking: Asking::new(now, &terms),
             lending: Lending::new(terms, life, options.members, trial.plant),
             sketch: Sketch::new(now, kept, terms.window),
@@ -176,7 +189,8 @@
         cap.fleet = cap.account(cap.options.fleet_free, now);
         for &shard in &cap.options.shards {
             let account = cap.account(cap.options.free, now);
-            cap.posts.insert(shard, Post::new(shard, &cap.options, account, now, &terms));
+            let post = Post::new(shard, &cap.options, account, now, &terms, &mut cap.rng);
+            cap.posts.insert(shard, post);
         }
         cap
     }
@@ -201,11 +215,10 @@
         let stepped = self.advance(now, out);
         // Between two steps nothing falls due, and most events touch one shard.
         let touched = match input {
-            Input::Sent { shard, .. } | Input::Ended { shard, .. } | Input::Wanted { shard, .. }
-                if !stepped =>
-            {
-                Some(shard)
-            }
+            Input::Sent { shard, .. }
+            | Input::Ended { shard, .. }
+            | Input::Wanted { shard, .. }
+            | Input::Waiting { shard, .. } => Some(shard),
             _ => None,
         };
         match input {
@@ -213,6 +226,11 @@
             Input::Ended { shard, served, refused: _ } => self.ended(now, shard, served),
             Input::Unserved { key } => self.sketch.add(now, key),
             Input::Wanted { shard, worth, left } => self.wanted(now, shard, worth, left),
+            Input::Waiting { shard, waiting, worth } => {
+                if let Some(post) = self.posts.get_mut(&shard) {
+                    post.wait(now, waiting, worth);
+                }
+            }
             Input::Recovers { shard, on } => {
                 if let Some(post) = self.posts.get_mut(&shard) {
                     post.ward.see(on);
@@ -229,8 +247,9 @@
             Input::Renewed(life) => self.renew(now, life),
             Input::Tick => {}
         }
-        match touched.map(|shard| self.posts.range_mut(shard..=shard)) {
-            Some(posts) => self.counts.allows += tell_module(now, self.terms.step, posts, out),
+        let dealt_anew = touched.is_some_and(|shard| self.deal_more(now, shard));
+        match touched.filter(|_| !stepped && !dealt_anew) {
+            Some(shard) => self.allow_one(now, shard, out),
             None => self.allow(now, out),
         }
     }
@@ -255,6 +274,11 @@
         self.posts.get(&shard).map_or(ShardState::Normal, |p| p.ward.state().0)
     }
 
+    /// How many requests may wait at the module for a right of a shard, until its next [`Output::Allow`].
+    pub fn may_wait(&self, shard: u32) -> u32 {
+        self.posts.get(&shard).map_or(0, |post| post.may_wait)
+    }
+
     /// Totals of this life.
     pub fn counts(&self) -> Counts {
         self.counts
@@ -279,6 +303,8 @@
                 earned: sends(turnover.earned),
                 spent: sends(turnover.spent),
                 held_back: 0,
+                not_told: 0,
+                waiting: 0,
             }
         };
         let mut all = look(&self.fleet, None);
@@ -294,12 +320,15 @@
                 held_back,
                 ..look(&post.account, Some(post.shard))
             };
-            let one = ShardLook { come_back: post.come_back, ..one };
+            let (come_back, not_told, waiting) = (post.come_back, post.not_told, post.waiting);
+            let one = ShardLook { come_back, not_told, waiting, ..one };
             if matches!(state, ShardState::Recovering) || all.why.is_empty() {
                 (all.state, all.since, all.why) = (state, one.since, one.why.clone());
             }
             all.allowed += allowed;
             all.held_back += held_back;
+            all.not_told += not_told;
+            all.waiting += waiting;
             looks.push(one);
         }
         looks.push(all);
--- a/crates/repeats/src/course.rs
+++ b/crates/repeats/src/course.rs
@@ -3,8 +3,7 @@
 use peer::Life;
 
 use crate::Micros;
-use crate::advice::Post;
-use crate::cap::{Allowance, Cap, Output};
+use crate::cap::{Cap, Output};
 use crate::lending::Lending;
 use crate::options::{RIGHT, SLICES, Way};
 
@@ -19,7 +18,10 @@
         self.fleet.spend(now, RIGHT);
         // The module has counted it off, too.
         post.allowed = post.allowed.map(|a| a.saturating_sub(1));
-        post.quota = post.quota.saturating_sub(1);
+        if post.quota > 0 {
+            post.quota -= 1;
+            self.dealt = self.dealt.saturating_sub(1);
+        }
     }
 
     pub(crate) fn ended(&mut self, now: Micros, shard: u32, served: bool) {
@@ -39,6 +41,9 @@
     pub(crate) fn wanted(&mut self, now: Micros, shard: u32, worth: f64, left: Micros) {
         let Some(post) = self.posts.get_mut(&shard) else { return };
         post.held_back += 1;
+        if post.rights() > 0 && self.fleet.left() >= RIGHT {
+            post.not_told += 1;
+        }
         // What has no patience left for a loan to come in is refused whatever comes: it asks for nothing.
         if left < self.terms.step {
             return;
@@ -82,6 +87,10 @@
         for post in self.posts.values_mut() {
             post.account.settle(now);
         }
+        if self.fleet.left() / RIGHT < self.dealt {
+            // Of what was dealt some has fallen due.
+            self.share_out();
+        }
         if now >= self.next_slice {
             let passed = 1 + (now - self.next_slice) / self.terms.slice;
             self.next_slice += passed * self.terms.slice;
@@ -94,8 +103,12 @@
                     // A new advice with each slice in which requests were refused.
                     post.draw(&self.options, &self.terms, &mut self.rng);
                     post.told = Micros::MIN;
-                } else {
+                } else if post.waiting == 0 {
                     post.worth = 0.0;
+                    // What a trouble that is over advised is no advice for the next.
+                    if !post.is_narrow() && post.come_back > 4 * self.terms.slice {
+                        post.draw(&self.options, &self.terms, &mut self.rng);
+                    }
                 }
             }
             self.share_out();
@@ -127,29 +140,6 @@
         }
     }
 
-    /// Shares the whole rights over all shards out among the shards, by need and aged worth: what is allowed together is never
-    /// more than there is.
-    pub(crate) fn share_out(&mut self) {
-        let (now, window) = (self.next_slice, self.options.window);
-        let whole = self.fleet.left() / RIGHT;
-        let weights: Vec<f64> =
-            self.posts.values().map(|p| 0.1 + p.need() as f64 * p.aged(now, window)).collect();
-        let sum: f64 = weights.iter().sum();
-        let mut rest = whole;
-        let mut dearest: Option<(f64, u32)> = None;
-        for (post, weight) in self.posts.values_mut().zip(weights) {
-            post.quota = u32::try_from((whole as f64 * weight / sum).floor() as u64).unwrap_or(u32::MAX);
-            post.quota = post.quota.min(u32::try_from(rest).unwrap_or(u32::MAX));
-            rest -= u64::from(post.quota);
-            if dearest.is_none_or(|(w, _)| weight > w) {
-                dearest = Some((weight, post.shard));
-            }
-        }
-        if let Some(post) = dearest.and_then(|(_, shard)| self.posts.get_mut(&shard)) {
-            post.quota = post.quota.saturating_add(u32::try_from(rest).unwrap_or(u32::MAX));
-        }
-    }
-
     /// Asks peers for what lacks.
     fn ask(&mut self, now: Micros, out: &mut Vec<Output>) {
         if self.trial.way != Way::Escrow || self.peers.is_empty() {
@@ -177,7 +167,21 @@
 
     /// Tells the module what changed of all shards.
     pub(crate) fn allow(&mut self, now: Micros, out: &mut Vec<Output>) {
-        self.counts.allows += tell_module(now, self.terms.step, self.posts.iter_mut(), out);
+        for post in self.posts.values_mut() {
+            if let Some(allowance) = post.tell(now, &self.options, &self.terms) {
+                self.counts.allows += 1;
+                out.push(Output::Allow(allowance));
+            }
+        }
+    }
+
+    /// Tells the module what changed of one shard.
+    pub(crate) fn allow_one(&mut self, now: Micros, shard: u32, out: &mut Vec<Output>) {
+        let Some(post) = self.posts.get_mut(&shard) else { return };
+        if let Some(allowance) = post.tell(now, &self.options, &self.terms) {
+            self.counts.allows += 1;
+            out.push(Output::Allow(allowance));
+        }
     }
 
     pub(crate) fn grant_came(&mut self, now: Micros, shard: Option<u32>) {
@@ -190,34 +194,3 @@
         }
     }
 }
-
-/// Tells the module what changed of these: less at once, more when it matters; how many it was told.
-pub(crate) fn tell_module<'a>(
-    now: Micros,
-    step: Micros,
-    posts: impl Iterator<Item = (&'a u32, &'a mut Post)>,
-    out: &mut Vec<Output>,
-) -> u64 {
-    let mut told = 0;
-    for (&shard, post) in posts {
-        let target = post.target();
-        let due = match post.allowed {
-            None => true,
-            Some(a) if target < a => true,
-            // A step between two that allow more; a quarter more, if there is some yet.
-            Some(a) if target > a => {
-                now >= post.told.saturating_add(step) && (a == 0 || target - a >= (a / 4).max(1))
-            }
-            Some(_) => post.told == Micros::MIN,
-        };
-        if target > 0 {
-            post.dry_since = None;
-        }
-        if due {
-            (post.allowed, post.told) = (Some(target), now);
-            told += 1;
-            out.push(Output::Allow(Allowance { shard, further: target, come_back: post.come_back }));
-        }
-    }
-    told
-}
--- a/crates/repeats/src/exchange.rs
+++ b/crates/repeats/src/exchange.rs
@@ -136,12 +136,13 @@
         *sum += worth;
         let part = worth / *sum;
         let all: u64 = self.posts.values().map(|p| p.need()).sum();
-        let held: u32 = self.posts.values().map(|p| p.ward.sum(2).held).sum();
+        let held: u32 = self.posts.values().map(|p| p.ward.sum(2).held + p.waiting).sum();
         let (account, need, held, narrow, free) = match want.shard {
             None => (&mut self.fleet, all, held, false, self.options.fleet_free),
             Some(shard) => {
                 let post = self.posts.get_mut(&shard)?;
-                let (need, held, narrow) = (post.need(), post.ward.sum(2).held, post.is_narrow());
+                let held = post.ward.sum(2).held + post.waiting;
+                let (need, narrow) = (post.need(), post.is_narrow());
                 let free = post.free(&self.options);
                 (&mut post.account, need, held, narrow, free)
             }
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -20,8 +20,10 @@
 
 pub mod account;
 mod advice;
+mod allowances;
 mod cap;
 mod course;
+mod dealing;
 mod exchange;
 mod key;
 pub mod lending;
@@ -31,6 +33,7 @@
 pub mod shard;
 pub mod sketch;
 
+pub use allowances::Allowances;
 pub use cap::{Allowance, Cap, Input, Output};
 pub use key::{key_of, key_of_host};
 pub use look::{Counts, ShardLook};
--- a/crates/repeats/src/look.rs
+++ b/crates/repeats/src/look.rs
@@ -30,8 +30,14 @@
     pub earned: f64,
     /// Further sends.
     pub spent: f64,
-    /// Requests held back for want of a right.
+    /// Requests refused for want of a right.
     pub held_back: u64,
+    /// Of these, those for which there was a right that the module had not been told of.
+    #[serde(default)]
+    pub not_told: u64,
+    /// Requests that wait for a right now.
+    #[serde(default)]
+    pub waiting: u32,
 }
 
 /// Totals of a life.
