Why requests end unserved is counted by class and cause, in status and log

The module now counts it as it gives the answer: no right, no room to spare for a late repeat, no node, behind another of its key, due with nothing sent, time up, late or over a limit wherever it went, no further attempt. It is read from what the request and its shard are at that moment; no action changes. NVMe gateways show it in status (causes), the platform's in its summary line (unserved=); together prints it.

--- a/crates/core/src/views.rs
+++ b/crates/core/src/views.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use decisions::{Micros, NodeId, NodeLook, Outcome, RequestId};
+use decisions::{Cause, Micros, NodeId, NodeLook, Outcome, RequestId};
 use dispatch::NodeView;
 
 use crate::core::{Core, Open};
@@ -117,6 +117,11 @@
         self.ended.iter()
     }
 
+    /// How many requests of operations ended unserved, by class and cause as the module saw it.
+    pub fn causes(&self) -> &BTreeMap<(usize, Cause), u64> {
+        self.dispatcher.unserved()
+    }
+
     /// How many ended unserved, by reason.
     pub fn reasons(&self) -> &BTreeMap<&'static str, u64> {
         &self.reasons
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -58,6 +58,9 @@
         "taken {}, served {}, refused {}, failed {}, aborted {}, left by their client {}, open {}",
         s.taken, s.served, s.refused, s.failed, s.aborted, s.withdrawn, s.open
     );
+    for (cause, count) in &s.causes {
+        println!("not served, {cause}: {count}");
+    }
     println!("attempts {}, repeats {}, out {}, late {}", s.sent, s.further, s.out, s.late);
     println!();
     println!(
--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -129,6 +129,7 @@
         } else {
             self.mem.actions.push(Action::Fail { request: id });
         }
+        self.mem.count_unserved(id);
         self.remember(id);
         self.close(id);
     }
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -41,6 +41,7 @@
 #![warn(missing_docs)]
 
 mod answers;
+mod causes;
 mod cold;
 mod interface;
 mod law;
@@ -53,6 +54,9 @@
 mod verdict;
 mod wakes;
 
+use std::collections::BTreeMap;
+
+pub use causes::Cause;
 pub use interface::*;
 pub use scheduler::Scheduler;
 
@@ -76,6 +80,11 @@
         (self.mem.pumped, self.mem.relisted)
     }
 
+    /// How many requests ended unserved since the start, by class and cause.
+    pub fn unserved(&self) -> &BTreeMap<(usize, Cause), u64> {
+        &self.mem.causes
+    }
+
     /// The shards at which other requests wait for a right than were told of last.
     pub fn take_shortages(&mut self) -> Vec<Shortage> {
         let shards = std::mem::take(&mut self.mem.short);
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use crate::causes::Cause;
 use crate::interface::*;
 pub(crate) use crate::shards::*;
 pub(crate) use crate::sums::*;
@@ -283,6 +284,8 @@
     pub(crate) rights: BTreeMap<ShardId, Rights>,
     /// Requests that may wait for a right, by shard.
     pub(crate) await_limits: BTreeMap<ShardId, u32>,
+    /// Requests that ended unserved since the start, by class and cause.
+    pub(crate) causes: BTreeMap<(usize, Cause), u64>,
     pub(crate) wakes: BTreeSet<(Micros, Wake)>,
     pub(crate) armed: Option<Micros>,
     pub(crate) token: u64,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,12 +1,13 @@
 //! The dispatcher: requests open, attempts out, what is due, and the nodes by number.
 
+mod rights;
 mod waiting;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use decisions::{
     Action, Answer, Event, Micros, NodeEntry, NodeId, NodeLook, NodeState, Outcome, Request, RequestId,
-    Scheduler, Settings, ShardId, Shortage,
+    Scheduler, Settings, ShardId,
 };
 
 use crate::attempt::{AttemptId, Step, Verdict};
@@ -206,24 +207,6 @@
         self.events.push_back(Event::NodesFailed);
     }
 
-    /// What a shard bears from now on beyond first attempts, in place of what was allowed before: so many further attempts,
-    /// or first ones of requests marked as repeats; the rest is refused with this advice, in microseconds.
-    pub fn allow(&mut self, now: Micros, shard: ShardId, further: u32, come_back: Micros) {
-        self.advance(now);
-        self.events.push_back(Event::Allowance { shard, further, come_back });
-    }
-
-    /// How many requests of a shard may wait for a right while it has none left; none until this is told.
-    pub fn limit_awaiting(&mut self, now: Micros, shard: ShardId, most: u32) {
-        self.advance(now);
-        self.events.push_back(Event::AwaitLimit { shard, most });
-    }
-
-    /// The shards at which other requests wait for a right than were told of last.
-    pub fn take_shortages(&mut self) -> Vec<Shortage> {
-        self.scheduler.take_shortages()
-    }
-
     /// The number of a node; a name that is new gets the next one.
     pub fn node_id(&mut self, name: &str) -> NodeId {
         if let Some(&id) = self.names.get(name) {
--- a/crates/gateway/src/engine/look.rs
+++ b/crates/gateway/src/engine/look.rs
@@ -1,5 +1,8 @@
 //! What operators see of it.
 
+use std::collections::BTreeMap;
+
+use decisions::Cause;
 use storage_core::{EndedView, Micros, OpenView};
 
 use super::Engine;
@@ -35,6 +38,13 @@
         }
     }
 
+    /// Requests that ended unserved, by class and cause.
+    fn causes(&self) -> BTreeMap<String, u64> {
+        let rules = &self.options.catalogue.rules;
+        let named = |(class, cause): &(usize, Cause)| format!("{}: {cause}", rules[*class].name);
+        self.core.causes().iter().map(|(key, count)| (named(key), *count)).collect()
+    }
+
     pub(super) fn status(&self, now: Micros) -> Status {
         let tally = self.core.tally();
         let nodes = self.core.node_views().iter().map(|(id, n)| {
@@ -114,6 +124,7 @@
             sent: tally.sent,
             further: tally.further,
             late: tally.late,
+            causes: self.causes(),
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             recovery: self.returning.as_ref().map(Returning::show),
             fleet: self.fleet_status(),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -157,6 +157,9 @@
     pub late: u64,
     /// What ended unserved, by reason.
     pub reasons: std::collections::BTreeMap<String, u64>,
+    /// The same by class and cause, as the decision module saw it.
+    #[serde(default)]
+    pub causes: std::collections::BTreeMap<String, u64>,
     /// How far it has come back; none: it has no peers, and is open at once.
     #[serde(default)]
     pub recovery: Option<recovery::Shown>,
--- a/crates/lab/examples/together.rs
+++ b/crates/lab/examples/together.rs
@@ -83,7 +83,7 @@
                 look.spent, look.held_back, look.not_told
             );
         }
-        println!("not served, by reason: {:?}", status.reasons);
+        println!("not served, by reason: {:?}", status.causes);
     }
     let up = with[0].view().map_or(0, |view| view.up().count());
     println!("members up in the view of the one that was measured: {up} of {GATEWAYS}");
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -3,6 +3,7 @@
 mod attempts;
 mod clients;
 mod lists;
+mod summary;
 
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
@@ -198,29 +199,6 @@
         self.clients.len() + self.agenda.len() + nodes + requests + self.links.held() + self.discovery.len()
     }
 
-    /// A line on what it holds and counted, for the log.
-    pub fn summary(&self) -> String {
-        let c = self.dispatcher.counts();
-        format!(
-            "clients={} links={} nodes={} open={} taken={} served={} refused={} failed={} withdrawn={} sent={} \
-             further={} late={} rejected={} malformed={}",
-            self.clients.len(),
-            self.links.len(),
-            self.nodes.len(),
-            self.dispatcher.open(),
-            c.taken,
-            c.served,
-            c.refused,
-            c.failed,
-            c.withdrawn,
-            c.sent,
-            c.further,
-            c.late,
-            self.rejected,
-            self.discovery.malformed()
-        )
-    }
-
     /// Lines on the requests that ended without a final answer since the last call, for the log.
     pub fn take_unanswered(&mut self) -> Vec<String> {
         self.unanswered.take_lines()
