gateway: rights that fell due are taken back before the module decides anything

A trace of together found the module with up to 313 rights more than the shard's account, for 0.3 ms in the median and up to 287 ms beside load: after a wait the engine worked through its messages and ticked the cap only then, so that commands were decided on rights that had fallen due. None was seen to be sent on one. The cap now says whether it is behind, and the engine ticks it before each batch and before the module's timers.

Measured: allowances.rs holds what the module may send against the accounts over drawn stalls: never beyond with the tick first, beyond without it (the planted case).

--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -166,6 +166,7 @@
         let mut told = Micros::MIN;
         loop {
             let now = clock.now();
+            self.refresh_rights(now);
             self.core.tick(now, &mut self.effects);
             self.settle(now);
             if now >= self.next_housekeeping {
@@ -188,9 +189,12 @@
             }
             if self.turns.is_empty() {
                 let Ok(first) = messages.recv() else { return };
-                self.message(clock.now(), first);
+                let now = clock.now();
+                self.refresh_rights(now);
+                self.message(now, first);
             }
             let now = clock.now();
+            self.refresh_rights(now);
             for _ in 1..MESSAGES {
                 let Ok(next) = messages.try_recv() else { break };
                 self.message(now, next);
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -33,6 +33,18 @@
         self.agree(now, changed);
     }
 
+    /// Brings what the module is allowed up to now, before it decides anything.
+    ///
+    /// Danger: after a wait rights have fallen due, and what is decided before the cap's tick is decided on them. Harm: a tick for
+    /// each step in which something comes.
+    pub(super) fn refresh_rights(&mut self, now: Micros) {
+        let rights = self.together.as_mut().and_then(|together| together.rights.as_mut());
+        if let Some(rights) = rights.filter(|rights| rights.is_behind(now)) {
+            rights.tick(now);
+            self.settle(now);
+        }
+    }
+
     /// A peer said or did what concerns them.
     pub(super) fn told_together(&mut self, now: Micros, told: &Told) {
         let Some(together) = &mut self.together else { return };
--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -71,6 +71,11 @@
         (self.cap.look(now), self.cap.counts())
     }
 
+    /// Whether what the module was told holds no longer.
+    pub(crate) fn is_behind(&self, now: Micros) -> bool {
+        self.cap.is_behind(now)
+    }
+
     /// The next that the module is to be told; what it sends upon that has to come here before this is called again.
     pub(crate) fn next_allowance(&mut self) -> Option<Allowance> {
         self.allowances.next_untold()
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -263,6 +263,11 @@
         if lacks { next.min(self.next_step) } else { next }
     }
 
+    /// Whether rights may have fallen due since the last event: what was allowed holds no longer, and a `Tick` has to come first.
+    pub fn is_behind(&self, now: Micros) -> bool {
+        now >= self.next_step
+    }
+
     /// Whether a request like this ended unserved, here or at a peer, within the window and the longest advice. May say so falsely, never the other
     /// way of what was heard.
     pub fn is_repeat(&self, now: Micros, key: u64) -> bool {
--- a/crates/repeats/tests/allowances.rs
+++ b/crates/repeats/tests/allowances.rs
@@ -79,6 +79,19 @@
         self.tell();
     }
 
+    /// Time passes with no tick, as in a process that is stopped or busy with something else.
+    fn stall(&mut self, time: Micros) {
+        self.now += time;
+    }
+
+    /// What a gateway does before it lets the module decide.
+    fn refresh(&mut self) {
+        if self.cap.is_behind(self.now) {
+            self.hand(Input::Tick);
+            self.tell();
+        }
+    }
+
     fn pass(&mut self, time: Micros) {
         let end = self.now + time;
         while self.cap.next_due() <= end {
@@ -122,6 +135,43 @@
     }
 }
 
+/// Serves, stalls, and decides: the most that the module held beyond the accounts as it decided.
+fn stalled(refresh: bool, steps: &[(u32, Micros)]) -> u32 {
+    let mut gateway = Gateway::new(Told::LessWhatWasSent);
+    gateway.pass(2 * SECOND);
+    let mut beyond = 0;
+    for &(served, time) in steps {
+        gateway.served(served);
+        gateway.stall(time);
+        if refresh {
+            gateway.refresh();
+        }
+        beyond = beyond.max(gateway.beyond());
+        gateway.send(3);
+    }
+    beyond
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against decisions on rights that fell due while nobody looked.
+    #[test]
+    fn after_a_stall_the_module_holds_no_more_than_the_accounts(
+        steps in prop::collection::vec((0..400u32, 1..800_000 as Micros), 1..40),
+    ) {
+        prop_assert_eq!(stalled(true, &steps), 0);
+    }
+}
+
+/// The property above finds a module that decides before the tick.
+#[test]
+fn decisions_before_the_tick_are_caught() {
+    let steps = [(400, 20_000), (400, 20_000), (1, 700_000)];
+    assert!(stalled(false, &steps) > 0);
+    assert_eq!(stalled(true, &steps), 0);
+}
+
 /// The property above finds a module that is told as the cap says it.
 #[test]
 fn allowances_that_are_handed_on_as_said_are_caught() {
