decisions: a right goes to the next that waits, and what no right helps does not wait

Cause: rights were matched with those that wait only in the moment in which an allowance came, and the limit held only at nought.

The queues now hold as many of those that need a right as there are rights, and a few more; the others wait outside or are refused, whenever the shard is gone through. What would never be sent with a right is answered. node looks count those that wait for a right. Without a limit on waiting all is as before.

--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -69,7 +69,7 @@
             bound: node.bound(law::RESERVE, &v),
             load: node.load(&v),
             held: node.held() as usize,
-            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting),
+            waiting: self.mem.shards.get(&node.shard).map_or(0, |s| s.waiting + s.awaiting.len()),
             silent: node.silent(now),
             cold: node.started.is_some_and(|t| now - t < self.set.warm_after),
         })
--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -15,6 +15,8 @@
 const OVER: f64 = 2.0;
 /// The part of its aim for which a request may wait before its queue counts as behind.
 const PROMPT: f64 = 0.25;
+/// Places in the queues beyond the rights there are, so that one whose volume holds it does not hold a right.
+const SPARE_PLACES: usize = 4;
 
 impl Queue {
     /// Danger: under an overload that lasts, whoever came first can only just be late, so that the latest due
@@ -106,10 +108,8 @@
         if open.late.is_some() && !shard.admits_late(rank, &self.mem.nodes, &v) {
             return self.finish(id, 0);
         }
-        let prompt = now + (PROMPT * class.aim as f64) as Micros;
-        let place = Place { rank, due: -open.first.min(open.due), id, prompt };
-        self.mem.put(shard_id, place);
-        self.mem.dirty.insert(shard_id);
+        let place = Place { rank, due: -open.first.min(open.due), id, prompt: now };
+        self.place(shard_id, place);
     }
 
     /// Takes a request out of its queue: it is sent, or ended.
@@ -118,49 +118,65 @@
         let Some(open) = self.mem.requests.get_mut(&id) else { return };
         let Some((shard_id, place)) = open.place.take() else { return };
         let Some(shard) = self.mem.shards.get_mut(&shard_id) else { return };
-        match shard.remove(place, open.ask.key) {
-            Some(queue) => {
-                queue.behind = queue.is_overdue(now) || !sent && (queue.behind || place.prompt < now);
-            }
-            None => _ = self.mem.short.insert(shard_id),
+        if shard.awaiting.remove(&place.turn()).is_some() {
+            self.mem.short.insert(shard_id);
+        } else if let Some(queue) = shard.remove(place, open.ask.key) {
+            queue.behind = queue.is_overdue(now) || !sent && (queue.behind || place.prompt < now);
+        }
+        if !shard.awaiting.is_empty() {
+            self.mem.dirty.insert(shard_id);
         }
     }
 
-    /// Holds back a request that needs a right where none is left.
+    /// Keeps as many of those that need a right in the queues as may find one; whether it moved or answered one.
     ///
     /// Danger: rights come as requests are served, so that what is refused for want of one could go out within
-    /// a millisecond. As many as were said to wait do so, out of the queues, where they would hold up what
-    /// needs none. The others are answered at once, so that their clients come back when told. One in order
-    /// does not wait, as its line would. Harm: what waits in vain is answered that much later.
-    fn hold_back(&mut self, shard_id: ShardId, place: Place, rights: Rights) {
-        let Some(open) = self.mem.requests.get(&place.id) else { return };
+    /// a millisecond. As many as may wait do so, out of the queues, where they would hold up what needs none.
+    /// The others are answered at once, so that their clients come back when told. Harm: what waits in vain
+    /// is answered that much later.
+    fn keep_to_rights(&mut self, shard_id: ShardId, rights: Rights) -> bool {
+        let Some(shard) = self.mem.shards.get(&shard_id) else { return false };
+        let places = match rights.left {
+            0 => 0,
+            left if self.mem.await_limits.contains_key(&shard_id) => left as usize + SPARE_PLACES,
+            _ => usize::MAX,
+        };
+        if let Some(&place) = shard.needy.last().filter(|_| shard.needy.len() > places) {
+            self.wait_for_right(shard_id, place, rights);
+        } else if let (true, Some(place)) = (shard.needy.len() < places, self.mem.first_awaiting(shard_id)) {
+            self.dequeue(place.id, false);
+            self.place(shard_id, place);
+        } else if let Some(id) = self.mem.too_many_awaiting(shard_id) {
+            self.finish(id, rights.come_back);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// Takes a request out of its queue until there is a right, unless none would help it; or its line would
+    /// have to wait with it.
+    fn wait_for_right(&mut self, shard_id: ShardId, place: Place, rights: Rights) {
+        let (Some(open), Some(shard)) = (self.mem.requests.get(&place.id), self.mem.shards.get(&shard_id))
+        else {
+            return;
+        };
+        let never = |n: &NodeId| matches!(self.with_a_right(place.id, &self.mem.nodes[n]), Verdict::Never);
         let in_order = self.set.classes[open.ask.class].in_order;
-        if in_order {
+        if in_order || !shard.nodes.is_empty() && shard.nodes.iter().all(never) {
             return self.finish(place.id, rights.come_back);
         }
         self.dequeue(place.id, false);
         self.mem.await_right(shard_id, place);
-        if let Some(id) = self.mem.too_many_awaiting(shard_id) {
-            self.finish(id, rights.come_back);
-        }
     }
 
-    /// What a shard bears of repeats from now on: as many of those that wait for a right go on, and of the
-    /// others only so many wait as may.
-    pub(crate) fn on_allowance(&mut self, shard_id: ShardId, rights: Rights) {
-        self.mem.rights.insert(shard_id, rights);
+    /// Gives a request its place in a queue, from now on.
+    fn place(&mut self, shard_id: ShardId, place: Place) {
+        let Some(open) = self.mem.requests.get(&place.id) else { return };
+        let aim = self.set.classes[open.ask.class].aim;
+        let prompt = self.mem.now + (PROMPT * aim as f64) as Micros;
+        self.mem.put(shard_id, Place { prompt, ..place });
         self.mem.dirty.insert(shard_id);
-        for _ in 0..rights.left {
-            let Some(place) = self.mem.first_awaiting(shard_id) else { return };
-            self.dequeue(place.id, false);
-            let Some(open) = self.mem.requests.get(&place.id) else { return };
-            let aim = self.set.classes[open.ask.class].aim;
-            let prompt = self.mem.now + (PROMPT * aim as f64) as Micros;
-            self.mem.put(shard_id, Place { prompt, ..place });
-        }
-        while let Some(id) = self.mem.too_many_awaiting(shard_id) {
-            self.finish(id, rights.come_back);
-        }
     }
 
     pub(crate) fn pump(&mut self, shard_id: ShardId) {
@@ -169,14 +185,11 @@
             shard.queues.values_mut().for_each(|queue| queue.behind |= queue.is_overdue(now));
         }
         loop {
-            let Some(shard) = self.mem.shards.get(&shard_id) else { return };
-            if shard.waiting == 0 {
-                return;
-            }
-            if let (Some(rights), Some(&place)) = (self.barred(shard_id), shard.needy.first()) {
-                self.hold_back(shard_id, place, rights);
+            let rights = self.mem.rights.get(&shard_id).copied();
+            if rights.is_some_and(|rights| self.keep_to_rights(shard_id, rights)) {
                 continue;
             }
+            let Some(shard) = self.mem.shards.get(&shard_id).filter(|s| s.waiting > 0) else { return };
             let mut wake: Option<Micros> = None;
             let mut later =
                 |at: Option<Micros>| wake = at.map_or(wake, |t| Some(wake.map_or(t, |w| w.min(t))));
@@ -230,16 +243,6 @@
         }
     }
 
-    /// Danger: a send that waits for its connection is charged to its volume's limit early and comes late,
-    /// when the store has filled again. Its units are kept back, and charged as it begins. Harm: none.
-    pub(crate) fn waits(&mut self, id: RequestId, attempt: u32, waits: bool) {
-        let Some(open) = self.mem.requests.get_mut(&id) else { return };
-        let volume = self.mem.volumes.get_mut(&open.ask.volume);
-        if let (Some(volume), Some(attempt)) = (volume, open.attempts.get_mut(attempt as usize)) {
-            volume.waits(self.mem.now, attempt, open.ask.units, waits);
-        }
-    }
-
     fn send(&mut self, id: RequestId, node_id: NodeId) {
         let (now, v) = (self.mem.now, self.view());
         self.dequeue(id, true);
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -62,7 +62,7 @@
                 self.remember(id);
                 self.close(id);
             }
-            Event::Waits { request, attempt, waits } => self.waits(request, attempt, waits),
+            Event::Waits { request, attempt, waits } => self.mem.waits(request, attempt, waits),
             Event::Hastened { request, patience } => {
                 if let Some(open) = self.mem.requests.get_mut(&request) {
                     open.hasten(self.mem.now + patience);
@@ -70,7 +70,8 @@
                 }
             }
             Event::Allowance { shard, further, come_back } => {
-                self.on_allowance(shard, Rights { left: further, come_back });
+                self.mem.rights.insert(shard, Rights { left: further, come_back });
+                self.mem.dirty.insert(shard);
             }
             Event::AwaitLimit { shard, most } => _ = self.mem.await_limits.insert(shard, most),
             Event::Timer(token) => {
@@ -187,8 +188,7 @@
         let (key, patience, ends) = (open.ask.key, open.ask.patience, open.ends());
         self.mem.requests.insert(id, open);
         if patience <= 0 {
-            self.finish(id, 0);
-            return;
+            return self.finish(id, 0);
         }
         self.mem.wakes.extend(ends.map(|at| (at, Wake::Request(id))));
         if let (true, Some(key)) = (in_order, key) {
--- a/crates/decisions/src/shards.rs
+++ b/crates/decisions/src/shards.rs
@@ -104,11 +104,8 @@
             self.by_key.entry(key).or_default().insert(place);
         }
     }
-    /// Takes a request out of its queue, which is returned, or out of those that wait for a right.
+    /// Takes a request out of its queue, which is returned.
     pub(crate) fn remove(&mut self, place: Place, key: Option<KeyId>) -> Option<&mut Queue> {
-        if self.awaiting.remove(&place.turn()).is_some() {
-            return None;
-        }
         self.needy.remove(&place);
         if let Some(key) = key
             && let Some(line) = self.by_key.get_mut(&key)
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -334,6 +334,15 @@
         let most = self.await_limits.get(&shard_id).map_or(0, |most| *most as usize);
         awaiting.values().next_back().map(|place| place.id).filter(|_| awaiting.len() > most)
     }
+    /// Danger: a send that waits for its connection is charged to its volume's limit early and comes late,
+    /// when the store has filled again. Its units are kept back, and charged as it begins. Harm: none.
+    pub(crate) fn waits(&mut self, id: RequestId, attempt: u32, waits: bool) {
+        let Some(open) = self.requests.get_mut(&id) else { return };
+        let volume = self.volumes.get_mut(&open.ask.volume);
+        if let (Some(volume), Some(attempt)) = (volume, open.attempts.get_mut(attempt as usize)) {
+            volume.waits(self.now, attempt, open.ask.units, waits);
+        }
+    }
     /// Takes a node's line of the list: its shard names it, at its place in order, if it is on.
     pub(crate) fn relist(&mut self, e: &NodeEntry, span: f64) {
         self.relisted += 1;
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -47,15 +47,6 @@
 }
 
 impl Scheduler {
-    /// What is known of the rights of a shard that has none left.
-    ///
-    /// Danger: every gateway keeps its own budget, and the sum over them, with clients that repeat at the
-    /// next one, holds down a shard that comes back. What it bears of repeats is dealt out from outside.
-    /// Harm: a further attempt that would have been served is turned away.
-    pub(crate) fn barred(&self, shard: ShardId) -> Option<Rights> {
-        self.mem.rights.get(&shard).filter(|r| r.left == 0).copied()
-    }
-
     /// Whether a send still stands at the moment in which it can be begun; if not, it was never sent.
     ///
     /// Danger: an attempt that waits for its connection is begun late: its node drains by then or is another
@@ -75,7 +66,20 @@
 
     /// May this request go to this node now? Every rule that a send can break is checked here and nowhere
     /// else, for first attempts, retries and second copies alike.
+    ///
+    /// Danger: every gateway keeps its own budget, and the sum over them, with clients that repeat at the
+    /// next one, holds down a shard that comes back. What it bears of repeats is dealt out from outside.
+    /// Harm: a further attempt that would have been served waits, or is turned away.
     pub(crate) fn verdict(&self, id: RequestId, node: &Node) -> Verdict {
+        let needs_right = self.mem.requests.get(&id).is_some_and(Open::needs_right);
+        if needs_right && self.mem.rights.get(&node.shard).is_some_and(|rights| rights.left == 0) {
+            return Verdict::Wait(None);
+        }
+        self.with_a_right(id, node)
+    }
+
+    /// The same if its shard had a right for it.
+    pub(crate) fn with_a_right(&self, id: RequestId, node: &Node) -> Verdict {
         let now = self.mem.now;
         let Some(open) = self.mem.requests.get(&id) else { return Verdict::Never };
         let class = &self.set.classes[open.ask.class];
@@ -103,7 +107,7 @@
                 return Verdict::Wait(None);
             }
         }
-        if tries > 0 && !self.budget_left() || open.needs_right() && self.barred(node.shard).is_some() {
+        if tries > 0 && !self.budget_left() {
             return Verdict::Never;
         }
         let volume = self.mem.volumes.get(&open.ask.volume).filter(|_| open.uncharged());
