repeats: what is dealt is never more than the fleet's account, and what is not reaches who waits

The account is held against what is dealt after every event that may take from it, what is left is dealt to those that need it, the dearest first, and a shard that stands at nought is looked at whenever all are. One advice goes to 64 refusals at most, and none waits while its shard recovers.

--- a/crates/repeats/src/advice.rs
+++ b/crates/repeats/src/advice.rs
@@ -126,22 +126,22 @@
     /// Requests that may wait for a right while the module has none.
     ///
     /// Danger: rights come as requests are served, so that what finds none is refused a millisecond before there are some; and where
-    /// none come, what waits is answered late, and together. So as many may wait as are hoped to go on within a slice: any at first,
-    /// up to a bound; once some have waited for a slice without a break, what a slice has brought of late; none while the shard
-    /// recovers. Harm: a slice passes before a client of a shard that earns nothing is told to come back.
+    /// none come, what waits is answered late, and together. So some may wait, up to a bound; once there were some for a slice without a
+    /// break, as many as a slice has earned rights of late, for as long as the module lets them; none while the shard recovers. Harm:
+    /// a slice passes before a client of a shard that earns nothing is told to come back.
     pub(crate) fn room(&self, now: Micros, options: &CapOptions, terms: &Terms) -> u32 {
         if self.is_narrow() {
             return 0;
         }
-        if self.short_since.is_none_or(|since| now - since < terms.slice) {
+        if self.target() > 0 || self.short_since.is_none_or(|since| now - since < terms.slice) {
             return MOST_WAITING;
         }
         let served = f64::from(self.ward.sum(2).served) / 2.0;
         ((served * self.share(options)) as u32).min(MOST_WAITING)
     }
 
-    /// As many wait at the module as it says.
-    pub(crate) fn wait(&mut self, now: Micros, waiting: u32, worth: f64) {
+    /// The module says how many requests wait there for a right, and what the first of them is worth.
+    pub(crate) fn set_waiting(&mut self, now: Micros, waiting: u32, worth: f64) {
         self.waiting = waiting;
         if waiting == 0 {
             self.short_since = None;
@@ -189,7 +189,7 @@
     /// once, and of more a step after the last time. Harm: where every right is used as it comes, each is told by itself.
     pub(crate) fn tell(&mut self, now: Micros, options: &CapOptions, terms: &Terms) -> Option<Allowance> {
         let target = self.target();
-        let may_wait = if target > 0 { MOST_WAITING } else { self.room(now, options, terms) };
+        let may_wait = self.room(now, options, terms);
         if target > 0 {
             self.dry_since = None;
         }
@@ -200,7 +200,7 @@
             Some(before) if target > before => {
                 now >= self.told.saturating_add(terms.step) && target - before >= (before / 4).max(1)
             }
-            Some(_) => self.told == Micros::MIN || target == 0 && may_wait != self.may_wait,
+            Some(_) => self.told == Micros::MIN || may_wait != self.may_wait,
         };
         if !is_due {
             return None;
--- a/crates/repeats/src/allowances.rs
+++ b/crates/repeats/src/allowances.rs
@@ -28,6 +28,12 @@
         }
     }
 
+    /// A right is taken for something else than a send of the module's, which has to be told.
+    pub fn take(&mut self, shard: u32) {
+        self.spend(shard);
+        self.untold.insert(shard);
+    }
+
     /// What is left of a shard's allowance; none before the first.
     pub fn left(&self, shard: u32) -> Option<u32> {
         self.last.get(&shard).map(|allowance| allowance.further)
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -213,6 +213,7 @@
     /// Takes what happened; appends what is to be done.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         let stepped = self.advance(now, out);
+        let only_earns = !stepped && matches!(input, Input::Ended { .. });
         // Between two steps nothing falls due, and most events touch one shard.
         let touched = match input {
             Input::Sent { shard, .. }
@@ -228,7 +229,7 @@
             Input::Wanted { shard, worth, left } => self.wanted(now, shard, worth, left),
             Input::Waiting { shard, waiting, worth } => {
                 if let Some(post) = self.posts.get_mut(&shard) {
-                    post.wait(now, waiting, worth);
+                    post.set_waiting(now, waiting, worth);
                 }
             }
             Input::Recovers { shard, on } => {
@@ -247,10 +248,18 @@
             Input::Renewed(life) => self.renew(now, life),
             Input::Tick => {}
         }
+        let lacks = !only_earns && self.fleet.left() / RIGHT < self.dealt;
+        if lacks {
+            // Sends of a batch were counted after their rights had been dealt anew, or what was dealt has fallen due.
+            self.share_out();
+        }
         let dealt_anew = touched.is_some_and(|shard| self.deal_more(now, shard));
-        match touched.filter(|_| !stepped && !dealt_anew) {
+        match touched.filter(|_| !stepped && !lacks && !dealt_anew) {
             Some(shard) => self.allow_one(now, shard, out),
-            None => self.allow(now, out),
+            None => {
+                self.deal_more_to_all(now);
+                self.allow(now, out);
+            }
         }
     }
 
--- a/crates/repeats/src/course.rs
+++ b/crates/repeats/src/course.rs
@@ -7,6 +7,9 @@
 use crate::lending::Lending;
 use crate::options::{RIGHT, SLICES, Way};
 
+/// Requests that are refused with one advice at most, so that a crowd does not come back together.
+const REFUSED_TOGETHER: u64 = 64;
+
 impl Cap {
     pub(crate) fn sent(&mut self, now: Micros, shard: u32, further: bool) {
         let Some(post) = self.posts.get_mut(&shard) else { return };
@@ -41,6 +44,10 @@
     pub(crate) fn wanted(&mut self, now: Micros, shard: u32, worth: f64, left: Micros) {
         let Some(post) = self.posts.get_mut(&shard) else { return };
         post.held_back += 1;
+        if post.held_back.is_multiple_of(REFUSED_TOGETHER) {
+            post.draw(&self.options, &self.terms, &mut self.rng);
+            post.told = Micros::MIN;
+        }
         if post.rights() > 0 && self.fleet.left() >= RIGHT {
             post.not_told += 1;
         }
@@ -87,10 +94,6 @@
         for post in self.posts.values_mut() {
             post.account.settle(now);
         }
-        if self.fleet.left() / RIGHT < self.dealt {
-            // Of what was dealt some has fallen due.
-            self.share_out();
-        }
         if now >= self.next_slice {
             let passed = 1 + (now - self.next_slice) / self.terms.slice;
             self.next_slice += passed * self.terms.slice;
