gateway: a copy in the shadow takes its right from the module too

A copy was counted by the cap and by the gateway's own count, and the module kept the right: five sends of a part of four. What a copy takes is told to the module now. The module and the cap are joined in a test as the engine joins them, before two thousand repeats at once: at most 64 wait at a shard that earns nothing, for a slice, none at one that recovers, also where a right is left and no node takes anything; advice is spread; first requests are sent as without the crowd.

--- a/crates/gateway/src/rights.rs
+++ b/crates/gateway/src/rights.rs
@@ -116,7 +116,7 @@
 
     /// A copy in the shadow goes out.
     pub(crate) fn copied(&mut self, now: Micros, shard: u32) {
-        self.allowances.spend(shard);
+        self.allowances.take(shard);
         self.take(now, Input::Sent { shard, further: true });
     }
 
