repeats: what the module was told lags by nothing where a shard stands at nought

A drawn property held what the module was told against the accounts and found it at nought beside rights for up to a slice: rights over all shards were earned through another shard, came back after a window with no tick due, or were given in whole to a shard that needed none. Cause: only the shard of an event was looked at, and the next tick did not count what comes back.

One right goes to each shard that has rights of its own before the rest is shared; shards without a part are kept in a set and are dealt to in the event that brings one; what comes back to a shard at nought is told as it does. The sums of an account are kept, not added up at each look.

--- a/crates/repeats/src/account.rs
+++ b/crates/repeats/src/account.rs
@@ -43,62 +43,90 @@
     terms: Terms,
     even: u64,
     /// Even rights in use, by when they come back. Bounded by the steps in a window and a loan.
-    out: VecDeque<Parcel>,
+    out: Parcels,
     /// Earned and borrowed, by when they are dropped. Bounded by the slices of an earned life and the loans in one.
-    have: VecDeque<Parcel>,
+    have: Parcels,
     turnover: Turnover,
 }
 
-fn put(parcels: &mut VecDeque<Parcel>, until: Micros, rights: u64) {
-    if rights == 0 {
-        return;
+/// Parcels by when they fall due, and their sum.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+struct Parcels {
+    queue: VecDeque<Parcel>,
+    sum: u64,
+}
+
+impl Parcels {
+    fn put(&mut self, until: Micros, rights: u64) {
+        if rights == 0 {
+            return;
+        }
+        self.sum = self.sum.saturating_add(rights);
+        let at = self.queue.partition_point(|p| p.until < until);
+        match self.queue.get_mut(at) {
+            Some(p) if p.until == until => p.rights = p.rights.saturating_add(rights),
+            _ => self.queue.insert(at, Parcel { until, rights }),
+        }
     }
-    let at = parcels.partition_point(|p| p.until < until);
-    match parcels.get_mut(at) {
-        Some(p) if p.until == until => p.rights = p.rights.saturating_add(rights),
-        _ => parcels.insert(at, Parcel { until, rights }),
+
+    /// Drops what fell due.
+    fn settle(&mut self, now: Micros) {
+        while let Some(parcel) = self.queue.pop_front_if(|p| p.until <= now) {
+            self.sum -= parcel.rights;
+        }
     }
-}
 
-fn sum(parcels: &VecDeque<Parcel>) -> u64 {
-    parcels.iter().map(|p| p.rights).sum()
+    /// Changes what each has; drops those that have nothing any more.
+    fn change(&mut self, mut change: impl FnMut(&mut Parcel)) {
+        self.queue.iter_mut().for_each(&mut change);
+        self.queue.retain(|p| p.rights > 0);
+        self.sum = self.queue.iter().map(|p| p.rights).sum();
+    }
 }
 
 impl Account {
     /// An account of a life that begins now: its even part is out, as a former life may have used all of it just now.
     pub fn new(terms: Terms, even: u64, now: Micros) -> Self {
         let mut account = Account::full(terms, even);
-        put(&mut account.out, terms.up(now + terms.empty()), even);
+        account.out.put(terms.up(now + terms.empty()), even);
         account
     }
 
     /// An account with its whole even part: right for no life but the very first of a gateway.
     pub(crate) fn full(terms: Terms, even: u64) -> Self {
-        Account { terms, even, out: VecDeque::new(), have: VecDeque::new(), turnover: Turnover::default() }
+        Account {
+            terms,
+            even,
+            out: Parcels::default(),
+            have: Parcels::default(),
+            turnover: Turnover::default(),
+        }
     }
 
     /// Drops what fell due.
     pub fn settle(&mut self, now: Micros) {
-        for parcels in [&mut self.out, &mut self.have] {
-            while parcels.front().is_some_and(|p| p.until <= now) {
-                parcels.pop_front();
-            }
-        }
+        self.out.settle(now);
+        self.have.settle(now);
     }
 
     /// Even rights that are not out, in thousandths; as of the last `settle`.
     pub fn even_left(&self) -> u64 {
-        self.even.saturating_sub(sum(&self.out))
+        self.even.saturating_sub(self.out.sum)
     }
 
     /// Rights to spend, in thousandths; as of the last `settle`.
     pub fn left(&self) -> u64 {
-        self.even_left() + sum(&self.have)
+        self.even_left() + self.have.sum
     }
 
     /// When the next of what it has is dropped.
     pub fn next_loss(&self) -> Option<Micros> {
-        self.have.front().map(|p| p.until)
+        self.have.queue.front().map(|p| p.until)
+    }
+
+    /// When the next even right comes back.
+    pub fn next_gain(&self) -> Option<Micros> {
+        self.out.queue.front().map(|p| p.until)
     }
 
     /// What went through.
@@ -113,15 +141,12 @@
 
     /// What it has of earned and borrowed rights shrinks to this part: they were earned at a share that holds no longer.
     pub fn narrow(&mut self, part: f64) {
-        for p in &mut self.have {
-            p.rights = (p.rights as f64 * part.clamp(0.0, 1.0)).floor() as u64;
-        }
-        self.have.retain(|p| p.rights > 0);
+        self.have.change(|p| p.rights = (p.rights as f64 * part.clamp(0.0, 1.0)).floor() as u64);
     }
 
     /// Adds what a served request gives.
     pub fn earn(&mut self, now: Micros, rights: u64) {
-        put(&mut self.have, self.terms.down(now + self.terms.earned), rights);
+        self.have.put(self.terms.down(now + self.terms.earned), rights);
         self.turnover.earned += rights;
     }
 
@@ -132,7 +157,7 @@
         if until <= now {
             return false;
         }
-        put(&mut self.have, until, rights);
+        self.have.put(until, rights);
         self.turnover.borrowed += rights;
         true
     }
@@ -145,33 +170,31 @@
     pub fn spend(&mut self, now: Micros, rights: u64) {
         self.settle(now);
         let rest = rights - self.take(rights, 0).iter().map(|p| p.0).sum::<u64>();
-        put(&mut self.out, self.terms.up(now + self.terms.window), rest);
+        self.out.put(self.terms.up(now + self.terms.window), rest);
         self.turnover.spent += rights;
     }
 
     /// Takes at most so many from earned and borrowed ones that live beyond `least` from the beginning of time.
     fn take(&mut self, most: u64, least: Micros) -> Vec<Part> {
         let (mut rest, mut taken) = (most, Vec::new());
-        for p in &mut self.have {
-            if rest == 0 {
-                break;
-            }
-            if p.until < least {
-                continue;
-            }
-            let rights = p.rights.min(rest);
+        if rest == 0 {
+            return taken;
+        }
+        self.have.change(|p| {
+            let rights = if p.until < least { 0 } else { p.rights.min(rest) };
             p.rights -= rights;
             rest -= rights;
-            taken.push((rights, p.until));
-        }
-        self.have.retain(|p| p.rights > 0);
+            if rights > 0 {
+                taken.push((rights, p.until));
+            }
+        });
         taken
     }
 
     /// What could be lent now with that much of the even part kept back.
     pub fn lendable(&self, now: Micros, keep: u64) -> u64 {
         let least = now + self.terms.loan / 2;
-        let have: u64 = self.have.iter().filter(|p| p.until >= least).map(|p| p.rights).sum();
+        let have: u64 = self.have.queue.iter().filter(|p| p.until >= least).map(|p| p.rights).sum();
         have + self.even_left().saturating_sub(keep)
     }
 
@@ -190,7 +213,7 @@
         let left = earned.iter().map(|p| p.1 - now).min().unwrap_or(0).min(self.terms.loan);
         let even = self.even_left().saturating_sub(keep).min(most - given);
         let held = if back_early { 0 } else { self.terms.loan_held };
-        put(&mut self.out, self.terms.up(now + held + self.terms.window), even);
+        self.out.put(self.terms.up(now + held + self.terms.window), even);
         self.turnover.lent += given + even;
         [(given, left), (even, self.terms.loan)].into_iter().filter(|p| p.0 > 0).collect()
     }
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -139,6 +139,8 @@
     /// Whole rights over all shards that are dealt to shards, and when all may next be dealt anew for one that is short.
     pub(crate) dealt: u64,
     pub(crate) next_deal: Micros,
+    /// Shards that have rights of their own and no part of those over all shards.
+    pub(crate) without_part: BTreeSet<u32>,
     pub(crate) fleet_asking: Asking,
     pub(crate) lending: Lending,
     pub(crate) sketch: Sketch,
@@ -175,6 +177,7 @@
             fleet: Account::full(terms, 0),
             dealt: 0,
             next_deal: now,
+            without_part: BTreeSet::new(),
             fleet_asking: Asking::new(now, &terms),
             lending: Lending::new(terms, life, options.members, trial.plant),
             sketch: Sketch::new(now, kept, terms.window),
@@ -253,13 +256,15 @@
             // Sends of a batch were counted after their rights had been dealt anew, or what was dealt has fallen due.
             self.share_out();
         }
-        let dealt_anew = touched.is_some_and(|shard| self.deal_more(now, shard));
-        match touched.filter(|_| !stepped && !lacks && !dealt_anew) {
-            Some(shard) => self.allow_one(now, shard, out),
-            None => {
-                self.deal_more_to_all(now);
-                self.allow(now, out);
+        match touched.filter(|_| !stepped && !lacks) {
+            Some(shard) => self.note_dealt(shard),
+            None => self.options.shards.clone().into_iter().for_each(|shard| self.note_dealt(shard)),
+        }
+        match (self.deal_more(now), touched.filter(|_| !stepped && !lacks)) {
+            (Some(dealt), Some(shard)) => {
+                dealt.into_iter().chain([shard]).for_each(|shard| self.allow_one(now, shard, out));
             }
+            _ => self.allow(now, out),
         }
     }
 
@@ -268,7 +273,10 @@
         let lacks = self.posts.values().any(|p| p.need() > 0 || p.allowed.is_none_or(|a| a < p.target()));
         let losses =
             self.posts.values().map(|p| &p.account).chain([&self.fleet]).filter_map(Account::next_loss);
-        let next = losses.min().unwrap_or(self.next_slice).min(self.next_slice);
+        // What comes back to a shard that stands at nought is told as it does.
+        let dry = self.posts.values().filter(|p| p.allowed == Some(0));
+        let gains = dry.flat_map(|p| [p.account.next_gain(), self.fleet.next_gain()]).flatten();
+        let next = losses.chain(gains).min().unwrap_or(self.next_slice).min(self.next_slice);
         if lacks { next.min(self.next_step) } else { next }
     }
 
