gateway: a command that never went out is no repeat when its client comes again

As a connection ended, all of its commands were kept in mind as unserved ones, those that had only waited in the gateway included, so that they took rights when they came again. Cause: what was sent was looked up among the operations that ended unserved, where a withdrawn one never stands, and in doubt it counted as sent. Withdrawing an operation says now whether something of it was sent.

--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -135,14 +135,15 @@
         self.settle(effects);
     }
 
-    /// The client is gone: nothing more is owed, no further attempt goes out.
-    pub fn withdraw(&mut self, now: Micros, ticket: Ticket, effects: &mut Vec<Effect>) {
+    /// The client is gone: nothing more is owed, no further attempt goes out. Whether something of it had been sent.
+    pub fn withdraw(&mut self, now: Micros, ticket: Ticket, effects: &mut Vec<Effect>) -> bool {
         self.advance(now);
-        if self.open.contains_key(&ticket) {
-            self.tally.withdrawn += 1;
-            self.drop_operation(ticket);
-            self.settle(effects);
-        }
+        let Some(open) = self.open.get(&ticket) else { return false };
+        let was_sent = open.pieces.iter().any(|piece| piece.sent > 0);
+        self.tally.withdrawn += 1;
+        self.drop_operation(ticket);
+        self.settle(effects);
+        was_sent
     }
 
     /// Takes an operation back if nothing of it has gone out; whether that was so. It then gets no other answer.
--- /dev/null
+++ b/crates/core/tests/withdrawn.rs
@@ -0,0 +1,24 @@
+//! Operations whose client has left.
+
+mod common;
+
+use bytes::Bytes;
+use common::*;
+use storage_core::*;
+
+/// Guards against commands that never went out and are taken for repeats when their client comes again.
+#[test]
+fn a_withdrawn_operation_says_whether_something_of_it_was_sent() {
+    let mut core = core();
+    let mut effects = Vec::new();
+    let read = |ticket| operation(ticket, Opcode::Read, 0, 1, Bytes::new());
+    for ticket in 1..=20 {
+        core.submit(1000, read(ticket), &mut effects);
+    }
+    let sent = effects.iter().filter(|effect| matches!(effect, Effect::Send(_))).count();
+    assert!(0 < sent && sent < 20, "{sent} of 20 went out: the others wait for the node");
+    let withdrawn: Vec<bool> =
+        (1..=20).map(|ticket| core.withdraw(2000, Ticket(ticket), &mut Vec::new())).collect();
+    assert_eq!(withdrawn.iter().filter(|was_sent| **was_sent).count(), sent);
+    assert!(!core.withdraw(2000, Ticket(1), &mut effects), "it is not there any more");
+}
--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -41,7 +41,7 @@
                             _ => told(answer, &self.options.target.retry_delays),
                         };
                         if let Some(asked) = asked {
-                            self.unserved(now, ticket, asked);
+                            self.unserved(now, asked, self.was_sent(ticket));
                         }
                         self.complete(ticket, completion);
                     }
--- a/crates/gateway/src/engine/commands.rs
+++ b/crates/gateway/src/engine/commands.rs
@@ -105,10 +105,10 @@
         tickets.sort();
         for ticket in tickets {
             let taken = self.tickets.remove(&ticket);
-            self.core.withdraw(now, ticket, &mut self.effects);
+            let was_sent = self.core.withdraw(now, ticket, &mut self.effects);
             // Its client may come with it again, here or at another gateway.
             if let Some(asked) = taken.and_then(|t| t.asked) {
-                self.unserved(now, ticket, asked);
+                self.unserved(now, asked, was_sent);
             }
         }
     }
--- a/crates/gateway/src/engine/fleet.rs
+++ b/crates/gateway/src/engine/fleet.rs
@@ -106,10 +106,15 @@
     }
 
     /// An operation ended unserved, or its client has left it.
-    pub(super) fn unserved(&mut self, now: Micros, ticket: Ticket, asked: Asked) {
-        let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) else { return };
-        let ended = self.core.ended_views().rev().find(|e| e.ticket == ticket);
-        rights.unserved(now, asked, ended.is_none_or(|e| e.attempts > 0));
+    pub(super) fn unserved(&mut self, now: Micros, asked: Asked, was_sent: bool) {
+        if let Some(rights) = self.together.as_mut().and_then(|t| t.rights.as_mut()) {
+            rights.unserved(now, asked, was_sent);
+        }
+    }
+
+    /// Whether something of an operation that ended unserved had been sent; when in doubt it had.
+    pub(super) fn was_sent(&self, ticket: Ticket) -> bool {
+        self.core.ended_views().rev().find(|e| e.ticket == ticket).is_none_or(|e| e.attempts > 0)
     }
 
     /// An attempt is on its way out.
