The platform's tests ask the system for one connection, not for its whole table

Cause: stage/kernel.rs read all of /proc/net/tcp for each look at one connection, so that a scripted answer in pieces waited for thousands of lines of other processes' ended connections at each piece.

Change: sock_diag over netlink with the exact four addresses and ports, no dump; whoever listens there is no connection. Connections to an address are still counted in the table.

--- a/crates/crowbay/tests/stage/kernel.rs
+++ b/crates/crowbay/tests/stage/kernel.rs
@@ -4,7 +4,7 @@
 use std::thread;
 use std::time::Duration;
 
-use super::until;
+use super::{sock_diag, until};
 
 /// On its way up.
 const RISING: u8 = 2;
@@ -15,6 +15,7 @@
 const PAUSE: Duration = Duration::from_millis(5);
 
 /// One end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct End {
     pub state: u8,
     /// Bytes that its owner wrote and the peer's system has not taken.
@@ -29,42 +30,37 @@
     Some(SocketAddr::from((ip, u16::from_str_radix(port, 16).ok()?)))
 }
 
-fn ends(mut fits: impl FnMut(SocketAddr, SocketAddr) -> bool) -> Vec<End> {
+/// How many connections to an address are in this state.
+fn count(to: SocketAddr, state: u8) -> usize {
     // Thousands of ended connections may stand in it for a minute, and whoever waits reads it again and again.
     thread::sleep(PAUSE);
     let table = std::fs::read_to_string("/proc/net/tcp").expect("the system's table");
     let read = |line: &str| {
-        let mut words = line.split_ascii_whitespace().skip(1);
-        let (local, remote) = (address(words.next()?)?, address(words.next()?)?);
-        let state = u8::from_str_radix(words.next()?, 16).ok()?;
-        let (unsent, unread) = words.next()?.split_once(':')?;
-        let number = |text| u64::from_str_radix(text, 16).ok();
-        let end = End { state, unsent: number(unsent)?, unread: number(unread)? };
-        fits(local, remote).then_some(end)
+        let mut words = line.split_ascii_whitespace().skip(2);
+        let remote = address(words.next()?)?;
+        Some((remote, u8::from_str_radix(words.next()?, 16).ok()?))
     };
-    table.lines().skip(1).filter_map(read).collect()
+    table.lines().skip(1).filter_map(read).filter(|found| *found == (to, state)).count()
 }
 
 /// Connections to an address that are on their way up.
 pub fn rising(to: SocketAddr) -> usize {
-    ends(|_, remote| remote == to).iter().filter(|e| e.state == RISING).count()
+    count(to, RISING)
 }
 
 /// Connections to an address that are up, by those who opened them.
 pub fn open(to: SocketAddr) -> usize {
-    ends(|_, remote| remote == to).iter().filter(|e| e.state == OPEN).count()
+    count(to, OPEN)
 }
 
 /// The other end of a connection of ours, while there is one.
 pub fn other(own: &TcpStream) -> Option<End> {
-    let (here, there) = (own.local_addr().ok()?, own.peer_addr().ok()?);
-    ends(|local, remote| local == there && remote == here).pop()
+    sock_diag::end(own.peer_addr().ok()?, own.local_addr().ok()?)
 }
 
 /// Our end of it.
 fn here(own: &TcpStream) -> Option<End> {
-    let (here, there) = (own.local_addr().ok()?, own.peer_addr().ok()?);
-    ends(|local, remote| local == here && remote == there).pop()
+    sock_diag::end(own.local_addr().ok()?, own.peer_addr().ok()?)
 }
 
 /// Waits until the peer has read all that was written here, or the connection is over.
--- a/crates/crowbay/tests/stage/mod.rs
+++ b/crates/crowbay/tests/stage/mod.rs
@@ -18,6 +18,7 @@
 pub mod request;
 pub mod script;
 pub mod slow;
+pub mod sock_diag;
 pub mod starting;
 pub mod usual;
 
