The line on a standstill tells whether the engine ran, wanted a processor, or slept

Cause: "the engine stood still" gave late and busy alone; whether the machine, the process or something outside was at fault could not be told afterwards.

A test stops the process and reads its line; the threads' times have tests of their own.

--- a/crates/crowbay/tests/stage/bound.rs
+++ b/crates/crowbay/tests/stage/bound.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use super::pause::Pause;
 use super::until;
 
 /// Descriptors of the process, by its configuration and by the system.
@@ -42,6 +43,10 @@
         std::fs::read_to_string(self.folder.path().join("log")).expect("a log")
     }
 
+    pub fn stop(&self) -> Pause<'_> {
+        Pause::of(&self.child)
+    }
+
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
     }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -20,11 +20,10 @@
 use crate::port::Port;
 use crate::sizes::Sizes;
 use crate::socket::{End, Output, SocketId};
+use crate::standstill::Witness;
 
 /// Messages handled before the time is looked at again.
 const MESSAGES: usize = 256;
-/// The engine is said to have stood still where it was woken, or went on, so much too late.
-const STILL: Micros = 100_000;
 /// How often answers are flushed that no writer could be started for.
 const FLUSH_AGAIN: Micros = 10_000;
 /// How often a line on what it holds is logged.
@@ -166,8 +165,10 @@
 impl Engine {
     fn run(mut self, messages: &Receiver<Message>, ticker: &Ticker) {
         let mut told = Micros::MIN;
+        let mut witness = Witness::new(self.clock.now(), ticker);
         loop {
             let now = self.clock.now();
+            witness.look(now);
             self.machine.tick(now);
             self.carry_out(now);
             if self.machine.is_over() {
@@ -196,10 +197,7 @@
                 self.message(next);
                 count += 1;
             }
-            let (late, busy) = (woken.saturating_sub(due), self.clock.now() - woken);
-            if late > STILL || busy > STILL {
-                tracing::warn!(late, busy, count, "the engine stood still; what is due meanwhile is late");
-            }
+            witness.turned(due, woken, self.clock.now(), count);
         }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,6 +25,7 @@
 mod port;
 mod sizes;
 mod socket;
+mod standstill;
 mod unanswered;
 mod watch;
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod outlet;
 mod spill;
+mod thread_times;
 mod ticker;
 mod wake;
 
 pub use outlet::{Held, Outlet};
+pub use thread_times::{ThreadTimes, Times};
 pub use ticker::Ticker;
--- a/crates/transport/src/ticker.rs
+++ b/crates/transport/src/ticker.rs
@@ -6,18 +6,20 @@
 //! time and sends a message, and everything that must end in time is ended by the engine.
 
 use std::io;
-use std::sync::Arc;
+use std::sync::{Arc, mpsc};
 use std::thread::Thread;
 use std::time::Duration;
 
 use records::{Clock, Micros};
 
+use crate::thread_times::ThreadTimes;
 use crate::wake::Wake;
 
 /// A thread that ticks.
 pub struct Ticker {
     wake: Arc<Wake>,
     thread: Thread,
+    times: Option<ThreadTimes>,
 }
 
 impl Ticker {
@@ -26,9 +28,18 @@
         let wake = Arc::new(Wake::new());
         let own = wake.clone();
         let sleep = |span: Micros| std::thread::park_timeout(Duration::from_micros(span as u64));
-        let run = move || own.run(|| clock.now(), tick, sleep);
+        let (tell, told) = mpsc::sync_channel(1);
+        let run = move || {
+            let _ = tell.send(ThreadTimes::of_this_thread().ok()); // Whoever starts it waits for this.
+            own.run(|| clock.now(), tick, sleep);
+        };
         let thread = std::thread::Builder::new().name("ticker".into()).spawn(run)?.thread().clone();
-        Ok(Ticker { wake, thread })
+        Ok(Ticker { wake, thread, times: told.recv().ok().flatten() })
+    }
+
+    /// The times of its thread, where the system keeps them.
+    pub fn times(&self) -> Option<&ThreadTimes> {
+        self.times.as_ref()
     }
 
     /// The next due time, in place of the one before.
