The hollow gateways' test has the first change in force before anybody asks for the region

Not the suspected c2 behind c1: nobody was linked with c2, and c2 had n1 0.5 s before the gateways began.

Change: c2 starts once n1 is in force; the test waits until c2 has it, and the second change before it is stopped; each gateway writes down exactly one delta. All that was asked is asked as before.

--- a/crates/planelink/tests/hollow.rs
+++ b/crates/planelink/tests/hollow.rs
@@ -21,10 +21,12 @@
     let records_in = folders[3].path();
     let site = Site::new(&[("c1", 1, true), ("c2", 2, true)]);
     let c1 = site.start_recorded("c1", folders[0].path(), records_in);
-    let c2 = site.start_recorded("c2", folders[1].path(), records_in);
+    // A whole state is made once and serves all who ask within a few changes: nobody asks before there is the first change.
     site.put("c1", "n1", b"up");
+    let c2 = site.start_recorded("c2", folders[1].path(), records_in);
     site.put("c2", "n1", b"far");
     c1.line("it has the other region", |line| line["cursors"]["2"] == serde_json::json!([1, 1]));
+    c2.line("it has the other region", |line| line["cursors"]["1"] == serde_json::json!([1, 1]));
     let recorded = |run: &mut planelink::HollowRun| run.records = Some(records_in.to_owned());
     let hollow = site.start_hollow(recorded, MANY, folders[2].path());
     let all = |line: &serde_json::Value, what: &str| line[what] == MANY;
@@ -33,6 +35,7 @@
     let line = hollow.line("all have the change", |line| line["cursors"]["1"] == serde_json::json!([1, 2]));
     assert_eq!((&line["links"], &line["turned_away"], &line["stuck"]), (&MANY.into(), &0.into(), &0.into()));
     assert_eq!(line["wholes"], 2 * MANY, "one for each region and gateway");
+    c2.line("it has the change", |line| line["cursors"]["1"] == serde_json::json!([1, 2]));
     hollow.stop();
     c1.stop();
     c2.stop();
@@ -43,6 +46,7 @@
     let lines = records(records_in, "inforce-h1.log");
     let gateways: BTreeSet<&String> = of(&lines, "E").map(|words| &words[0]).collect();
     assert_eq!(gateways.len(), MANY, "each wrote down the delta");
+    assert_eq!(of(&lines, "E").count(), MANY, "once");
     for words in of(&lines, "E") {
         assert_eq!(words[2..], change[1..], "as the writer wrote it");
     }
