A thread's times are read without a descriptor that stays

Cause: each ThreadTimes kept its file open, two descriptors that a platform configuration grants to connections and that Sizes does not count.

--- a/crates/transport/src/thread_times.rs
+++ b/crates/transport/src/thread_times.rs
@@ -1,21 +1,25 @@
 //! What the scheduler says of a thread: how long it ran, and how long it was ready to run and had no processor.
 
-use std::fs::File;
-use std::io;
+use std::fs::{self, File};
+use std::io::{self, Read};
 use std::ops::Sub;
-use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
 
 use records::Micros;
 
-/// Where a thread finds its own figures (proc(5), `schedstat`).
-const OWN: &str = "/proc/thread-self/schedstat";
+/// Where the system has its figures, and in it the calling thread (proc(5)).
+const SYSTEM: &str = "/proc";
+const OWN: &str = "thread-self";
 /// Three numbers of at most twenty digits.
 const LONGEST: usize = 64;
 
 /// The times of one thread; any thread may read them.
+///
+/// Danger: a file kept open for each would take descriptors that a configuration grants to connections. It is opened for a read
+/// alone. Harm: a read costs that much more, and fails while there is no descriptor.
 #[derive(Debug)]
 pub struct ThreadTimes {
-    file: File,
+    path: PathBuf,
 }
 
 /// Times of a thread since its start, or between two reads.
@@ -39,18 +43,19 @@
     /// Those of the thread that calls.
     ///
     /// # Errors
-    /// The system keeps none, or no file can be opened.
+    /// The system has none.
     pub fn of_this_thread() -> io::Result<ThreadTimes> {
-        Ok(ThreadTimes { file: File::open(OWN)? })
+        let system = Path::new(SYSTEM);
+        Ok(ThreadTimes { path: system.join(fs::read_link(system.join(OWN))?).join("schedstat") })
     }
 
     /// The times now.
     ///
     /// # Errors
-    /// The thread is gone, or the system says something else than its documentation.
+    /// The thread is gone, there is no descriptor, or the system says something else than its documentation.
     pub fn read(&self) -> io::Result<Times> {
         let mut buffer = [0; LONGEST];
-        let length = self.file.read_at(&mut buffer, 0)?;
+        let length = File::open(&self.path)?.read(&mut buffer)?;
         parse(&buffer[..length]).ok_or_else(|| io::Error::from(io::ErrorKind::InvalidData))
     }
 }
