The soak's log tells what the threads did of a process that is still there at the earliest SIGKILL

Cause: whoever is killed within a standstill cannot say that it stood still, nor can one whose engine has ended and whose main thread has not.

Change: the threads' states and times are read 0.25 s before the earliest SIGKILL and at it; if the process is still there then, the gateway's log gets a line with the difference. Bounds, plans and checks are as before.

--- a/crates/restartsoak/src/gateway.rs
+++ b/crates/restartsoak/src/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway's process, over all its lives.
 
 use std::fs::File;
+use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -14,6 +15,7 @@
 use crate::error::SoakError;
 use crate::http::{Side, Wire};
 use crate::records::{MILLI, Micros, SECOND, now};
+use crate::threads::Threads;
 
 /// How often a condition is looked at.
 const LOOK: Micros = MILLI;
@@ -94,6 +96,19 @@
         }
     }
 
+    /// Its threads now.
+    pub(crate) fn threads(&self) -> Threads {
+        Threads::of(self.child.id())
+    }
+
+    /// Writes a line into its log.
+    pub(crate) fn note(folder: &Path, line: &str) -> Result<(), SoakError> {
+        let path = folder.join("gateway.log");
+        let log = File::options().append(true).open(&path);
+        let written = log.and_then(|mut log| writeln!(log, "restartsoak: {line}"));
+        written.map_err(|error| SoakError::File { path, error })
+    }
+
     /// Descriptors, and resident memory in KB, while it runs.
     pub(crate) fn held(&self) -> Option<(usize, u64)> {
         let folder = Path::new("/proc").join(self.child.id().to_string());
--- a/crates/restartsoak/src/lib.rs
+++ b/crates/restartsoak/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod play;
 pub mod records;
 mod settings;
+mod threads;
 mod trouble;
 
 pub use check::{Breach, check};
--- a/crates/restartsoak/src/play.rs
+++ b/crates/restartsoak/src/play.rs
@@ -28,6 +28,9 @@
 /// The list of long ago that each life knows names the nodes as they were.
 const EARLY_END: Micros = 20 * MILLI;
 
+/// So long before the earliest SIGKILL it is noted what the process's threads did till then.
+const WATCHED: Micros = 250 * MILLI;
+
 /// What a play needs.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -184,16 +187,23 @@
             return gateway.until_ended(now() + NEVER_READY).map(drop);
         };
         let kill_at = told + self.plan.kill_after();
+        let mut before = None;
         while now() < kill_at {
             if life.ended.is_none() {
                 life.ended = gateway.ended()?.map(|how| (now(), how));
             }
+            if before.is_none() && now() >= kill_at - WATCHED {
+                before = Some(gateway.threads());
+            }
             troubles.act(gateway, &self.scene)?;
             pause(LOOK);
         }
         if life.ended.is_none() {
             life.killed = Some(now());
+            let threads = gateway.threads();
             gateway.signal(Signal::SIGKILL)?;
+            let since = before.map_or_else(|| "no earlier look".to_owned(), |before| threads.since(&before));
+            Gateway::note(&self.options.folder, &format!("still there at SIGKILL; {since}"))?;
             gateway.until_ended(now() + NEVER_READY)?;
         }
         Ok(())
