restartsoak: splits, drawn by seed: nodes cut off and answers torn, without restarts

--kind split draws them: silent, hanging and vanishing nodes, answers cut by a reset or an end, in chunks, without a length, in pieces with pauses, long ones; late and silent lists; slow writers, long bodies. The seeds of restarts draw what they drew. The check also judges what was not judged yet: an answer that no node made whole, and bytes that no request asked for.

--- a/crates/restartsoak/src/check/answers.rs
+++ b/crates/restartsoak/src/check/answers.rs
@@ -16,6 +16,12 @@
         };
         breaches.extend(found);
     }
+    let unasked = play.records.unasked.iter();
+    breaches.extend(unasked.map(|unasked| Breach {
+        rule: Rule::Untrue,
+        at: unasked.at,
+        what: format!("connection {}: bytes that no request asked for", unasked.connection),
+    }));
 }
 
 fn answered(play: &Play<'_>, request: &Request, status: u16, is_own: bool) -> Option<Breach> {
--- a/crates/restartsoak/src/client.rs
+++ b/crates/restartsoak/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::net::{SocketAddr, TcpStream};
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicI64, AtomicUsize, Ordering};
 use std::thread::{self, JoinHandle};
@@ -10,10 +11,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::http::{NoMessage, Side, Wire};
+use crate::http::{Message, NoMessage, Side, Wire};
 use crate::plan::{Effect, Plan};
-use crate::records::{MILLI, Micros, Outcome, Recorder, Request, SECOND, now};
+use crate::records::{MILLI, Micros, Outcome, Recorder, Request, SECOND, Unasked, now};
 use crate::settings::LARGEST;
+use crate::torn;
 
 /// A connect takes so long at most.
 const CONNECT: Duration = Duration::from_millis(200);
@@ -35,6 +37,8 @@
     Pipelines,
     /// Requests in pieces.
     SendsInPieces,
+    /// Requests in small pieces, almost as slowly as may be.
+    WritesSlowly,
     /// Goes before its answer.
     Leaves,
     /// A new connection for each request.
@@ -57,6 +61,21 @@
     Habit::ComesAnew,
 ];
 
+/// Clients that are there beside them where the plan is one of splits.
+const SLOW_HABITS: [Habit; 3] = [Habit::WritesSlowly, Habit::WritesSlowly, Habit::Pipelines];
+/// The pieces of a request that is written slowly, and the longest pause before one: well within the 2 s that a request may take to come.
+const SLOW_PIECES: RangeInclusive<usize> = 4..=8;
+const SLOW_PAUSE: Micros = 180 * MILLI;
+/// A long body, in words.
+const LONG_BODY: RangeInclusive<usize> = 100..=5_000;
+
+/// The habits of all clients of a plan.
+fn habits(plan: &Plan) -> Vec<Habit> {
+    let Some(split) = &plan.split else { return HABITS.to_vec() };
+    let crew = HABITS.iter().chain(&SLOW_HABITS);
+    crew.copied().cycle().take(split.crews * (HABITS.len() + SLOW_HABITS.len())).collect()
+}
+
 /// What clients see of the gateway beside its sockets.
 #[derive(Debug, Default)]
 pub(crate) struct Scene {
@@ -90,10 +109,10 @@
     scene: &Arc<Scene>,
     recorder: &Arc<Recorder>,
 ) -> Vec<JoinHandle<()>> {
-    let client = |(number, habit): (usize, &Habit)| {
+    let client = |(number, habit): (usize, Habit)| {
         let mut client = Client {
             number,
-            habit: *habit,
+            habit,
             plan: plan.clone(),
             gateway,
             scene: scene.clone(),
@@ -103,7 +122,7 @@
         };
         thread::spawn(move || client.run())
     };
-    HABITS.iter().enumerate().map(client).collect()
+    habits(plan).into_iter().enumerate().map(client).collect()
 }
 
 /// Starts idle clients that keep their connections open, and come again where these end.
@@ -148,6 +167,8 @@
     number: usize,
     place: usize,
     waiting: VecDeque<Request>,
+    /// From when on its last requests were written.
+    asked: Micros,
 }
 
 impl Client {
@@ -167,7 +188,7 @@
         let stream = TcpStream::connect_timeout(&self.gateway, CONNECT).ok()?;
         let wire = Wire::new(stream, Side::Client).ok()?;
         let number = self.scene.connections.fetch_add(1, Ordering::SeqCst);
-        Some(Open { wire, number, place: 0, waiting: VecDeque::new() })
+        Some(Open { wire, number, place: 0, waiting: VecDeque::new(), asked: 0 })
     }
 
     /// Uses a connection until it ends or the client does.
@@ -190,8 +211,10 @@
     fn send(&mut self, open: &mut Open, count: usize) -> bool {
         let drawn: Vec<(Request, String)> = (0..count).map(|n| self.draw(open, n)).collect();
         let text: String = drawn.iter().map(|(_, text)| text.as_str()).collect();
+        open.asked = now();
         let is_sent = match self.habit {
-            Habit::SendsInPieces => self.send_in_pieces(open, text.as_bytes()),
+            Habit::SendsInPieces => self.send_in_pieces(open, text.as_bytes(), 2..=4, 120 * MILLI),
+            Habit::WritesSlowly => self.send_in_pieces(open, text.as_bytes(), SLOW_PIECES, SLOW_PAUSE),
             _ => open.wire.write(text.as_bytes()).is_ok(),
         };
         let sent = now();
@@ -205,10 +228,16 @@
         is_sent
     }
 
-    fn send_in_pieces(&mut self, open: &mut Open, text: &[u8]) -> bool {
-        let size = text.len().div_ceil(self.random.random_range(2..=4));
+    fn send_in_pieces(
+        &mut self,
+        open: &mut Open,
+        text: &[u8],
+        pieces: RangeInclusive<usize>,
+        longest: Micros,
+    ) -> bool {
+        let size = text.len().div_ceil(self.random.random_range(pieces));
         text.chunks(size).all(|piece| {
-            pause(self.random.random_range(0..=120 * MILLI));
+            pause(self.random.random_range(0..=longest));
             open.wire.write(piece).is_ok()
         })
     }
@@ -221,7 +250,11 @@
         let units = self.random.random_range(1..LARGEST);
         let class = &self.plan.classes[class_number];
         let timeout = class.deadline / MILLI * MILLI;
-        let (method, body) = if class.effect == Effect::Safe { ("GET", "") } else { ("PUT", "posting") };
+        let (method, word) = if class.effect == Effect::Safe { ("GET", "") } else { ("PUT", "posting") };
+        // The platform's page bounds what is sent ahead to less than such a body. Plans of restarts draw nothing here.
+        let may_be_long = self.plan.split.is_some() && self.habit != Habit::Pipelines;
+        let is_long = may_be_long && self.random.random_bool(0.1);
+        let body = word.repeat(if is_long { self.random.random_range(LONG_BODY) } else { 1 });
         let mut fields = String::new();
         if matches!(class.effect, Effect::Keyed(_)) {
             fields += &format!("Idempotency-Key: k-{id}\r\n");
@@ -270,8 +303,11 @@
             let outcome = match open.wire.read(due + OVERDUE) {
                 Ok(answer) => {
                     stays = !answer.is_last();
+                    if answer.begun < open.asked {
+                        self.write_down_unasked(open);
+                    }
                     let status = answer.first.0.parse().unwrap_or(0);
-                    Outcome::Answered { status, is_own: answer.body == request.id.as_bytes() }
+                    Outcome::Answered { status, is_own: self.is_own(&answer, &request) }
                 }
                 Err(NoMessage::Ended) => Outcome::Ended,
                 Err(NoMessage::Cut) => Outcome::Cut,
@@ -279,10 +315,26 @@
             };
             stays &= matches!(outcome, Outcome::Answered { .. });
             self.write_down(request, outcome, now());
+            if matches!(outcome, Outcome::Answered { .. }) && open.waiting.is_empty() && open.wire.has_more()
+            {
+                self.write_down_unasked(open);
+            }
         }
         stays
     }
 
+    /// Whether an answer has the body that a node made for a request.
+    fn is_own(&self, answer: &Message, request: &Request) -> bool {
+        match self.plan.split {
+            Some(_) => torn::is_own(&answer.body, &request.id),
+            None => answer.body == request.id.as_bytes(),
+        }
+    }
+
+    fn write_down_unasked(&self, open: &Open) {
+        self.recorder.lock().unasked.push(Unasked { connection: open.number, at: now() });
+    }
+
     fn leave(&mut self, mut open: Open) {
         let at = now();
         let waiting = std::mem::take(&mut open.waiting);
--- a/crates/restartsoak/src/http.rs
+++ b/crates/restartsoak/src/http.rs
@@ -147,6 +147,11 @@
         self.stream.try_clone()
     }
 
+    /// Whether bytes have come that were not read as a message.
+    pub(crate) fn has_more(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
     fn end(&self) -> NoMessage {
         if self.buffer.is_empty() { NoMessage::Ended } else { NoMessage::Cut }
     }
@@ -214,6 +219,14 @@
     let _ = stream.shutdown(Shutdown::Both);
 }
 
+/// Breaks a connection off from another handle: whoever waits for it returns, and its last handle resets it.
+pub(crate) fn break_off(stream: &TcpStream) {
+    let linger = nix::libc::linger { l_onoff: 1, l_linger: 0 };
+    // One that has ended already needs no end.
+    let _ = setsockopt(stream, sockopt::Linger, &linger);
+    let _ = stream.shutdown(Shutdown::Read);
+}
+
 /// An answer with a body.
 pub(crate) fn answer(status: u16, fields: &str, body: &str) -> String {
     format!("HTTP/1.1 {status} Said\r\n{fields}Content-Length: {}\r\n\r\n{body}", body.len())
--- a/crates/restartsoak/src/lib.rs
+++ b/crates/restartsoak/src/lib.rs
@@ -2,6 +2,7 @@
 //! a seed.
 //!
 //! - [`plan`]: what a seed draws: settings, lives, signals, troubles.
+//! - [`split`]: what a seed of the other kind draws: nodes cut off and answers torn in the middle of a life, without restarts.
 //! - [`play`]: plays a plan against the program and gives its [`records::Records`].
 //! - [`check`]: holds the records against the rules of the platform. It shares no code with the program.
 //!
@@ -21,6 +22,8 @@
 pub mod play;
 pub mod records;
 mod settings;
+pub mod split;
+mod torn;
 mod trouble;
 
 pub use check::{Breach, check};
--- a/crates/restartsoak/src/main.rs
+++ b/crates/restartsoak/src/main.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Instant;
 
-use clap::Parser;
+use clap::{Parser, ValueEnum};
 use restartsoak::plan::Plan;
 use restartsoak::records::{Outcome, Records};
 use restartsoak::{Breach, Options, SoakError, check, play};
@@ -28,9 +28,12 @@
     /// How many seeds.
     #[arg(long, default_value_t = 50, value_parser = clap::value_parser!(u64).range(1..))]
     seeds: u64,
-    /// Lives of the process for each seed.
-    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=1000))]
-    lives: u16,
+    /// What each seed draws.
+    #[arg(long, value_enum, default_value_t = Kind::Restarts)]
+    kind: Kind,
+    /// Lives of the process for each seed; 4, or 1 of `split`, if it is not given.
+    #[arg(long, value_parser = clap::value_parser!(u16).range(1..=1000))]
+    lives: Option<u16>,
     /// Seeds played at once.
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u16).range(1..=64))]
     at_once: u16,
@@ -39,6 +42,24 @@
     out: PathBuf,
 }
 
+/// A kind of plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Kind {
+    /// Restarts, with troubles around them.
+    Restarts,
+    /// Nodes that are cut off and answers that are torn for some seconds, without restarts.
+    Split,
+}
+
+impl Arguments {
+    fn plan(&self, seed: u64) -> Plan {
+        match self.kind {
+            Kind::Restarts => Plan::draw(seed, usize::from(self.lives.unwrap_or(4))),
+            Kind::Split => Plan::draw_split(seed, usize::from(self.lives.unwrap_or(1))),
+        }
+    }
+}
+
 /// What became of a seed.
 struct Played {
     seed: u64,
@@ -71,7 +92,7 @@
 }
 
 fn one(arguments: &Arguments, seed: u64) -> Played {
-    let plan = Plan::draw(seed, usize::from(arguments.lives));
+    let plan = arguments.plan(seed);
     let folder = arguments.out.join(format!("seed-{seed}"));
     let result = fresh(&folder).and_then(|()| {
         let options = Options { program: arguments.program.clone(), folder: folder.clone() };
--- a/crates/restartsoak/src/node.rs
+++ b/crates/restartsoak/src/node.rs
@@ -11,11 +11,16 @@
 
 use crate::error::SoakError;
 use crate::http::{self, Message, Side, Wire};
+use crate::plan::Plan;
 use crate::records::{Attempt, Fate, MILLI, Micros, Recorder, SECOND, now};
 use crate::settings::IDLE_US;
+use crate::split::Severed;
+use crate::torn::{End, Script};
 
 /// The longest time that a request takes at a node.
 const LONGEST_SERVICE: Micros = 20 * MILLI;
+/// What a silent node read is never answered: it waits longer than any gateway.
+const NEVER: Micros = 60 * SECOND;
 /// How long a node hangs before it looks again whether it still does.
 const LOOK: Micros = 20 * MILLI;
 
@@ -29,6 +34,9 @@
     faults: [f64; 3],
     seed: u64,
     hangs: AtomicBool,
+    severed: Mutex<Option<Severed>>,
+    /// The part of its answers that is torn or comes in pieces.
+    torn: Mutex<f64>,
     /// Connections that are open, to be ended by a restart.
     open: Mutex<BTreeMap<u64, TcpStream>>,
     connections: AtomicU64,
@@ -38,7 +46,7 @@
     /// Starts one.
     pub(crate) fn start(
         number: usize,
-        faults: [f64; 3],
+        plan: &Plan,
         seed: u64,
         recorder: &Arc<Recorder>,
     ) -> Result<Arc<Node>, SoakError> {
@@ -48,9 +56,11 @@
             number,
             address,
             recorder: recorder.clone(),
-            faults,
+            faults: plan.node_faults,
             seed,
             hangs: AtomicBool::new(false),
+            severed: Mutex::default(),
+            torn: Mutex::new(plan.split.as_ref().map_or(0.0, |split| split.torn)),
             open: Mutex::default(),
             connections: AtomicU64::new(0),
         });
@@ -80,54 +90,85 @@
         open.values().for_each(http::shut);
     }
 
+    /// From now on it is cut off in some way, or is not any more.
+    pub(crate) fn sever(&self, severed: Option<Severed>) {
+        *self.severed.lock().unwrap_or_else(PoisonError::into_inner) = severed;
+        self.hang(severed == Some(Severed::Hangs));
+        if severed == Some(Severed::Vanishes) {
+            let open = std::mem::take(&mut *self.open.lock().unwrap_or_else(PoisonError::into_inner));
+            open.values().for_each(http::break_off);
+        }
+    }
+
+    /// From now on such a part of its answers is torn or comes in pieces.
+    pub(crate) fn tear(&self, part: f64) {
+        *self.torn.lock().unwrap_or_else(PoisonError::into_inner) = part;
+    }
+
+    fn severed(&self) -> Option<Severed> {
+        *self.severed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn serve(&self, stream: TcpStream) {
         let number = self.connections.fetch_add(1, Ordering::SeqCst);
         let Ok(mut wire) = Wire::new(stream, Side::Server) else { return };
         if let Ok(handle) = wire.handle() {
             self.open.lock().unwrap_or_else(PoisonError::into_inner).insert(number, handle);
         }
+        if self.severed() == Some(Severed::Vanishes) {
+            self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+            return wire.reset();
+        }
         let mut random = StdRng::seed_from_u64(self.seed ^ number << 8);
         while let Ok(request) = wire.read(now() + IDLE_US as Micros) {
-            let (fate, ended) = self.attempt(&request, &mut wire, &mut random);
+            let (fate, ended, end) = self.attempt(&request, &mut wire, &mut random);
             self.write_down(&request, fate, ended);
-            match fate {
-                Fate::Reset => {
+            match end {
+                End::Resets => {
                     wire.reset();
                     break;
                 }
-                Fate::Unanswered => break,
-                Fate::Served | Fate::Failed | Fate::TurnedAway => {}
+                End::Closes => break,
+                End::Stays => {}
             }
         }
         self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
     }
 
-    /// What becomes of an attempt, and when.
-    fn attempt(&self, request: &Message, wire: &mut Wire, random: &mut StdRng) -> (Fate, Micros) {
+    /// What becomes of an attempt, and when, and of its connection then.
+    fn attempt(&self, request: &Message, wire: &mut Wire, random: &mut StdRng) -> (Fate, Micros, End) {
         let [fails, turns_away, resets] = self.faults;
         let drawn: f64 = random.random();
         let service = random.random_range(MILLI..=LONGEST_SERVICE);
         if wire.ends_before(now() + service) {
-            return (Fate::Unanswered, now());
+            return unanswered();
         }
         while self.hangs.load(Ordering::SeqCst) {
             if wire.ends_before(now() + LOOK) {
-                return (Fate::Unanswered, now());
+                return unanswered();
             }
         }
+        if self.severed() == Some(Severed::Silent) {
+            wire.ends_before(now() + NEVER);
+            return unanswered();
+        }
         let id = request.field("x-request-id").unwrap_or_default();
+        let torn = *self.torn.lock().unwrap_or_else(PoisonError::into_inner);
+        if torn > 0.0 && random.random_bool(torn) {
+            return perform(&Script::draw(random, &id), wire);
+        }
         let (fate, text) = if drawn < fails {
             (Fate::Failed, http::answer(500, "", ""))
         } else if drawn < fails + turns_away {
             (Fate::TurnedAway, http::answer(503, "X-Not-Processed: 1\r\n", ""))
         } else if drawn < fails + turns_away + resets {
-            return (Fate::Reset, now());
+            return (Fate::Reset, now(), End::Resets);
         } else {
             (Fate::Served, http::answer(200, "", &id))
         };
         match wire.write(text.as_bytes()) {
-            Ok(()) => (fate, now()),
-            Err(_) => (Fate::Unanswered, now()),
+            Ok(()) => (fate, now(), End::Stays),
+            Err(_) => unanswered(),
         }
     }
 
@@ -144,3 +185,22 @@
         self.recorder.lock().attempts.push(attempt);
     }
 }
+
+fn unanswered() -> (Fate, Micros, End) {
+    (Fate::Unanswered, now(), End::Closes)
+}
+
+/// Sends an answer piece by piece, for as long as its connection stays.
+fn perform(script: &Script, wire: &mut Wire) -> (Fate, Micros, End) {
+    for (pause, piece) in &script.pieces {
+        if wire.ends_before(now() + pause) || wire.write(piece).is_err() {
+            return unanswered();
+        }
+    }
+    let (pause, end) = script.end;
+    // Behind an answer that is whole by its own framing its next request may come at once.
+    if end != End::Stays && wire.ends_before(now() + pause) {
+        return unanswered();
+    }
+    (script.fate, now(), end)
+}
--- a/crates/restartsoak/src/plan.rs
+++ b/crates/restartsoak/src/plan.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::records::{MILLI, Micros, SECOND};
+use crate::split::SplitPlan;
 
 /// The platform counts a longest deadline beyond this as this.
 pub const LONGEST_COUNTED: Micros = 3 * SECOND;
@@ -123,6 +124,8 @@
     pub discovery: Vec<DiscoveryTrouble>,
     /// The lives, in order.
     pub lives: Vec<LifePlan>,
+    /// What befalls nodes and answers in the middle of the lives, where the plan is one of splits.
+    pub split: Option<SplitPlan>,
 }
 
 impl Plan {
@@ -173,6 +176,7 @@
             node_faults: faults,
             discovery,
             lives,
+            split: None,
         }
     }
 
--- a/crates/restartsoak/src/play.rs
+++ b/crates/restartsoak/src/play.rs
@@ -20,7 +20,7 @@
 /// Nodes of each of the two shards.
 const NODES_OF_A_SHARD: usize = 2;
 /// Shards.
-const SHARDS: usize = 2;
+pub(crate) const SHARDS: usize = 2;
 /// A start that is not ready by then never is.
 const NEVER_READY: Micros = 30 * SECOND;
 /// How often due acts are looked for.
@@ -69,10 +69,10 @@
 impl Stage {
     fn set_up(plan: &Arc<Plan>, options: &Options) -> Result<Stage, SoakError> {
         let recorder = Arc::new(Recorder::default());
-        let count = SHARDS * NODES_OF_A_SHARD;
+        let count = SHARDS * plan.split.as_ref().map_or(NODES_OF_A_SHARD, |split| split.nodes_of_a_shard);
         let node = |number: usize| {
             let seed = plan.seed.wrapping_mul(7_919).wrapping_add(number as u64);
-            Node::start(number, plan.node_faults, seed, &recorder)
+            Node::start(number, plan, seed, &recorder)
         };
         let nodes: Vec<Arc<Node>> = (0..count).map(node).collect::<Result<_, _>>()?;
         let listed: Vec<(SocketAddr, usize)> =
@@ -120,6 +120,8 @@
                 life.ready = gateway.until_ready(life.started + NEVER_READY)?;
                 let ends = now() + serves;
                 troubles.plan_service(number, plan, self.plan.discovery[number], ends);
+                let torn = self.plan.split.as_ref().map_or(0.0, |split| split.torn);
+                troubles.plan_cuts(self.plan.cuts(number), torn);
                 self.pass(ends, &mut gateway, troubles)?;
             }
             None => pause(EARLY_END),
--- a/crates/restartsoak/src/records.rs
+++ b/crates/restartsoak/src/records.rs
@@ -79,6 +79,8 @@
     TurnedAway,
     /// The connection was reset.
     Reset,
+    /// A part of an answer was sent, and then the connection ended or was reset.
+    Torn,
     /// The gateway ended the connection, or the soak did, before an answer.
     Unanswered,
 }
@@ -183,11 +185,22 @@
     pub until: Micros,
 }
 
+/// Bytes for a client that it had not asked for: a second answer, or one before its request.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Unasked {
+    /// The client's connection.
+    pub connection: usize,
+    /// When they were seen.
+    pub at: Micros,
+}
+
 /// All that was seen of one play.
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Records {
     /// Requests of clients.
     pub requests: Vec<Request>,
+    /// What came without a request.
+    pub unasked: Vec<Unasked>,
     /// Attempts at nodes.
     pub attempts: Vec<Attempt>,
     /// Changes of the list.
--- a/crates/restartsoak/src/trouble.rs
+++ b/crates/restartsoak/src/trouble.rs
@@ -12,17 +12,20 @@
 use crate::node::Node;
 use crate::plan::{DiscoveryTrouble, LifePlan};
 use crate::records::{self, Micros, Phase, Recorder, Stop, now};
+use crate::split::{Cut, Severed};
 
 /// Watches fall silent so long after a life is ready.
 const WATCHED: Micros = 300 * records::MILLI;
 
 /// Something that happens at a moment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 enum Act {
     Drain(usize),
     Restart(usize),
     Stop(Micros),
     Hang(usize, bool),
+    Sever(usize, Option<Severed>),
+    Tear(f64),
     Discovery(DiscoveryTrouble),
     DiscoveryReturns,
 }
@@ -76,6 +79,24 @@
         self.acts.sort_by_key(|(at, _)| *at);
     }
 
+    /// The cuts of a life that begins to serve now; outside them such a part of all answers is torn.
+    pub(crate) fn plan_cuts(&mut self, cuts: &[Cut], torn: f64) {
+        let begins = now();
+        for cut in cuts {
+            let (from, until) = (begins + cut.from, begins + cut.from + cut.span);
+            for &(node, severed) in &cut.severed {
+                self.acts.push((from, Act::Sever(node, Some(severed))));
+                self.acts.push((until, Act::Sever(node, None)));
+                if severed == Severed::Vanishes {
+                    self.acts.push((until, Act::Restart(node)));
+                }
+            }
+            self.acts.extend([(from, Act::Tear(cut.torn)), (until, Act::Tear(torn))]);
+            self.acts.extend([(from, Act::Discovery(cut.lists)), (until, Act::DiscoveryReturns)]);
+        }
+        self.acts.sort_by_key(|(at, _)| *at);
+    }
+
     /// What must not outlast a life: a hanging node goes on.
     pub(crate) fn end_life(&mut self) {
         self.nodes.iter().for_each(|node| node.hang(false));
@@ -97,6 +118,8 @@
                 Act::Restart(node) => self.restart(node),
                 Act::Stop(span) => self.stop(gateway, scene, span)?,
                 Act::Hang(node, hangs) => self.nodes[node].hang(hangs),
+                Act::Sever(node, severed) => self.nodes[node].sever(severed),
+                Act::Tear(part) => self.nodes.iter().for_each(|node| node.tear(part)),
                 Act::Discovery(trouble) => self.trouble_discovery(trouble),
                 Act::DiscoveryReturns => self.discovery_returns(),
             }
--- a/crates/restartsoak/tests/check.rs
+++ b/crates/restartsoak/tests/check.rs
@@ -4,7 +4,7 @@
 use restartsoak::check::Rule;
 use restartsoak::plan::Plan;
 use restartsoak::records::{
-    Attempt, Change, Discovery, Fate, Life, MILLI, Micros, Outcome, Phase, Records, Request, SECOND,
+    Attempt, Change, Discovery, Fate, Life, MILLI, Micros, Outcome, Phase, Records, Request, SECOND, Unasked,
 };
 
 /// When the play begins.
@@ -109,6 +109,38 @@
     assert_eq!(refused, [Rule::Untrue]);
 }
 
+#[test]
+fn an_answer_that_is_not_whole_or_not_asked_for_is_found() {
+    let torn = |outcome| {
+        with(|r| {
+            r.requests.push(request("b", SAFE, SECOND, outcome, SECOND + 20 * MILLI));
+            r.attempts.push(attempt("b", 0, SECOND, Fate::Torn, SECOND + 10 * MILLI));
+        })
+    };
+    assert_eq!(torn(SERVED), [Rule::Untrue], "no node made a whole answer");
+    assert_eq!(torn(Outcome::Answered { status: 502, is_own: false }), []);
+    let refused = with(|r| {
+        r.requests.push(request("b", ONCE, SECOND, REFUSED, SECOND + 20 * MILLI));
+        r.attempts.push(attempt("b", 0, SECOND, Fate::Torn, SECOND + 10 * MILLI));
+    });
+    assert_eq!(refused, [Rule::Untrue], "it may have run");
+    let unasked = with(|r| r.unasked.push(Unasked { connection: 0, at: BEGIN + SECOND }));
+    assert_eq!(unasked, [Rule::Untrue]);
+}
+
+#[test]
+fn a_seed_of_restarts_draws_no_split_and_one_of_splits_no_restart() {
+    let restarts = Plan::draw(7, 3);
+    assert!(restarts.split.is_none());
+    let splits = Plan::draw_split(7, 3);
+    assert_eq!(splits.lives.len(), 3);
+    assert!(splits.lives.iter().all(|life| life.restarts.is_none() && life.stops.is_empty()));
+    let split = splits.split.expect("what a split draws");
+    let nodes = 2 * split.nodes_of_a_shard;
+    let cuts: Vec<_> = split.cuts.iter().flatten().collect();
+    assert!(cuts.len() >= 3 && cuts.iter().all(|cut| 5 * cut.severed.len() >= nodes), "a fifth and more");
+}
+
 #[test]
 fn attempts_that_must_not_be_are_found() {
     let again = with(|r| {
