restartsoak: splits cut nodes off so that connections do not come up, and descriptors may be short

In a partition a connection to a node is neither refused nor taken. A node that is unreachable narrows its queue to none, so that the system drops what comes; and gateways with one crew of clients have 96 descriptors, with three 224, so that connections to nodes that say nothing hold what others want.

--- a/crates/restartsoak/src/node.rs
+++ b/crates/restartsoak/src/node.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
 
+use nix::sys::socket::{Backlog, listen};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -35,6 +36,7 @@
     seed: u64,
     hangs: AtomicBool,
     severed: Mutex<Option<Severed>>,
+    changed: Condvar,
     /// The part of its answers that is torn or comes in pieces.
     torn: Mutex<f64>,
     /// Connections that are open, to be ended by a restart.
@@ -60,6 +62,7 @@
             seed,
             hangs: AtomicBool::new(false),
             severed: Mutex::default(),
+            changed: Condvar::new(),
             torn: Mutex::new(plan.split.as_ref().map_or(0.0, |split| split.torn)),
             open: Mutex::default(),
             connections: AtomicU64::new(0),
@@ -68,6 +71,10 @@
         // It ends with the process.
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if own.severed() == Some(Severed::Unreachable) {
+                    own.stay_away(&listener, stream);
+                    continue;
+                }
                 let own = own.clone();
                 thread::spawn(move || own.serve(stream));
             }
@@ -75,6 +82,23 @@
         Ok(node)
     }
 
+    /// Takes no connection until it is reachable again: the first and the one that the system still brings up stay without a word, the others
+    /// do not come up. None of them is served afterwards.
+    fn stay_away(&self, listener: &TcpListener, first: TcpStream) {
+        // Where the system does not narrow it, it is a silent node.
+        let _ = Backlog::new(0).and_then(|none| listen(listener, none));
+        let severed = self.severed.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_away = |severed: &mut Option<Severed>| *severed == Some(Severed::Unreachable);
+        drop(self.changed.wait_while(severed, is_away));
+        drop(first);
+        if listener.set_nonblocking(true).is_ok() {
+            while listener.accept().is_ok() {}
+        }
+        // Without these it would serve nobody again, which the play's own check of served requests shows.
+        let _ = listener.set_nonblocking(false);
+        let _ = listen(listener, Backlog::MAXCONN);
+    }
+
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
     }
@@ -93,6 +117,7 @@
     /// From now on it is cut off in some way, or is not any more.
     pub(crate) fn sever(&self, severed: Option<Severed>) {
         *self.severed.lock().unwrap_or_else(PoisonError::into_inner) = severed;
+        self.changed.notify_all();
         self.hang(severed == Some(Severed::Hangs));
         if severed == Some(Severed::Vanishes) {
             let open = std::mem::take(&mut *self.open.lock().unwrap_or_else(PoisonError::into_inner));
@@ -148,7 +173,7 @@
                 return unanswered();
             }
         }
-        if self.severed() == Some(Severed::Silent) {
+        if matches!(self.severed(), Some(Severed::Silent | Severed::Unreachable)) {
             wire.ends_before(now() + NEVER);
             return unanswered();
         }
--- a/crates/restartsoak/src/split.rs
+++ b/crates/restartsoak/src/split.rs
@@ -13,8 +13,8 @@
 const SPAN: std::ops::RangeInclusive<Micros> = 1_500..=3_000;
 /// A life goes on so long behind its last cut.
 const AFTER: std::ops::RangeInclusive<Micros> = 800..=2_000;
-/// Descriptors, so that no client of the largest crew is kept waiting for a place.
-const SOCKETS: usize = 512;
+/// Descriptors by the number of crews, so that no client is kept waiting for a place; those for connections to nodes may be short.
+const SOCKETS: [(usize, usize); 3] = [(1, 96), (3, 224), (8, 512)];
 
 /// How a node is cut off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -25,6 +25,8 @@
     Hangs,
     /// Its connections are reset, as are all that come; it returns cold.
     Vanishes,
+    /// As silent, and hardly a new connection to it comes up.
+    Unreachable,
 }
 
 /// Some seconds in which nodes are cut off.
@@ -66,9 +68,10 @@
         plan.lives = cuts.iter().map(|cuts| life(random, cuts)).collect();
         plan.discovery = vec![DiscoveryTrouble::None; lives];
         plan.budget = (2 * SECOND, f64::from(random.random_range(3..=20)), random.random_range(0.15..0.5));
-        (plan.sockets, plan.crowd) = (SOCKETS, 0);
         let crews =
             if random.random_bool(0.3) { random.random_range(5..=8) } else { random.random_range(1..=3) };
+        plan.sockets = SOCKETS.iter().find(|(most, _)| crews <= *most).map_or(512, |(_, sockets)| *sockets);
+        plan.crowd = 0;
         plan.split = Some(SplitPlan { nodes_of_a_shard, crews, torn: random.random_range(0.0..0.08), cuts });
         plan
     }
@@ -95,7 +98,7 @@
 fn cut(random: &mut StdRng, nodes: usize, from: Micros) -> Cut {
     let count = random.random_range(nodes.div_ceil(5)..=nodes / 2);
     let all: Vec<usize> = (0..nodes).collect();
-    let ways = [Severed::Silent, Severed::Silent, Severed::Hangs, Severed::Vanishes];
+    let ways = [Severed::Silent, Severed::Unreachable, Severed::Hangs, Severed::Vanishes];
     let nodes: Vec<usize> = all.choose_multiple(random, count).copied().collect();
     let severed = nodes
         .into_iter()
