restartsoak: a late answer is told with the time at which it was at its client's socket

Beside heavy load answers counted as lost that the gateway's log had as given in time. The client's thread had read them late. The kernel's time of their last byte is now in the records and in the words of the breach; the judgement is as it was.

--- a/crates/restartsoak/src/check/answers.rs
+++ b/crates/restartsoak/src/check/answers.rs
@@ -28,7 +28,11 @@
     let attempts = play.attempts_of(request);
     let over = request.due + LATE + SLACK + play.stopped(request.ended);
     let (rule, what) = if request.ended > over {
-        (Rule::Lost, format!("its answer came {} ms late", (request.ended - over + LATE) / MILLI))
+        // A client's thread without a processor reads late; the judgement is by its time all the same.
+        let at_socket = request.arrived.map_or(String::new(), |arrived| {
+            format!(", and was at its socket {} ms behind its time", (arrived - request.due) / MILLI)
+        });
+        (Rule::Lost, format!("its answer came {} ms late{at_socket}", (request.ended - over + LATE) / MILLI))
     } else if status == 200 && !(is_own && attempts.iter().any(|a| a.fate == Fate::Served)) {
         (Rule::Untrue, "it was served with something that no node made for it".to_owned())
     } else if matches!(status, 429 | 503)
--- a/crates/restartsoak/src/client.rs
+++ b/crates/restartsoak/src/client.rs
@@ -289,6 +289,7 @@
             due: 0,
             outcome: Outcome::Silent,
             ended: 0,
+            arrived: None,
         };
         (request, text)
     }
@@ -306,6 +307,7 @@
                     if answer.begun < open.asked {
                         self.write_down_unasked(open);
                     }
+                    request.arrived = Some(answer.whole);
                     let status = answer.first.0.parse().unwrap_or(0);
                     Outcome::Answered { status, is_own: self.is_own(&answer, &request) }
                 }
--- a/crates/restartsoak/src/records.rs
+++ b/crates/restartsoak/src/records.rs
@@ -66,6 +66,8 @@
     pub outcome: Outcome,
     /// When it ended; for [`Outcome::Left`] the moment before the close.
     pub ended: Micros,
+    /// When the last byte of its answer was at the client's socket, by the kernel.
+    pub arrived: Option<Micros>,
 }
 
 /// What a node did with an attempt.
--- a/crates/restartsoak/tests/check.rs
+++ b/crates/restartsoak/tests/check.rs
@@ -38,6 +38,7 @@
         due,
         outcome,
         ended,
+        arrived: None,
     }
 }
 
