--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -193,10 +193,12 @@
     pub(super) fn client_gone(&mut self, now: Micros, id: u64, end: End) {
         let Some(client) = self.clients.remove(&id) else { return };
         self.agenda.remove(&client, id);
-        if let Some((request, _)) = client.open
-            && let Some(pending) = self.withdraw(now, request)
-        {
-            self.unanswered.push(pending.unanswered(now, Cause::ClientEnded(end)));
+        if let Some((request, _)) = client.open {
+            match self.withdraw(now, request) {
+                Some(pending) => self.unanswered.push(pending.unanswered(now, Cause::ClientEnded(end))),
+                // Its answer was made and did not come here: there is no known way to that.
+                None => tracing::warn!(client = id, ?request, ?end, "no answer: its request is over"),
+            }
         }
         self.outputs.push(Output::Close(SocketId::Client(id)));
         self.make_room(now);
