--- a/crates/decisions/src/queue.rs
+++ b/crates/decisions/src/queue.rs
@@ -131,9 +131,9 @@
     /// Keeps as many of those that need a right in the queues as may find one; whether one was moved.
     ///
     /// Danger: rights come as requests are served, so that what is refused for want of one could go out
-    /// within a millisecond. As many as may wait do so, out of the queues, where they would hold up what needs
-    /// none. The others are answered at once, so that their clients come back when told. Harm: what waits in
-    /// vain is answered that much later.
+    /// within a millisecond. As many as may wait do so, out of the queues, where they would hold up others.
+    /// The rest is answered at once, so that its clients come back when told. Harm: what waits in vain is
+    /// answered that much later.
     fn keep_to_rights(&mut self, shard_id: ShardId, rights: Rights) -> bool {
         let Some(shard) = self.mem.shards.get(&shard_id) else { return false };
         let places = match rights.left {
