Review: a keyed write is sent again after the nodes have forgotten it

Cause: on the NVMe path an attempt that waits for a new connection to its node is submitted when that is up, without being looked at again; the window of its key may be over by then.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,6 +1,7 @@
 //! The stand-ins and drivers of the review's cases. Usage: standins CASE ROOT CASE_FOLDER TEMPORARY_FOLDER
 
 mod common;
+mod late_link;
 mod nvme_client;
 mod stray_data;
 
@@ -12,6 +13,7 @@
     let (root, case, temporary) = (folder(2), folder(3), folder(4));
     let ended = common::Record::create(&case.join("record.txt")).and_then(|record| {
         let ended = match args.get(1).map(String::as_str) {
+            Some("late-link") => late_link::run(&root, &temporary, &record),
             Some("stray-data") => stray_data::run(&root, &temporary, &record),
             _ => Err("unknown case".into()),
         };
