Review: requests sent at once on one connection are read and never answered

Cause: the platform's gateway keeps 16 KiB of what comes behind an open request, throws the rest away and ends the connection behind the open request's answer, with whole requests unanswered.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -3,6 +3,8 @@
 mod common;
 mod late_link;
 mod nvme_client;
+mod pipeline;
+mod platform;
 mod stray_data;
 
 use std::path::PathBuf;
@@ -15,6 +17,7 @@
         let ended = match args.get(1).map(String::as_str) {
             Some("late-link") => late_link::run(&root, &temporary, &record),
             Some("stray-data") => stray_data::run(&root, &temporary, &record),
+            Some("pipeline") => pipeline::run(&root, &temporary, &record),
             _ => Err("unknown case".into()),
         };
         if let Err(why) = &ended {
