--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -1,7 +1,7 @@
 //! What the cases share: child processes, free addresses, the record, and small parsing.
 
 use std::fs::File;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -68,6 +68,16 @@
         found.map(|(_, c)| c).ok_or(format!("no process {name}"))
     }
 
+    /// Waits for the end of a child that writes a bounded text; returns what it wrote.
+    pub fn output(&mut self, name: &str) -> Result<String, String> {
+        let child = self.child(name)?;
+        let mut out = child.stdout.take().ok_or("no output")?;
+        let mut text = String::new();
+        out.read_to_string(&mut text).map_err(|e| e.to_string())?;
+        child.wait().map_err(|e| e.to_string())?;
+        Ok(text)
+    }
+
     /// Sends SIGTERM to a child and waits for its end.
     pub fn terminate(&mut self, name: &str, within: Duration) -> Result<(), String> {
         let child = self.child(name)?;
--- a/review/standins/late_link.rs
+++ b/review/standins/late_link.rs
@@ -200,8 +200,8 @@
 
     let out = path("out");
     let mut command = crowbay(&["load", &path("load.toml"), "--out", &out, "--gateway", &gateway]);
-    let client = command.output().map_err(|e| e.to_string())?;
-    for line in String::from_utf8_lossy(&client.stdout).lines() {
+    children.start("load", &mut command, folder)?;
+    for line in children.output("load")?.lines() {
         record.line(format!("client: {line}"));
     }
     std::thread::sleep(Duration::from_secs(2));
--- a/review/standins/stray_data.rs
+++ b/review/standins/stray_data.rs
@@ -3,7 +3,7 @@
 //! brings 512 bytes of data that a Read has no use for. Without the trouble it sends the same Read without them.
 
 use std::path::Path;
-use std::process::{Command, Stdio};
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use crate::common::*;
@@ -156,8 +156,7 @@
     record.line(format!("gateway at {gateway}; malformed command: {trouble}"));
 
     let mut command = crowbay(&["load", &path("load.toml"), "--out", &path("out"), "--gateway", &gateway]);
-    command.arg("--json").stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
-    let client = command.spawn().map_err(|e| e.to_string())?;
+    children.start("load", command.arg("--json"), folder)?;
     std::thread::sleep(Duration::from_secs(4));
 
     let mut host = Host::connect(&gateway, SUBSYSTEM).map_err(|e| format!("the second client: {e}"))?;
@@ -172,9 +171,8 @@
         Ok(done) => record.line(format!("second client: status {:#x}, {} bytes", done.status, done.data)),
         Err(error) => record.line(format!("second client: the connection ended: {error}")),
     }
-    let output = client.wait_with_output().map_err(|e| e.to_string())?;
-    let summary = String::from_utf8_lossy(&output.stdout).into_owned();
-    let progress = String::from_utf8_lossy(&output.stderr).into_owned();
+    let summary = children.output("load")?;
+    let progress = std::fs::read_to_string(folder.join("load.log")).unwrap_or_default();
     progress.lines().for_each(|line| record.line(format!("client: {line}")));
     let count = |name: &str| json_field(&summary, name).and_then(|t| t.parse::<u64>().ok());
     let (served, lost) = (count("served").unwrap_or(0), count("lost").unwrap_or(0));
