A command with data that it does not take is turned down before anything is done with it

Cause: `wanted_data` returned 0 for every command that does not move data from the host, before it looked at the bytes that had come; `io` handed them on with the Read, and `Core::send` sliced them by the length of the blocks. Change: one table (nvme/src/transfer.rs) has direction, descriptors and length of the data of each command, admin, Fabrics and I/O, and is asked before a command is carried out; `wanted_data` is gone. Data that a command does not take gets Data SGL Length Invalid, the connection goes on. A Connect without its data in the capsule, which was asked for it and then terminated, gets a status too; metadata is Invalid Field, as docs/nvme.md said. session.rs is split by the commands' queues. Why it works: a Read is handed on only if its capsule brought nothing, so that no data can be shorter than its blocks. That `core` trusts its front is the next fault.

--- a/crates/gateway/tests/path/clients.rs
+++ b/crates/gateway/tests/path/clients.rs
@@ -163,3 +163,30 @@
     }
     assert!(alive.is_up());
 }
+
+/// Guards against data that a command does not take: it was sliced by the length of the command's blocks, which
+/// ended the engine and left all commands of all hosts without an answer.
+#[test]
+fn a_read_with_data_in_its_capsule_is_turned_down_and_other_hosts_are_served() {
+    let bed = TestBed::new();
+    let host = bed.host(1);
+    let sender = NonReadingHost::new(&bed);
+    for opcode in [opcode::READ, opcode::FLUSH, opcode::WRITE_ZEROES] {
+        let mut sqe = Sqe::blocks(opcode, 1, 7, 1);
+        let length = if opcode == opcode::READ { 4096 } else { 0 };
+        sqe.set_sgl(nvme::Sgl::Transport { length });
+        let mut out = bytes::BytesMut::new();
+        nvme::Pdu::CapsuleCmd { sqe: sqe.0, data: Bytes::from(vec![0; 512]), intact: true }
+            .encode(Digests::default(), &mut out);
+        (&sender.stream).write_all(&out).unwrap();
+        let mut response = [0; 24];
+        (&sender.stream).set_read_timeout(Some(TIMEOUT)).unwrap();
+        (&sender.stream).read_exact(&mut response).expect("an answer");
+        assert_eq!(response[0], 5, "CapsuleResp");
+        let status = nvme::Cqe::from_bytes(response[8..].try_into().unwrap()).status;
+        assert_eq!(status, nvme::Status::permanent(StatusCode::DataSglLengthInvalid), "opcode {opcode:#x}");
+    }
+    host.read(1, 1, 0, 1, 4096, 6).unwrap();
+    served(&bed.answer());
+    assert_eq!(bed.status().taken, 1, "none of the others became a request");
+}
--- a/crates/nvme/src/command.rs
+++ b/crates/nvme/src/command.rs
@@ -141,6 +141,14 @@
     pub fn opcode(&self) -> u8 {
         self.0[0]
     }
+    /// Whether it is part of a fused operation (Base 3.3.3.1).
+    pub fn is_fused(&self) -> bool {
+        self.0[1] & 3 != 0
+    }
+    /// Whether metadata is described by an SGL segment of its own (Base 3.3.3.1, PSDT).
+    pub fn has_metadata(&self) -> bool {
+        self.0[1] & 0x80 != 0
+    }
     /// Command identifier.
     pub fn cid(&self) -> u16 {
         le16(&self.0, 2)
--- a/crates/nvme/src/lib.rs
+++ b/crates/nvme/src/lib.rs
@@ -18,6 +18,7 @@
 mod session;
 mod status;
 mod target;
+mod transfer;
 
 pub use command::*;
 pub use decoder::{Decoder, Side};
--- a/crates/nvme/src/session.rs
+++ b/crates/nvme/src/session.rs
@@ -1,91 +1,30 @@
 //! The controller's side of one connection: one queue of one association.
 
+mod admin_commands;
+mod exchange;
+mod fabrics_commands;
+mod io_commands;
+
 use std::collections::{HashMap, VecDeque};
 
 use bytes::{Bytes, BytesMut};
 
 use crate::Micros;
-use crate::command::*;
+pub use exchange::{Completion, IoCommand, Output};
+
+use crate::command::{Cqe, Sqe, admin, fabrics};
 use crate::decoder::{Decoder, Side};
-use crate::identify::{self, ASYNC_EVENTS, ControllerIdentity};
 use crate::pdu::{Digests, Pdu, TermReason};
 use crate::status::{Retry, Status, StatusCode};
 use crate::target::{Admission, Target};
+use crate::transfer::{
+    ADMIN_IN_CAPSULE, DataSource, Refusal, admin_transfer, fabrics_transfer, io_transfer, refuse,
+};
 use gather::PduSink;
 
-/// Data bytes that an admin capsule may hold (TCP 3.5: 8,192 bytes).
-const ADMIN_IN_CAPSULE: u32 = 8192;
 /// Data bytes in one C2HData PDU at most.
 const C2H_CHUNK: usize = 128 * 1024;
 
-/// A checked command on blocks, all its data received.
-#[derive(Clone, Debug)]
-pub struct IoCommand {
-    /// Names the command in [`Session::complete`].
-    pub cid: u16,
-    /// [`io::READ`], [`io::WRITE`], [`io::FLUSH`] or [`io::COMPARE`]; Write Zeroes comes as a write of zeroes.
-    pub opcode: u8,
-    /// Namespace.
-    pub nsid: u32,
-    /// First block.
-    pub slba: u64,
-    /// Blocks; 0 for Flush.
-    pub blocks: u32,
-    /// Data of a write, or what a read is to be compared with.
-    pub data: Bytes,
-    /// Token of a keyed write; 0: none.
-    pub token: u64,
-    /// Repeats are to be discarded by the token, on the node's leg.
-    pub keyed: bool,
-    /// Attempt's number on the node's leg.
-    pub attempt: u32,
-    /// When its capsule came; data that an R2T asked for comes later.
-    pub began: Micros,
-}
-
-/// How a command ended.
-#[derive(Clone, Debug)]
-pub struct Completion {
-    /// Status.
-    pub status: Status,
-    /// Dword 0 of the completion.
-    pub dw0: u32,
-    /// Dword 1.
-    pub dw1: u32,
-    /// Data of a read that succeeded.
-    pub data: Bytes,
-}
-
-impl Completion {
-    /// An end without data.
-    pub fn of(status: Status) -> Self {
-        Completion { status, dw0: 0, dw1: 0, data: Bytes::new() }
-    }
-}
-
-/// What a session asks of its owner.
-#[derive(Clone, Debug)]
-pub enum Output {
-    /// Carry out a command and call [`Session::complete`], in any order.
-    Command(IoCommand),
-    /// Abort a command of queue `sqid` if it has not gone out; then [`Session::complete`] this admin command
-    /// with dword 0 as 0 (aborted) or 1 (not).
-    Abort {
-        /// The Abort command itself.
-        cid: u16,
-        /// Queue of the command to abort.
-        sqid: u16,
-        /// The command to abort.
-        target: u16,
-    },
-    /// The connection is now this queue of this association.
-    Bound(Admission),
-    /// The association is over: its other connections are to be closed.
-    Ended(u16),
-    /// Send what is to be sent, then close. The reason, where it is a fault.
-    Close(Option<TermReason>),
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     /// Before ICReq.
@@ -131,12 +70,6 @@
     outputs: &'a mut Vec<Output>,
 }
 
-type Refusal = (Status, u32);
-
-fn refuse(code: StatusCode) -> Refusal {
-    (Status::permanent(code), 0)
-}
-
 impl Session {
     /// A fresh connection. `digests` are those that the controller is ready to use.
     pub fn new(target: &Target, digests: Digests) -> Self {
@@ -271,9 +204,9 @@
             self.respond(cid, refuse(StatusCode::CommandIdConflict), cx.out);
             return Ok(());
         }
-        match self.wanted_data(&sqe, &data, cx.target) {
+        match self.judge(&sqe, data.len(), cx.target) {
             Err(refusal) => self.respond(cid, refusal, cx.out),
-            Ok(length) if length > 0 && data.is_empty() => {
+            Ok(DataSource::Host(length)) => {
                 let ttag = self.next_ttag;
                 self.next_ttag = self.next_ttag.wrapping_add(1);
                 // Grown as data comes, so that a host which only announces data holds no memory.
@@ -282,45 +215,32 @@
                 self.slots.insert(cid, slot);
                 Pdu::R2T { cid, ttag, offset: 0, length: length as u32 }.encode(self.digests, cx.out);
             }
-            Ok(_) if !intact => {
+            Ok(DataSource::Capsule) if !intact => {
                 self.respond(cid, (Status::passing(StatusCode::TransientTransportError), 0), cx.out)
             }
-            Ok(_) => self.execute(sqe, data, cx),
+            Ok(DataSource::Capsule) => self.execute(sqe, data, cx),
         }
         Ok(())
     }
 
-    /// How many bytes of data a command brings; checks its descriptor against what came in the capsule.
-    fn wanted_data(&self, sqe: &Sqe, data: &Bytes, target: &Target) -> Result<usize, Refusal> {
-        let direction = if sqe.opcode() == admin::FABRICS { sqe.fctype() } else { sqe.opcode() } & 3;
-        if sqe.0[1] & 3 != 0 {
-            return Err(refuse(StatusCode::InvalidField)); // Fused operations.
-        }
-        if direction != 1 {
-            return Ok(0);
+    /// Judges a command by its entry and the bytes of data that came with it, before anything is done with it.
+    fn judge(&self, sqe: &Sqe, brought: usize, target: &mut Target) -> Result<DataSource, Refusal> {
+        if sqe.is_fused() || sqe.has_metadata() {
+            return Err(refuse(StatusCode::InvalidField));
         }
-        let connect = sqe.opcode() == admin::FABRICS;
-        let on_io_queue = matches!(self.phase, Phase::Bound(a) if a.qid > 0);
-        let capsule = if connect || !on_io_queue { ADMIN_IN_CAPSULE } else { target.options.in_capsule };
-        match sqe.sgl() {
-            Sgl::InCapsule { offset, .. } if offset != 0 => Err(refuse(StatusCode::SglOffsetInvalid)),
-            Sgl::InCapsule { length, .. } if length as usize != data.len() || length > capsule => {
-                Err(refuse(StatusCode::DataSglLengthInvalid))
-            }
-            Sgl::InCapsule { length, .. } => Ok(length as usize),
-            Sgl::Transport { length } if length > target.options.max_transfer() => {
-                Err(refuse(StatusCode::InvalidField))
+        let is_connect = sqe.opcode() == admin::FABRICS && sqe.fctype() == fabrics::CONNECT;
+        let (transfer, in_capsule) = match (self.phase, sqe.opcode()) {
+            (Phase::Open, _) if !is_connect => return Err(refuse(StatusCode::CommandSequenceError)),
+            (_, admin::FABRICS) => (fabrics_transfer(sqe)?, ADMIN_IN_CAPSULE),
+            (Phase::Bound(at), _) if !target.is_ready(at.cntlid) => {
+                return Err(refuse(StatusCode::CommandSequenceError));
             }
-            Sgl::Transport { .. } if !data.is_empty() => Err(refuse(StatusCode::DataSglLengthInvalid)),
-            Sgl::Transport { length } => {
-                // Checked before the data is asked for, so that a bad range moves none.
-                if on_io_queue && matches!(sqe.opcode(), io::WRITE | io::COMPARE) {
-                    self.check_range(sqe, length, target)?;
-                }
-                Ok(length as usize)
+            (Phase::Bound(at), _) if at.qid > 0 => {
+                (io_transfer(sqe, target.options.optional)?, target.options.in_capsule)
             }
-            Sgl::Unsupported(_) => Err(refuse(StatusCode::SglDescriptorTypeInvalid)),
-        }
+            _ => (admin_transfer(sqe)?, ADMIN_IN_CAPSULE),
+        };
+        transfer.check(sqe, in_capsule, brought, target)
     }
 
     fn data(&mut self, chunk: Pdu, cx: &mut Cx<'_>) -> Result<(), TermReason> {
@@ -365,7 +285,7 @@
                 self.connect(&sqe, &data, cx)
             }
             (Phase::Bound(a), admin::FABRICS) => self.fabrics(&sqe, a, cx),
-            (Phase::Bound(a), _) if cx.target.association(a.cntlid).is_none_or(|x| x.csts & 1 == 0) => {
+            (Phase::Bound(a), _) if !cx.target.is_ready(a.cntlid) => {
                 Err(refuse(StatusCode::CommandSequenceError))
             }
             (Phase::Bound(a), _) if a.qid == 0 => self.admin(&sqe, &data, a.cntlid, cx),
@@ -379,198 +299,6 @@
         }
     }
 
-    fn connect(&mut self, sqe: &Sqe, data: &[u8], cx: &mut Cx<'_>) -> Result<Option<Completion>, Refusal> {
-        if sqe.cdw(10) as u16 != 0 {
-            return Err(refuse(StatusCode::ConnectIncompatibleFormat));
-        }
-        let Some(wanted) = ConnectData::from_bytes(data) else {
-            return Err(refuse(StatusCode::DataSglLengthInvalid));
-        };
-        let (qid, sqsize) = ((sqe.cdw(10) >> 16) as u16, sqe.cdw(11) as u16);
-        let admission = cx.target.connect(qid, sqsize, sqe.cdw(12), &wanted, cx.now)?;
-        self.phase = Phase::Bound(admission);
-        self.queue_entries = u32::from(sqsize) + 1;
-        self.sq_head = 1 % self.queue_entries;
-        self.flow_control = sqe.cdw(11) >> 16 & 4 == 0;
-        cx.outputs.push(Output::Bound(admission));
-        Ok(Some(Completion { dw0: u32::from(admission.cntlid), ..Completion::of(Status::SUCCESS) }))
-    }
-
-    fn fabrics(&mut self, sqe: &Sqe, at: Admission, cx: &mut Cx<'_>) -> Result<Option<Completion>, Refusal> {
-        let (offset, eight) = (sqe.cdw(11), sqe.0[40] & 7 == 1);
-        match sqe.fctype() {
-            fabrics::PROPERTY_GET if at.qid == 0 => {
-                let value = cx.target.property(at.cntlid, offset, eight);
-                let value = value.ok_or(refuse(StatusCode::InvalidField))?;
-                let dw1 = (value >> 32) as u32;
-                Ok(Some(Completion { dw0: value as u32, dw1, ..Completion::of(Status::SUCCESS) }))
-            }
-            fabrics::PROPERTY_SET if at.qid == 0 => {
-                let value = u64::from(sqe.cdw(12)) | u64::from(sqe.cdw(13)) << 32;
-                if !cx.target.set_property(at.cntlid, offset, eight, value) {
-                    return Err(refuse(StatusCode::InvalidField));
-                }
-                Ok(Some(Completion::of(Status::SUCCESS)))
-            }
-            fabrics::DISCONNECT if at.qid > 0 => {
-                self.finish(sqe.cid(), sqe.opcode(), Completion::of(Status::SUCCESS), cx.out);
-                self.over(cx, None);
-                Ok(None)
-            }
-            fabrics::CONNECT => Err(refuse(StatusCode::CommandSequenceError)),
-            _ => Err(refuse(StatusCode::InvalidField)),
-        }
-    }
-
-    fn admin(
-        &mut self,
-        sqe: &Sqe,
-        data: &[u8],
-        cntlid: u16,
-        cx: &mut Cx<'_>,
-    ) -> Result<Option<Completion>, Refusal> {
-        let discovery = cx.target.association(cntlid).is_some_and(|a| a.discovery);
-        match sqe.opcode() {
-            admin::IDENTIFY => self.identify(sqe, cntlid, discovery, cx.target).map(Some),
-            admin::GET_LOG_PAGE => log_page(sqe, discovery, cx.target).map(Some),
-            admin::KEEP_ALIVE => Ok(Some(Completion::of(Status::SUCCESS))),
-            admin::SET_FEATURES => set_features(sqe, data, cntlid, cx.target).map(Some),
-            admin::GET_FEATURES => get_features(sqe, cntlid, cx.target).map(Some),
-            admin::ASYNC_EVENT_REQUEST => {
-                if self.async_requests.len() >= usize::from(ASYNC_EVENTS) {
-                    return Err(refuse(StatusCode::AsyncEventLimitExceeded));
-                }
-                self.async_requests.push_back(sqe.cid());
-                Ok(None)
-            }
-            admin::ABORT if !discovery => {
-                let (sqid, victim) = (sqe.cdw(10) as u16, (sqe.cdw(10) >> 16) as u16);
-                if sqid > cx.target.options.io_queues {
-                    return Err(refuse(StatusCode::InvalidField));
-                }
-                if sqid == 0 {
-                    return Ok(Some(Completion { dw0: 1, ..Completion::of(Status::SUCCESS) }));
-                }
-                self.slots.insert(sqe.cid(), Slot::Running { opcode: admin::ABORT });
-                cx.outputs.push(Output::Abort { cid: sqe.cid(), sqid, target: victim });
-                Ok(None)
-            }
-            _ => Err(refuse(StatusCode::InvalidOpcode)),
-        }
-    }
-
-    fn identify(
-        &self,
-        sqe: &Sqe,
-        cntlid: u16,
-        discovery: bool,
-        target: &Target,
-    ) -> Result<Completion, Refusal> {
-        let o = &target.options;
-        let namespace = || target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace));
-        let data = match (sqe.cdw(10) as u8, discovery) {
-            (0x01, _) => ControllerIdentity {
-                cntlid,
-                discovery,
-                subsystem: if discovery { crate::DISCOVERY_NQN } else { &o.subsystem },
-                serial: &o.serial,
-                model: &o.model,
-                mdts: o.mdts,
-                retry_delays: o.retry_delays,
-                namespaces: o.namespaces.last().map_or(0, |ns| ns.nsid),
-                in_capsule: o.in_capsule,
-                optional: o.optional,
-                max_commands: o.queue_entries.min(0xffff) as u16,
-            }
-            .to_bytes(),
-            // Base 5.17.2.1: an identifier that is valid but not active gets zeroes.
-            (0x00, false) if sqe.nsid() != 0 && sqe.nsid() <= o.namespaces.last().map_or(0, |n| n.nsid) => {
-                target
-                    .namespace(sqe.nsid())
-                    .map_or(vec![0; identify::CONTROLLER_DATA], identify::namespace_data)
-            }
-            (0x00, false) => return Err(refuse(StatusCode::InvalidNamespace)),
-            (0x02, false) if sqe.nsid() >= 0xffff_fffe => return Err(refuse(StatusCode::InvalidNamespace)),
-            (0x02, false) => identify::active_list(&o.namespaces, sqe.nsid()),
-            (0x03, false) => identify::namespace_descriptors(namespace()?),
-            _ => return Err(refuse(StatusCode::InvalidField)),
-        };
-        read_back(sqe, data)
-    }
-
-    fn check_range(&self, sqe: &Sqe, length: u32, target: &Target) -> Result<(), Refusal> {
-        let ns = target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace))?;
-        let blocks = sqe.block_count();
-        if sqe.slba().checked_add(u64::from(blocks)).is_none_or(|end| end > ns.blocks) {
-            return Err(refuse(StatusCode::LbaOutOfRange));
-        }
-        let bytes = u64::from(blocks) * u64::from(ns.block_size);
-        if bytes > u64::from(target.options.max_transfer()) {
-            return Err(refuse(StatusCode::InvalidField));
-        }
-        if bytes != u64::from(length) {
-            return Err(refuse(StatusCode::DataSglLengthInvalid));
-        }
-        Ok(())
-    }
-
-    fn io(&mut self, sqe: &Sqe, mut data: Bytes, cx: &mut Cx<'_>) -> Result<Option<Completion>, Refusal> {
-        let target = &*cx.target;
-        let mut opcode = sqe.opcode();
-        let optional = target.options.optional;
-        let blocks = match opcode {
-            io::FLUSH => {
-                if sqe.nsid() != u32::MAX && target.namespace(sqe.nsid()).is_none() {
-                    return Err(refuse(StatusCode::InvalidNamespace));
-                }
-                0
-            }
-            io::WRITE => {
-                self.check_range(sqe, data.len() as u32, target)?;
-                sqe.block_count()
-            }
-            io::READ => {
-                let Sgl::Transport { length } = sqe.sgl() else {
-                    return Err(refuse(StatusCode::SglDescriptorTypeInvalid));
-                };
-                self.check_range(sqe, length, target)?;
-                sqe.block_count()
-            }
-            io::COMPARE if optional => {
-                self.check_range(sqe, data.len() as u32, target)?;
-                sqe.block_count()
-            }
-            io::WRITE_ZEROES if optional => {
-                let ns = target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace))?;
-                let length = sqe.block_count().saturating_mul(ns.block_size);
-                // No data is transferred, yet the write that it becomes is as large as a transfer may be.
-                self.check_range(sqe, length, target)?;
-                data = Bytes::from(vec![0; length as usize]);
-                opcode = io::WRITE;
-                sqe.block_count()
-            }
-            io::DATASET_MANAGEMENT if optional => {
-                dataset_management(sqe, &data, target)?;
-                return Ok(Some(Completion::of(Status::SUCCESS)));
-            }
-            _ => return Err(refuse(StatusCode::InvalidOpcode)),
-        };
-        self.slots.insert(sqe.cid(), Slot::Running { opcode });
-        cx.outputs.push(Output::Command(IoCommand {
-            cid: sqe.cid(),
-            opcode,
-            nsid: sqe.nsid(),
-            slba: if blocks > 0 { sqe.slba() } else { 0 },
-            blocks,
-            data,
-            token: sqe.token(),
-            keyed: sqe.keyed(),
-            attempt: sqe.attempt(),
-            began: cx.began,
-        }));
-        Ok(None)
-    }
-
     /// Ends a command that was handed on. One that is not outstanding is passed over: its connection may have
     /// ended meanwhile. Returns whether an answer was written.
     pub fn complete(&mut self, cid: u16, completion: Completion, out: &mut impl PduSink) -> bool {
@@ -637,98 +365,3 @@
         true
     }
 }
-
-/// Dataset Management (NVM 3.2.3): hints, checked and not acted upon. Deallocation is the host's offer, not its demand: the
-/// blocks keep their data, which the command allows.
-fn dataset_management(sqe: &Sqe, data: &[u8], target: &Target) -> Result<(), Refusal> {
-    let ns = target.namespace(sqe.nsid()).ok_or(refuse(StatusCode::InvalidNamespace))?;
-    let ranges = (sqe.cdw(10) & 0xff) as usize + 1;
-    let Some(data) = data.get(..ranges * 16) else { return Err(refuse(StatusCode::DataSglLengthInvalid)) };
-    for range in data.chunks_exact(16) {
-        let (blocks, slba) = (u64::from(crate::le32(range, 4)), crate::le64(range, 8));
-        if slba.checked_add(blocks).is_none_or(|end| end > ns.blocks) {
-            return Err(refuse(StatusCode::LbaOutOfRange));
-        }
-    }
-    Ok(())
-}
-
-/// Completion with data for a command that reads, cut to what its descriptor takes.
-fn read_back(sqe: &Sqe, mut data: Vec<u8>) -> Result<Completion, Refusal> {
-    let Sgl::Transport { length } = sqe.sgl() else {
-        return Err(refuse(StatusCode::SglDescriptorTypeInvalid));
-    };
-    if length == 0 {
-        return Err(refuse(StatusCode::DataSglLengthInvalid));
-    }
-    data.truncate(length as usize);
-    Ok(Completion { data: data.into(), ..Completion::of(Status::SUCCESS) })
-}
-
-fn log_page(sqe: &Sqe, discovery: bool, target: &Target) -> Result<Completion, Refusal> {
-    let (id, dwords) = (sqe.cdw(10) as u8, sqe.cdw(10) >> 16 | (sqe.cdw(11) & 0xffff) << 16);
-    let offset = u64::from(sqe.cdw(12)) | u64::from(sqe.cdw(13)) << 32;
-    let page = match (id, discovery) {
-        (0x70, true) => identify::discovery_log(&target.options.discovery),
-        (0x01, false) => vec![0; 64],
-        (0x02, false) => identify::health_log(),
-        (0x03, false) => vec![0; 512],
-        _ => return Err(refuse(StatusCode::InvalidLogPage)),
-    };
-    if offset % 4 != 0 || offset > page.len() as u64 {
-        return Err(refuse(StatusCode::InvalidField));
-    }
-    let length = (u64::from(dwords) + 1) * 4;
-    if length > u64::from(target.options.max_transfer()) {
-        return Err(refuse(StatusCode::InvalidField));
-    }
-    let mut data = page[offset as usize..].to_vec();
-    data.resize(length as usize, 0);
-    read_back(sqe, data)
-}
-
-fn set_features(sqe: &Sqe, data: &[u8], cntlid: u16, target: &mut Target) -> Result<Completion, Refusal> {
-    let most = u32::from(target.options.io_queues.max(1));
-    let Some(a) = target.association(cntlid) else { return Err(refuse(StatusCode::InternalError)) };
-    let value = sqe.cdw(11);
-    let mut dw0 = 0;
-    match sqe.cdw(10) as u8 {
-        feature::NUMBER_OF_QUEUES => {
-            if value & 0xffff == 0xffff || value >> 16 == 0xffff {
-                return Err(refuse(StatusCode::InvalidField));
-            }
-            if !a.queues.is_empty() {
-                return Err(refuse(StatusCode::CommandSequenceError));
-            }
-            a.queues_asked = true;
-            dw0 = (most - 1) | (most - 1) << 16;
-        }
-        feature::ASYNC_EVENT_CONFIGURATION => a.async_config = value,
-        feature::KEEP_ALIVE_TIMER => a.kato = value,
-        feature::HOST_BEHAVIOR_SUPPORT => {
-            if data.len() != 512 {
-                return Err(refuse(StatusCode::DataSglLengthInvalid));
-            }
-            a.delays_wanted = data[0] == 1;
-        }
-        _ => return Err(refuse(StatusCode::InvalidField)),
-    }
-    Ok(Completion { dw0, ..Completion::of(Status::SUCCESS) })
-}
-
-fn get_features(sqe: &Sqe, cntlid: u16, target: &mut Target) -> Result<Completion, Refusal> {
-    let most = u32::from(target.options.io_queues.max(1));
-    let Some(a) = target.association(cntlid) else { return Err(refuse(StatusCode::InternalError)) };
-    let dw0 = match sqe.cdw(10) as u8 {
-        feature::NUMBER_OF_QUEUES => (most - 1) | (most - 1) << 16,
-        feature::ASYNC_EVENT_CONFIGURATION => a.async_config,
-        feature::KEEP_ALIVE_TIMER => a.kato,
-        feature::HOST_BEHAVIOR_SUPPORT => {
-            let mut data = vec![0; 512];
-            data[0] = u8::from(a.delays_wanted);
-            return read_back(sqe, data);
-        }
-        _ => return Err(refuse(StatusCode::InvalidField)),
-    };
-    Ok(Completion { dw0, ..Completion::of(Status::SUCCESS) })
-}
--- a/crates/nvme/src/target.rs
+++ b/crates/nvme/src/target.rs
@@ -142,6 +142,11 @@
         over
     }
 
+    /// Whether the controller of an association is enabled and ready for commands.
+    pub(crate) fn is_ready(&self, cntlid: u16) -> bool {
+        self.associations.get(&cntlid).is_some_and(|a| a.csts & 1 != 0)
+    }
+
     pub(crate) fn association(&mut self, cntlid: u16) -> Option<&mut Association> {
         self.associations.get_mut(&cntlid)
     }
--- a/crates/nvme/tests/protocol.rs
+++ b/crates/nvme/tests/protocol.rs
@@ -1,48 +1,11 @@
 //! A host and a controller face to face, and hosts that do what they should not.
 
+mod common;
+
 use bytes::{Bytes, BytesMut};
+use common::*;
 use nvme::*;
 
-const NQN: &str = "nqn.2026-12.example:volumes";
-
-fn target() -> Target {
-    let namespace = |nsid| Namespace { nsid, blocks: 1024, block_size: 4096, guid: [nsid as u8; 16] };
-    Target::new(TargetOptions {
-        subsystem: NQN.into(),
-        serial: "1".into(),
-        model: "test".into(),
-        namespaces: vec![namespace(1), namespace(2)],
-        queue_entries: 129,
-        io_queues: 4,
-        associations: 8,
-        mdts: 5,
-        in_capsule: 8192,
-        max_h2c_data: 16384,
-        retry_delays: [1, 5, 20],
-        optional: true,
-        discovery: vec![DiscoveryEntry {
-            subsystem: NQN.into(),
-            address: "127.0.0.1".parse().unwrap(),
-            port: 4420,
-        }],
-    })
-}
-
-fn options(qid: u16, cntlid: u16, digests: Digests) -> InitiatorOptions {
-    InitiatorOptions {
-        host: "nqn.2026-12.example:host".into(),
-        host_id: [9; 16],
-        subsystem: NQN.into(),
-        qid,
-        cntlid,
-        entries: 129,
-        kato: 5000,
-        digests,
-        in_capsule: 8192,
-        max_data: 1 << 20,
-    }
-}
-
 /// A host's connection to a session, without a wire between them.
 struct Wire {
     host: Initiator,
@@ -220,56 +183,6 @@
     assert_eq!(*dw0, 256 | 1 << 16, "SUBNQN, in the data");
 }
 
-/// A controller spoken to by hand.
-struct Raw {
-    session: Session,
-    out: BytesMut,
-    outputs: Vec<Output>,
-}
-
-impl Raw {
-    fn new(t: &mut Target) -> Self {
-        let session = Session::new(t, Digests::default());
-        Raw { session, out: BytesMut::new(), outputs: Vec::new() }
-    }
-
-    fn opened(t: &mut Target) -> Self {
-        let mut raw = Raw::new(t);
-        raw.send(t, Pdu::ICReq { version: 0, hpda: 0, digests: Digests::default(), max_r2t: 0 });
-        raw
-    }
-
-    fn send(&mut self, t: &mut Target, pdu: Pdu) -> Vec<Pdu> {
-        let mut bytes = BytesMut::new();
-        pdu.encode(Digests::default(), &mut bytes);
-        self.out.clear();
-        self.session.receive(&bytes, 0, t, &mut self.out, &mut self.outputs);
-        let mut decoder = Decoder::new(Side::Host, 1 << 20);
-        decoder.push(&self.out);
-        std::iter::from_fn(|| decoder.poll().unwrap()).collect()
-    }
-
-    fn command(&mut self, t: &mut Target, mut sqe: Sqe, data: Bytes) -> Status {
-        if !data.is_empty() {
-            sqe.set_sgl(Sgl::InCapsule { offset: 0, length: data.len() as u32 });
-        }
-        match &self.send(t, Pdu::CapsuleCmd { sqe: sqe.0, data, intact: true })[..] {
-            [Pdu::CapsuleResp { cqe }] => Cqe::from_bytes(cqe).status,
-            other => panic!("not one response: {other:?}"),
-        }
-    }
-
-    fn connect(&mut self, t: &mut Target, qid: u16, entries: u16) -> Status {
-        let data = ConnectData {
-            host_id: [1; 16],
-            cntlid: 0xffff,
-            subsystem: NQN.into(),
-            host: "nqn.2026-12.example:h".into(),
-        };
-        self.command(t, Sqe::connect(qid, entries - 1, 0, false), data.to_bytes().into())
-    }
-}
-
 fn terminated(pdus: &[Pdu]) -> TermReason {
     match pdus {
         [Pdu::TermReq { by_host: false, reason, .. }] => *reason,
@@ -414,7 +327,7 @@
     wire.submit(&mut t, sqe, Bytes::new(), 2048);
     let page = wire.reply().data;
     assert_eq!(page[8], 1);
-    assert_eq!(&page[1024 + 256..1024 + 256 + NQN.len()], NQN.as_bytes());
+    assert_eq!(&page[1024 + 256..1024 + 256 + SUBSYSTEM.len()], SUBSYSTEM.as_bytes());
     assert_eq!(&page[1024 + 32..1024 + 37], b"4420 ");
 }
 
