The core accepts an operation only with the data and the range that it can carry out

Callers saw nothing of it today: behind the front's check no such operation comes. Cause: `Core::submit` left the check of the range, and that of the data's length, to its caller; on a Read with 512 bytes, a Write of a block with 512 bytes and a Read of block u64::MAX each panicked in the core (three trials, "range end out of bounds: 4096 <= 512" twice, an overflow in `Volume::parts` once), which ends the engine whatever front end sent it. Change: an operation has an `Action`, of which only a write has data; `submit` checks the volume, the range and the length of the data, and returns `InvalidOperation`. An operation on an unknown volume, refused before, is the same error.

--- a/crates/core/benches/core.rs
+++ b/crates/core/benches/core.rs
@@ -16,7 +16,7 @@
             now += 100;
             id += 1;
             let operation = common::operation(id, Opcode::Read, id % 64, 1, Bytes::new());
-            core.submit(now, operation, &mut effects);
+            core.submit(now, operation, &mut effects).expect("a valid operation");
             for effect in std::mem::take(&mut effects) {
                 if let Effect::Send(send) = effect {
                     core.attempt_ended(
--- a/crates/core/src/answers.rs
+++ b/crates/core/src/answers.rs
@@ -60,7 +60,7 @@
         let never_ran = open.pieces.iter().all(|piece| piece.attempts_possibly_run == 0);
         never_ran
             || is_deduplicated
-            || open.operation.opcode != Opcode::Write
+            || open.operation.action.opcode() != Opcode::Write
             || idempotency == Idempotency::Safe
     }
 
@@ -72,7 +72,7 @@
             at: self.now,
             id,
             nsid: open.operation.nsid,
-            opcode: open.operation.opcode,
+            opcode: open.operation.action.opcode(),
             class: open.class,
             refused: match answer {
                 Answer::Refused { retry_after } => Some(*retry_after),
--- a/crates/core/src/catalogue.rs
+++ b/crates/core/src/catalogue.rs
@@ -170,7 +170,7 @@
         let mut parts: Vec<Part> = Vec::new();
         while next_block < end {
             let extent = next_block / self.extent_blocks;
-            let extent_end = ((extent + 1) * self.extent_blocks).min(end);
+            let extent_end = (extent + 1).saturating_mul(self.extent_blocks).min(end);
             let shard = self.shards[(extent % self.shards.len() as u64) as usize];
             match parts.last_mut() {
                 // Adjacent extents on the same shard are merged into one part.
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -9,7 +9,7 @@
 
 use crate::catalogue::{Catalogue, Part, Volume};
 use crate::effect::{AttemptEnd, Effect, OutgoingAttempt};
-use crate::operation::{Answer, Operation, OperationId};
+use crate::operation::{Answer, InvalidOperation, Operation, OperationId};
 use crate::retry_demand::{RetryDemand, RetryDemands};
 use crate::views::{OperationCounts, UnservedView, VolumeView};
 
@@ -89,17 +89,24 @@
         &self.catalogue
     }
 
-    /// Submits an operation, whose block range the caller must have checked. An operation on an unknown
-    /// volume is refused without retry advice.
-    pub fn submit(&mut self, now: Micros, operation: Operation, effects: &mut Vec<Effect>) {
+    /// Submits an operation.
+    ///
+    /// # Errors
+    /// The volume is unknown, the blocks do not all lie on it, or the data of a write is not as long as its
+    /// blocks. The operation is not accepted: it gets no answer by an effect.
+    pub fn submit(
+        &mut self,
+        now: Micros,
+        operation: Operation,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), InvalidOperation> {
         self.advance(now);
         let id = operation.id;
-        let Some(volume) = self.catalogue.volume(operation.nsid) else {
-            effects.push(Effect::Answer(id, Answer::Refused { retry_after: 0 }));
-            return;
-        };
-        let bytes = u64::from(operation.blocks) * u64::from(volume.block_size);
-        let class = self.catalogue.class(operation.opcode, bytes);
+        let volume = self.catalogue.volume(operation.nsid);
+        let volume = volume.ok_or(InvalidOperation::UnknownVolume(operation.nsid))?;
+        operation.action.check(volume)?;
+        let bytes = u64::from(operation.action.blocks()) * u64::from(volume.block_size);
+        let class = self.catalogue.class(operation.action.opcode(), bytes);
         let parts = self.split(volume, &operation, class);
         let block_size = volume.block_size;
         if let Some(view) = self.volume_views.get_mut(&operation.nsid) {
@@ -138,13 +145,14 @@
             },
         );
         self.carry_out_commands(effects);
+        Ok(())
     }
 
     /// Splits an operation into its parts, each with its request.
     fn split(&self, volume: &Volume, operation: &Operation, class: usize) -> Vec<(Part, Request)> {
         let timeout = self.catalogue.rules[class].timeout;
         volume
-            .parts(operation.slba, operation.blocks)
+            .parts(operation.action.slba(), operation.action.blocks())
             .into_iter()
             .map(|part| {
                 let request = Request {
@@ -367,12 +375,7 @@
         piece.attempts_possibly_run += 1;
         let (part, operation) = (piece.part, &open.operation);
         let bytes = part.blocks * open.block_size;
-        let data = if operation.data.is_empty() {
-            Bytes::new()
-        } else {
-            let start = (part.slba - operation.slba) as usize * open.block_size as usize;
-            operation.data.slice(start..start + bytes as usize)
-        };
+        let data = operation.action.data_of(&part, open.block_size);
         let is_retry = attempt.index > 0 || operation.retry;
         if is_retry {
             self.retry_demands.use_token(part.shard);
@@ -380,7 +383,7 @@
         effects.push(Effect::Send(OutgoingAttempt {
             attempt,
             node,
-            opcode: operation.opcode,
+            opcode: operation.action.opcode(),
             nsid: operation.nsid,
             slba: part.slba,
             blocks: part.blocks,
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,7 +22,7 @@
 pub use crate::catalogue::{Catalogue, CatalogueError, ClassRule, Part, Volume};
 pub use crate::core::Core;
 pub use crate::effect::{AttemptEnd, Effect, OutgoingAttempt};
-pub use crate::operation::{Answer, Opcode, Operation, OperationId};
+pub use crate::operation::{Action, Answer, InvalidOperation, Opcode, Operation, OperationId};
 pub use crate::retry_demand::RetryDemand;
 pub use crate::views::{OpenOperationView, OperationCounts, UnservedView, VolumeView};
 pub use decisions::{ClientId, TokenShortage};
--- a/crates/core/src/views.rs
+++ b/crates/core/src/views.rs
@@ -165,7 +165,7 @@
         let view = |(&id, open): (&OperationId, &OpenOperation)| OpenOperationView {
             id,
             nsid: open.operation.nsid,
-            opcode: open.operation.opcode,
+            opcode: open.operation.action.opcode(),
             class: open.class,
             accepted_at: open.accepted_at,
             attempts: open.pieces.iter().map(|p| p.attempts_sent).sum(),
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -48,7 +48,9 @@
             _ => Bytes::new(),
         };
         let mut effects = Vec::new();
-        self.core.submit(self.now, operation(id, opcode, slba, blocks, data), &mut effects);
+        self.core
+            .submit(self.now, operation(id, opcode, slba, blocks, data), &mut effects)
+            .expect("a valid operation");
         self.carry_out(effects);
     }
 
@@ -58,7 +60,7 @@
         let mut write = operation(id, Opcode::Write, slba, blocks, data);
         write.token = 0;
         let mut effects = Vec::new();
-        self.core.submit(self.now, write, &mut effects);
+        self.core.submit(self.now, write, &mut effects).expect("a valid operation");
         self.carry_out(effects);
     }
 
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use decisions::*;
-use storage_core::{Catalogue, ClassRule, Core, ListedNode, Opcode, Operation, OperationId, Volume};
+use storage_core::{Action, Catalogue, ClassRule, Core, ListedNode, Opcode, Operation, OperationId, Volume};
 
 pub fn settings() -> Settings {
     let class = |idempotency, in_order| Class {
@@ -101,6 +101,10 @@
 }
 
 pub fn operation(id: u64, opcode: Opcode, slba: u64, blocks: u32, data: Bytes) -> Operation {
-    let (retry, client) = (false, None);
-    Operation { id: OperationId(id), opcode, nsid: 1, slba, blocks, data, token: id, retry, client }
+    let action = match opcode {
+        Opcode::Read => Action::Read { slba, blocks },
+        Opcode::Write => Action::Write { slba, blocks, data },
+        Opcode::Flush => Action::Flush,
+    };
+    Operation { id: OperationId(id), nsid: 1, action, token: id, retry: false, client: None }
 }
--- a/crates/core/tests/retry_tokens.rs
+++ b/crates/core/tests/retry_tokens.rs
@@ -17,7 +17,7 @@
 /// Submits an operation; returns the attempts that are sent and the final answer, if there is one.
 fn submit(core: &mut Core, operation: Operation) -> (Vec<OutgoingAttempt>, Option<Answer>) {
     let mut effects = Vec::new();
-    core.submit(1000, operation, &mut effects);
+    core.submit(1000, operation, &mut effects).expect("a valid operation");
     sends_and_answer(effects)
 }
 
--- a/crates/core/tests/withdrawn.rs
+++ b/crates/core/tests/withdrawn.rs
@@ -14,7 +14,7 @@
     let mut effects = Vec::new();
     let read = |id| operation(id, Opcode::Read, 0, 1, Bytes::new());
     for id in 1..=20 {
-        core.submit(1000, read(id), &mut effects);
+        core.submit(1000, read(id), &mut effects).expect("a valid operation");
     }
     let sent = effects.iter().filter(|effect| matches!(effect, Effect::Send(_))).count();
     assert!(0 < sent && sent < 20, "{sent} of 20 were sent; the others must wait for the node");
--- a/crates/gateway/src/engine/commands.rs
+++ b/crates/gateway/src/engine/commands.rs
@@ -7,7 +7,7 @@
 use super::{AcceptedCommand, Client, Engine};
 use crate::completion::completion_of;
 use crate::connection::ConnectionId;
-use crate::opcode::opcode_of;
+use crate::opcode::{action_of, status_of};
 
 impl Engine {
     /// Queues the completion of a command on its connection; it goes out with the batch.
@@ -60,17 +60,18 @@
         let identity = self.retry_identity(now, &host, &command);
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.operation_ids.insert(command.cid, operation_id);
-        let (cid, is_compare) = (command.cid, command.opcode == nvme::io::COMPARE);
-        let opcode = opcode_of(&command);
-        let IoCommand { nsid, slba, blocks, mut data, token, .. } = command;
-        let expected = is_compare.then(|| std::mem::take(&mut data));
+        let (cid, nsid, token) = (command.cid, command.nsid, command.token);
+        let (action, expected) = action_of(command);
         self.accepted
             .insert(operation_id, AcceptedCommand { connection: id, cid, bytes, expected, identity });
         let retry = identity.is_some_and(|identity| identity.is_retry);
         let client = (!host.is_empty()).then(|| ClientId(host_request_key(&host, 0)));
-        let operation =
-            Operation { id: operation_id, opcode, nsid, slba, blocks, data, token, retry, client };
-        self.core.submit(now, operation, &mut self.effects);
+        let operation = Operation { id: operation_id, nsid, action, token, retry, client };
+        if let Err(invalid) = self.core.submit(now, operation, &mut self.effects) {
+            tracing::warn!(%invalid, "the front end passed on a command that is not valid");
+            let status = NvmeStatus::permanent(status_of(&invalid));
+            self.complete_command(operation_id, Completion::of(status));
+        }
     }
 
     /// Aborts a command. One that was not sent yet ends with Abort Requested; one that has been sent keeps
--- a/crates/gateway/src/engine/node_list.rs
+++ b/crates/gateway/src/engine/node_list.rs
@@ -2,10 +2,9 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use bytes::Bytes;
 use decisions::{NodeId, NodeState};
 use recovery::{Place, Word};
-use storage_core::{ListedNode, Micros, Opcode, Operation, OperationId};
+use storage_core::{Action, Answer, Effect, ListedNode, Micros, Operation, OperationId};
 
 use super::Engine;
 use crate::node_connection::NodeConnection;
@@ -64,16 +63,16 @@
                     self.settling_reads.insert(operation_id, write);
                     let read = Operation {
                         id: operation_id,
-                        opcode: Opcode::Read,
                         nsid,
-                        slba,
-                        blocks,
-                        data: Bytes::new(),
+                        action: Action::Read { slba, blocks },
                         token: 0,
                         retry: false,
                         client: None,
                     };
-                    self.core.submit(now, read, &mut self.effects);
+                    if let Err(invalid) = self.core.submit(now, read, &mut self.effects) {
+                        tracing::error!(%invalid, "a write of the journal cannot be read back");
+                        self.effects.push(Effect::Answer(operation_id, Answer::Refused { retry_after: 0 }));
+                    }
                 }
             }
         }
--- a/crates/gateway/tests/path/clients.rs
+++ b/crates/gateway/tests/path/clients.rs
@@ -180,7 +180,7 @@
             .encode(Digests::default(), &mut out);
         (&sender.stream).write_all(&out).unwrap();
         let mut response = [0; 24];
-        (&sender.stream).set_read_timeout(Some(TIMEOUT)).unwrap();
+        sender.stream.set_read_timeout(Some(TIMEOUT)).unwrap();
         (&sender.stream).read_exact(&mut response).expect("an answer");
         assert_eq!(response[0], 5, "CapsuleResp");
         let status = nvme::Cqe::from_bytes(response[8..].try_into().unwrap()).status;
