A panic ends the process with a non-zero exit code, or one connection alone

Cause: `may` catches a coroutine's panic, and `Gateway::wait` took the end of the engine's channel for a stop in order; a thread's panic ended that thread alone. Change: package `panics`. Its hook logs one ERROR line (task, place, reason) and exits with 101, whichever thread or coroutine it is; only what serves one connection, and the follower of the control plane, runs inside `contain`, ends alone and is counted (`contained_panics`). `wait` returns `Crashed` where the engine did not end in order. Tests ask for a panic by a file, in builds with debug assertions alone. Why it works: no thread's end is the process's silence any more; a new thread is fatal unless somebody contains it.

--- a/crates/appliance/src/hub.rs
+++ b/crates/appliance/src/hub.rs
@@ -62,8 +62,8 @@
             for stream in listener.incoming().flatten() {
                 let (hub, site, to_site) = (serves.clone(), site.clone(), to_site.clone());
                 let spawned = std::thread::Builder::new().name("console".into()).spawn(move || {
-                    // A console that goes away half-way ends its own connection only.
-                    let _ = hub.converse(stream, &site, &to_site);
+                    // A console that goes away half-way ends its own connection only; so does a panic.
+                    let _ = panics::contain(|| hub.converse(stream, &site, &to_site));
                 });
                 drop(spawned); // Out of threads, the console is closed and may come again.
             }
--- a/crates/appliance/src/processes.rs
+++ b/crates/appliance/src/processes.rs
@@ -1,10 +1,11 @@
 //! Processes that outlive their supervisor.
 
+use std::fmt;
 use std::fs::{File, TryLockError};
 use std::io::{self, Read, Seek, Write};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -63,6 +64,24 @@
     text.trim().parse().unwrap_or(0)
 }
 
+/// How a process ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ProcessEnd {
+    /// By itself or by a signal.
+    Exited(ExitStatus),
+    /// It was started by an earlier supervisor, so that its status is not known.
+    Unknown,
+}
+
+impl fmt::Display for ProcessEnd {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ProcessEnd::Exited(status) => status.fmt(f),
+            ProcessEnd::Unknown => f.write_str("exit status unknown"),
+        }
+    }
+}
+
 /// A process of the site, started by this supervisor or by one before it.
 pub(crate) struct Process {
     pub(crate) name: String,
@@ -101,18 +120,18 @@
         Ok(())
     }
 
-    /// Whether it has ended; a child is taken off the system's list.
-    pub(crate) fn has_ended(&mut self) -> bool {
-        match &mut self.child {
-            Some(child) => {
-                let ended = !matches!(child.try_wait(), Ok(None));
-                if ended {
-                    self.child = None;
-                }
-                ended
-            }
-            None => self.holder().is_none(),
-        }
+    /// How it has ended, if it has; a child is taken off the system's list.
+    pub(crate) fn end(&mut self) -> Option<ProcessEnd> {
+        let Some(child) = &mut self.child else {
+            return self.holder().is_none().then_some(ProcessEnd::Unknown);
+        };
+        let end = match child.try_wait() {
+            Ok(None) => return None,
+            Ok(Some(status)) => ProcessEnd::Exited(status),
+            Err(_) => ProcessEnd::Unknown,
+        };
+        self.child = None;
+        Some(end)
     }
 
     pub(crate) fn signal(&self, signal: Signal) {
--- a/crates/appliance/src/site.rs
+++ b/crates/appliance/src/site.rs
@@ -276,16 +276,16 @@
         for index in 0..self.processes.len() {
             let phase = self.supervision.phase(index);
             let runs = matches!(phase, Some(Phase::Starting | Phase::Up | Phase::Leaving));
-            if runs && self.processes[index].has_ended() {
+            if runs && let Some(end) = self.processes[index].end() {
                 self.supervision.happened(index, Happening::Ended, now);
                 (self.nodes[index], self.gateways[index]) = (None, None);
                 let name = self.processes[index].name.clone();
                 let what = match self.supervision.phase(index) {
                     Some(Phase::GivenUp) => {
-                        format!("{name} ended too often and is given up; 'revive' starts it again")
+                        format!("{name} ended too often ({end}) and is given up; 'revive' starts it again")
                     }
                     Some(Phase::Down) => format!("{name} has left"),
-                    _ => format!("{name} ended; it is started again"),
+                    _ => format!("{name} ended ({end}); it is started again"),
                 };
                 self.event(what);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -100,9 +100,9 @@
                 continue;
             }
             let (handle, count, owed) = (handle.clone(), open.clone(), owed.clone());
-            let served = std::thread::Builder::new().spawn(move || {
-                // A caller that goes away half-way ends its own connection only.
-                let _ = converse(stream, &*handle, &owed);
+            let served = std::thread::Builder::new().name("control-connection".into()).spawn(move || {
+                // A caller that goes away half-way ends its own connection only; so does a panic.
+                let _ = panics::contain(|| converse(stream, &*handle, &owed));
                 count.fetch_sub(1, Ordering::Relaxed);
             });
             if served.is_err() {
--- a/crates/crowbay/src/day.rs
+++ b/crates/crowbay/src/day.rs
@@ -54,8 +54,7 @@
         let mut signals = Signals::new([SIGINT, SIGTERM])?;
         println!("{}", serde_json::to_string(&demo.ready())?);
         signals.forever().next();
-        demo.stop();
-        return Ok(ExitCode::SUCCESS);
+        return Ok(if demo.stop() { ExitCode::SUCCESS } else { ExitCode::FAILURE });
     }
     let ready = demo.ready();
     println!("a gateway on {} serves {} over six stand-in nodes", ready.address, ready.nqn);
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -39,6 +39,7 @@
 }
 
 fn main() -> ExitCode {
+    panics::install_hook();
     let done = match Cli::parse().command {
         Command::Check { file } => show::check(&file),
         Command::Gateway(args) => serve::gateway(&args),
--- a/crates/crowbay/src/platform.rs
+++ b/crates/crowbay/src/platform.rs
@@ -39,7 +39,7 @@
             }
         }
     });
-    gateway.wait();
+    gateway.wait()?;
     handle.close();
     let _ = signal_thread.join();
     Ok(ExitCode::SUCCESS)
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -100,7 +100,7 @@
             }
         }
     });
-    gateway.wait();
+    gateway.wait()?;
     gateway.stop();
     handle.close();
     let _ = waiter.join();
--- a/crates/crowbay/tests/appliance_site/mod.rs
+++ b/crates/crowbay/tests/appliance_site/mod.rs
@@ -21,6 +21,8 @@
 pub struct Stage {
     pub dir: tempfile::TempDir,
     pub supervisor: Option<Child>,
+    /// Variables in the environment of the supervisor and of what it starts.
+    environment: Vec<(&'static str, String)>,
 }
 
 impl Stage {
@@ -30,6 +32,24 @@
 
     /// A site whose file is changed before its start.
     pub fn with(nodes: u32, gateways: u32, edit: impl FnOnce(String) -> String) -> Stage {
+        let mut stage = Stage::dark(nodes, gateways, edit);
+        stage.start();
+        stage
+    }
+
+    /// A site of which a gateway's engine panics once the file [`Stage::trigger`] is there.
+    pub fn with_panic(nodes: u32, gateways: u32) -> Stage {
+        let mut stage = Stage::dark(nodes, gateways, |text| text);
+        stage.environment.push(("CROWBAY_TEST_PANIC", format!("engine:{}", stage.trigger().display())));
+        stage.start();
+        stage
+    }
+
+    pub fn trigger(&self) -> PathBuf {
+        self.dir.path().join("panic")
+    }
+
+    fn dark(nodes: u32, gateways: u32, edit: impl FnOnce(String) -> String) -> Stage {
         let dir = tempfile::Builder::new().prefix("crb").tempdir().unwrap();
         let file = dir.path().join("site.toml");
         let numbers = [nodes.to_string(), gateways.to_string()];
@@ -45,9 +65,7 @@
         }
         let text = edit(text.replace("[rules]", "[appliance]\nrecords = true\n\n[rules]"));
         std::fs::write(&file, text).unwrap();
-        let mut stage = Stage { dir, supervisor: None };
-        stage.start();
-        stage
+        Stage { dir, supervisor: None, environment: Vec::new() }
     }
 
     pub fn file(&self) -> PathBuf {
@@ -66,6 +84,7 @@
         let mut command = Command::new(EXE);
         command.arg("appliance").arg("--config").arg(self.file()).arg("--state").arg(self.state());
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        command.envs(self.environment.iter().map(|(name, value)| (name, value)));
         command
     }
 
--- a/crates/crowbay/tests/common/machine.rs
+++ b/crates/crowbay/tests/common/machine.rs
@@ -2,13 +2,13 @@
 
 use std::io::{BufRead, BufReader};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
 
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::Value;
 
-use super::process::{EXE, text, until};
+use super::process::{EXE, ended, text, until};
 
 /// A control machine that is killed when it is dropped.
 pub struct Machine {
@@ -20,11 +20,22 @@
 impl Machine {
     /// Starts one; its state is in this folder, its log beside it.
     pub fn start(name: &'static str, site: &Path, folder: &Path) -> Machine {
+        Machine::start_with(name, &[], site, folder)
+    }
+
+    /// Starts one with these variables in its environment.
+    pub fn start_with(
+        name: &'static str,
+        environment: &[(&str, String)],
+        site: &Path,
+        folder: &Path,
+    ) -> Machine {
         let log = std::fs::File::options().append(true).create(true).open(folder.join(format!("{name}.log")));
         let state = folder.join(format!("{name}.state"));
         let mut command = Command::new(EXE);
         command.args(["control", "machine", "--name", name, "--config", text(site), "--state", text(&state)]);
         command.arg("--with-parent").stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log.expect("a log"));
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         let mut child = command.spawn().expect("it starts");
         let out = BufReader::new(child.stdout.take().expect("its output"));
         let said = Arc::new(Mutex::new(None));
@@ -59,12 +70,12 @@
     pub fn leaves(mut self) -> bool {
         let pid = Pid::from_raw(self.child.id().try_into().expect("a number")).expect("a process");
         kill_process(pid, Signal::TERM).expect("it is there");
-        let mut ended = None;
-        until("it leaves", || {
-            ended = self.child.try_wait().expect("it can be asked");
-            ended.is_some()
-        });
-        ended.is_some_and(|status| status.success())
+        self.ended().success()
+    }
+
+    /// Waits until it has ended.
+    pub fn ended(&mut self) -> ExitStatus {
+        ended(&mut self.child)
     }
 }
 
--- a/crates/crowbay/tests/common/process.rs
+++ b/crates/crowbay/tests/common/process.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, BufReader};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use lab::Ready;
@@ -21,9 +21,15 @@
 
 impl Running {
     pub fn start(args: &[&str], log: &Path) -> Running {
+        Running::start_with(args, &[], log)
+    }
+
+    /// Starts a process with these variables in its environment.
+    pub fn start_with(args: &[&str], environment: &[(&str, String)], log: &Path) -> Running {
         let log = std::fs::File::options().append(true).create(true).open(log).expect("a log");
         let mut command = Command::new(EXE);
         command.args(args).arg("--with-parent").stdin(Stdio::piped()).stdout(Stdio::piped()).stderr(log);
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         let mut child = command.spawn().expect("it starts");
         let mut line = String::new();
         let out = child.stdout.take().expect("its output");
@@ -37,6 +43,11 @@
         kill_process(pid, signal).expect("it is there");
     }
 
+    /// Waits until it has ended.
+    pub fn ended(&mut self) -> ExitStatus {
+        ended(&mut self.child)
+    }
+
     pub fn ready(&self) -> Ready {
         serde_json::from_str(&self.line).expect("it says where it listens")
     }
@@ -49,6 +60,16 @@
     }
 }
 
+/// Waits until a process has ended.
+pub fn ended(child: &mut Child) -> ExitStatus {
+    let mut status = None;
+    until("it ends", || {
+        status = child.try_wait().expect("it can be asked");
+        status.is_some()
+    });
+    status.expect("it has ended")
+}
+
 /// Waits as long as the advice says, as clients do. Danger: one that comes again at once is taken for the same request by the
 /// module, late already, for as long as it does.
 pub fn come_back(word: &Word) {
--- a/crates/crowbay/tests/common/stage.rs
+++ b/crates/crowbay/tests/common/stage.rs
@@ -43,6 +43,8 @@
     pub answers: Receiver<Answer>,
     pub sender: Sender<Answer>,
     pub token: u64,
+    /// Variables in the environment of nodes and gateways that are started from now on.
+    pub environment: Vec<(&'static str, String)>,
 }
 
 impl Stage {
@@ -85,6 +87,7 @@
             answers,
             sender,
             token: 0,
+            environment: Vec::new(),
         }
     }
 
@@ -105,7 +108,7 @@
         let mut args = vec!["node", "--name", name, "--cold", "--config", text(&site), "--disk", text(&disk)];
         args.extend(["--control", text(&control), "--records", text(&records)]);
         args.extend(more);
-        let running = Running::start(&args, &self.path("nodes.log"));
+        let running = Running::start_with(&args, &self.environment, &self.path("nodes.log"));
         self.order("*", name, What::Lead(running.ready().address));
         self.nodes.insert(name, running);
     }
@@ -159,7 +162,7 @@
             "--records",
             text(&records),
         ]);
-        let running = Running::start(&args, &self.path("gateways.log"));
+        let running = Running::start_with(&args, &self.environment, &self.path("gateways.log"));
         if let Some(peer) = running.ready().peer {
             self.order("*", name, What::Lead(peer));
         }
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -505,6 +505,7 @@
             if self.closing.load(Ordering::SeqCst) {
                 return;
             }
+            panics::test_point("node");
             let now = self.clock.now();
             state.model.advance(now, &mut done);
             let over = state.target.expire(now);
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -168,6 +168,7 @@
         self.apply_view(now, true);
         let mut ticker_due = Micros::MIN;
         loop {
+            panics::test_point("engine");
             let now = clock.now();
             self.refresh_retry_allowance(now);
             self.core.tick(now, &mut self.effects);
--- a/crates/gateway/src/engine/status.rs
+++ b/crates/gateway/src/engine/status.rs
@@ -137,6 +137,7 @@
             retries: tally.retries,
             late_ends: tally.late,
             causes: self.unserved_causes(),
+            contained_panics: panics::contained_count(),
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             recovery: self.recovery.as_ref().map(RecoveryDriver::progress),
             fleet: self.fleet_status(),
--- a/crates/gateway/src/front_end.rs
+++ b/crates/gateway/src/front_end.rs
@@ -91,13 +91,9 @@
         let session = Session::new(&self.target(), self.digests);
         let connection = Arc::new(Connection::new(id, outlet, session));
         let register_connection = || self.inbox.send(Message::Opened(connection.clone()));
-        let mut keep_open = registration::register(&self.client_limits, id, register_connection);
-        let mut buffer = vec![0; READ_BUFFER_BYTES].into_boxed_slice();
-        while keep_open {
-            match stream.read(&mut buffer) {
-                Ok(0) | Err(_) => break,
-                Ok(n) => keep_open = self.handle_received(&connection, &buffer[..n]),
-            }
+        if registration::register(&self.client_limits, id, register_connection) {
+            // A panic ends this connection alone, like any other end of it.
+            let _ = panics::contain(|| self.read(stream, &connection));
         }
         let mut outputs = Vec::new();
         connection.session().closed(&mut self.target(), &mut outputs);
@@ -110,8 +106,21 @@
         connection.outlet.finish();
     }
 
+    /// Reads until the connection ends.
+    fn read(&self, stream: &mut TcpStream, connection: &Arc<Connection>) {
+        let mut buffer = vec![0; READ_BUFFER_BYTES].into_boxed_slice();
+        let mut keep_open = true;
+        while keep_open {
+            match stream.read(&mut buffer) {
+                Ok(0) | Err(_) => return,
+                Ok(n) => keep_open = self.handle_received(connection, &buffer[..n]),
+            }
+        }
+    }
+
     /// Handles received bytes of a connection. Returns whether to keep it open.
     fn handle_received(&self, connection: &Arc<Connection>, bytes: &[u8]) -> bool {
+        panics::test_point("front");
         let (mut out, mut outputs) = (BytesMut::new(), Vec::new());
         {
             let mut session = connection.session();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -71,6 +71,9 @@
     /// The engine has ended.
     #[error("the gateway has stopped")]
     Stopped,
+    /// The engine has panicked.
+    #[error("the gateway's engine has crashed; open commands got no answer")]
+    Crashed,
     /// The request was refused.
     #[error("{0}")]
     Refused(String),
@@ -85,9 +88,13 @@
     front_end: Arc<FrontEnd>,
     control: Served,
     stop_timeout: Duration,
-    ended: Mutex<Option<thread_mpsc::Receiver<()>>>,
+    /// Gets [`OrderlyEnd`] from the engine when it ends; without it, the engine has crashed.
+    ended: Mutex<Option<thread_mpsc::Receiver<OrderlyEnd>>>,
 }
 
+/// The engine has ended in order: everything accepted was answered.
+struct OrderlyEnd;
+
 impl Gateway {
     /// Starts a gateway; it is listening when this returns.
     ///
@@ -125,10 +132,10 @@
         let peer_address = subsystems.peer_network.as_ref().map(PeerNetwork::address);
         let view = subsystems.coordination.as_ref().map(|c| c.membership.snapshot());
         let engine = Engine::new(options, address.to_string(), front_end.clone(), inbox.clone(), subsystems);
-        let (engine_alive, ended) = thread_mpsc::channel();
+        let (end_sender, ended) = thread_mpsc::channel();
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
-            drop(engine_alive);
+            let _ = end_sender.send(OrderlyEnd); // Nobody may be waiting.
         })
         .map_err(GatewayError::Start)?;
         let acceptor = front_end.clone();
@@ -187,12 +194,15 @@
         in_time
     }
 
-    /// Waits until the engine has ended, whoever stopped it.
-    pub fn wait(&self) {
+    /// Waits until the engine has ended, whoever stopped it. Only the first call waits.
+    ///
+    /// # Errors
+    ///
+    /// The engine has crashed: open commands got no answer.
+    pub fn wait(&self) -> Result<(), GatewayError> {
         let ended = self.ended.lock().unwrap_or_else(|p| p.into_inner()).take();
-        if let Some(ended) = ended {
-            let _ = ended.recv();
-        }
+        let Some(ended) = ended else { return Ok(()) };
+        ended.recv().map(|OrderlyEnd| ()).map_err(|_| GatewayError::Crashed)
     }
 }
 
--- a/crates/gateway/src/node_connection.rs
+++ b/crates/gateway/src/node_connection.rs
@@ -192,13 +192,8 @@
 
     fn run(self: Arc<Self>) {
         loop {
-            match self.connect() {
-                Ok(mut stream) => {
-                    tracing::info!(address = %self.address, "connected to node");
-                    self.read(&mut stream);
-                }
-                Err(error) => tracing::debug!(address = %self.address, %error, "cannot connect to node"),
-            }
+            // A panic here is a lost connection: attempts in flight may have run.
+            let _ = panics::contain(|| self.connect_and_read());
             if self.clean_up() {
                 return;
             }
@@ -217,6 +212,16 @@
         }
     }
 
+    fn connect_and_read(self: &Arc<Self>) {
+        match self.connect() {
+            Ok(mut stream) => {
+                tracing::info!(address = %self.address, "connected to node");
+                self.read(&mut stream);
+            }
+            Err(error) => tracing::debug!(address = %self.address, %error, "cannot connect to node"),
+        }
+    }
+
     /// Enforces the connection's timeouts. It is called by the engine's housekeeping because no coroutine
     /// waits with a timeout (see `transport::Ticker`). A handshake that takes too long is ended together with
     /// the sends that wait for it; a reconnect pause ends; keep alives are sent, and a node that does not
--- a/crates/gateway/src/node_connection/connect.rs
+++ b/crates/gateway/src/node_connection/connect.rs
@@ -47,7 +47,7 @@
         ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::AttemptEnded(a, end)));
         let connection = self.clone();
         task::spawn("link-admin", move || {
-            connection.read_admin(&mut admin_stream);
+            let _ = panics::contain(|| connection.read_admin(&mut admin_stream));
             // Losing the admin queue ends the association, and with it the I/O queue.
             outlet.close();
         })?;
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -164,6 +164,10 @@
     /// Unserved operations by class and cause, as the decision module saw them.
     #[serde(default)]
     pub causes: std::collections::BTreeMap<String, u64>,
+    /// Panics that ended one connection, or the following of the control plane, alone; each is a fault of the
+    /// program.
+    #[serde(default)]
+    pub contained_panics: u64,
     /// Progress of the recovery; `None` without peers to recover with.
     #[serde(default)]
     pub recovery: Option<recovery::Shown>,
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -158,9 +158,9 @@
         Ok((report, summary, status))
     }
 
-    /// Stops the gateway, having answered all.
-    pub fn stop(&self) {
-        self.gateway.stop();
+    /// Stops the gateway, having answered all. Returns whether it did so in time.
+    pub fn stop(&self) -> bool {
+        self.gateway.stop()
     }
 
     fn line(&self, at: Duration) -> Result<String, LabError> {
--- a/crates/planelink/src/follower.rs
+++ b/crates/planelink/src/follower.rs
@@ -152,7 +152,11 @@
         let stopped = stop.clone();
         let thread = thread::Builder::new()
             .name("plane".into())
-            .spawn(move || following.run(&stopped))
+            .spawn(move || {
+                // A gateway serves on with the state that it has, whatever the control plane sent.
+                let _ = panics::contain(|| following.run(&stopped));
+                show_ended(&following.look, following.clock.now());
+            })
             .map_err(RunError::Thread)?;
         Ok(Follower { look, stop, thread: Some(thread) })
     }
@@ -163,6 +167,13 @@
     }
 }
 
+/// Shows that a follower has ended, and has no machine any more.
+fn show_ended(look: &Mutex<FollowLook>, now: Micros) {
+    let mut look = look.lock().unwrap_or_else(PoisonError::into_inner);
+    (look.machine, look.linked_since, look.level) = (None, None, false);
+    look.alone_since.get_or_insert(now);
+}
+
 impl Drop for Follower {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::SeqCst);
@@ -203,6 +214,7 @@
     }
 
     fn turn(&mut self) -> std::io::Result<()> {
+        panics::test_point("follower");
         let now = self.clock.now();
         let due = self.gateway.link.next_due().max(self.ticks);
         self.net.poll(now, due.min(self.sync_at.unwrap_or(Micros::MAX)))?;
--- a/crates/planelink/src/machine.rs
+++ b/crates/planelink/src/machine.rs
@@ -124,6 +124,7 @@
     }
 
     fn turn(&mut self) -> Result<(), RunError> {
+        panics::test_point("machine");
         let now = self.clock.now();
         self.net.poll(now, self.next_due()).map_err(RunError::Loop)?;
         while let Some(event) = self.net.next(self.clock.now()) {
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -106,7 +106,8 @@
     ) -> io::Result<()> {
         let connection = self.clone();
         task::spawn("reader", move || {
-            let end = connection.read(clock, &inbox, connecting);
+            let end = panics::contain(|| connection.read(clock, &inbox, connecting));
+            let end = end.unwrap_or(ConnectionEnd::Broken);
             connection.unhandled_input.store(true, Ordering::SeqCst);
             let end = connection.classify_end(end);
             let (socket, serial) = (connection.socket, connection.serial);
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -29,7 +29,7 @@
 /// Interval of the summary line in the log.
 const SUMMARY_INTERVAL: Micros = 10_000_000;
 
-/// Why a gateway couldn't start.
+/// Why a gateway could not start, or did not end in order.
 #[derive(Debug, thiserror::Error)]
 pub enum GatewayError {
     /// Listening on the address failed.
@@ -38,6 +38,9 @@
     /// A coroutine or thread couldn't be started.
     #[error("cannot start: {0}")]
     Start(io::Error),
+    /// The engine has panicked.
+    #[error("the gateway's engine has crashed; open requests got no answer")]
+    Crashed,
 }
 
 /// A command to a running gateway.
@@ -75,11 +78,15 @@
     Command(Command),
 }
 
+/// The engine has ended in order: everything accepted was answered.
+struct OrderlyEnd;
+
 /// A running gateway.
 pub struct Gateway {
     address: SocketAddr,
     inbox: Mutex<Sender<Message>>,
-    ended: Mutex<Option<thread_mpsc::Receiver<()>>>,
+    /// Gets [`OrderlyEnd`] from the engine when it exits; without it, the engine has crashed.
+    ended: Mutex<Option<thread_mpsc::Receiver<OrderlyEnd>>>,
 }
 
 impl Gateway {
@@ -103,7 +110,7 @@
         let limits = ResourceLimits::from_machine(config.limits.descriptors, config.limits.memory_mb);
         let machine = Machine::new(clock.now(), config, limits);
         acceptor.start(listener, inbox.clone()).map_err(GatewayError::Start)?;
-        let (exit_guard, ended) = thread_mpsc::channel();
+        let (end_sender, ended) = thread_mpsc::channel();
         let engine = Engine {
             machine,
             max_response: limits.max_response_bytes,
@@ -119,7 +126,7 @@
         };
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
-            drop(exit_guard);
+            let _ = end_sender.send(OrderlyEnd); // Nobody may be waiting.
         })
         .map_err(GatewayError::Start)?;
         tracing::info!(name = config.name, %address, sizes = ?limits, "gateway up");
@@ -137,12 +144,14 @@
         let _ = inbox.send(Message::Command(command)); // The gateway may have exited.
     }
 
-    /// Waits until the gateway has exited.
-    pub fn wait(&self) {
+    /// Waits until the gateway has exited. Only the first call waits.
+    ///
+    /// # Errors
+    /// The engine has crashed: open requests got no answer.
+    pub fn wait(&self) -> Result<(), GatewayError> {
         let ended = self.ended.lock().unwrap_or_else(|p| p.into_inner()).take();
-        if let Some(ended) = ended {
-            let _ = ended.recv();
-        }
+        let Some(ended) = ended else { return Ok(()) };
+        ended.recv().map(|OrderlyEnd| ()).map_err(|_| GatewayError::Crashed)
     }
 }
 
@@ -167,18 +176,19 @@
         let mut announced_due = Micros::MIN;
         let mut stall_detector = StallDetector::new(self.clock.now(), ticker);
         loop {
+            panics::test_point("engine");
             let now = self.clock.now();
             stall_detector.begin_iteration(now);
             self.machine.tick(now);
             self.perform_outputs(now);
             if self.machine.is_finished() {
                 self.log_unanswered();
-                return tracing::info!("{}; all is answered", self.machine.summary());
+                return tracing::info!("{}; all is answered", self.summary());
             }
             if now >= self.next_summary {
                 self.next_summary = now + SUMMARY_INTERVAL;
                 self.log_unanswered();
-                tracing::info!("{}", self.machine.summary());
+                tracing::info!("{}", self.summary());
             }
             self.flush_starved();
             let retry_at = if self.starved.is_empty() { Micros::MAX } else { now + FLUSH_RETRY_INTERVAL };
@@ -201,6 +211,11 @@
         }
     }
 
+    /// The machine's counts, and the panics that ended one connection alone.
+    fn summary(&self) -> String {
+        format!("{} contained_panics={}", self.machine.summary(), panics::contained_count())
+    }
+
     /// Queues bytes for writing on a connection.
     fn queue_output(&mut self, socket: SocketId, bytes: &Bytes) {
         let Some(connection) = self.connections.get(&socket) else { return };
--- a/crates/restartsoak/src/main.rs
+++ b/crates/restartsoak/src/main.rs
@@ -67,6 +67,8 @@
 }
 
 fn main() -> ExitCode {
+    // A thread of the soak that panics would otherwise be missed, with what it had to check.
+    panics::install_hook();
     let arguments = Arguments::parse();
     let begun = Instant::now();
     let next = AtomicU64::new(arguments.first);
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -108,7 +108,9 @@
         let descriptor = Arc::new(self.send_buffer.socket().0.try_clone()?);
         let writer = CoIo::new(SharedDescriptor(descriptor.clone())).map_err(io::Error::from)?;
         task::spawn("outlet", move || {
-            outlet.write_pending(writer);
+            if panics::contain(|| outlet.write_pending(writer)).is_err() {
+                outlet.close();
+            }
             drop(descriptor);
         })
     }
