A Flush of all namespaces is Invalid Namespace in place of a refusal without end

Callers saw: a Flush with NSID FFFFFFFFh was taken, and refused as Command Interrupted, which tells a host to come again for ever (before the core's check: `Answer::Refused` for a volume that is not there). Change: it gets Invalid Namespace, and VWC in Identify Controller says that a Flush is of one namespace (10b). Result: the case in tests/command_data.rs, which found the command handed on before, passes. Only the gateway and the stand-in node have the session, and the gateway flushes volumes by their identifiers.

--- a/crates/nvme/src/identify.rs
+++ b/crates/nvme/src/identify.rs
@@ -81,7 +81,8 @@
         if self.optional && !self.discovery {
             put(&mut b, 520, &0b1101u16.to_le_bytes()); // ONCS: Compare, Dataset Management, Write Zeroes.
         }
-        b[525] = 0b001; // VWC: a volatile write cache is present, so hosts flush.
+        // VWC: a volatile write cache is present, so hosts flush; a Flush is of one namespace.
+        b[525] = 0b101;
         put(&mut b, 536, &(1u32 | 1 << 20).to_le_bytes()); // SGLS: SGLs, offsets into the capsule.
         text(&mut b, 768, 256, "");
         b[768..1024].fill(0);
--- a/crates/nvme/src/session/io_commands.rs
+++ b/crates/nvme/src/session/io_commands.rs
@@ -20,7 +20,7 @@
         let optional = target.options.optional;
         let blocks = match opcode {
             io::FLUSH => {
-                if sqe.nsid() != u32::MAX && target.namespace(sqe.nsid()).is_none() {
+                if target.namespace(sqe.nsid()).is_none() {
                     return Err(refuse(StatusCode::InvalidNamespace));
                 }
                 0
--- a/crates/nvme/tests/command_data.rs
+++ b/crates/nvme/tests/command_data.rs
@@ -40,6 +40,9 @@
     let (zeroes, compare) = (Sqe::blocks(io::WRITE_ZEROES, 1, 0, 1), Sqe::blocks(io::COMPARE, 1, 0, 1));
     let mut flush = Sqe::new(io::FLUSH);
     flush.set_nsid(1);
+    // A Flush of all namespaces, which Identify Controller says is not served.
+    let mut all = Sqe::new(io::FLUSH);
+    all.set_nsid(u32::MAX);
     let (mut fused, mut with_metadata) = (read, read);
     fused.0[1] |= 1;
     with_metadata.0[1] |= 0x80;
@@ -54,6 +57,7 @@
         (read, IN_CAPSULE(4096), 4096, kind),
         (read, IN_CAPSULE(0), 0, kind),
         (read, Sgl::Unsupported(0x40), 0, kind),
+        (all, TRANSPORT(0), 0, StatusCode::InvalidNamespace),
         (flush, TRANSPORT(0), 1, length),
         (flush, IN_CAPSULE(512), 512, length),
         (flush, TRANSPORT(4096), 0, length),
