A controller gets the data of a write once, however often it asks

Callers saw nothing yet; a node, or who stands between, could have a gateway send the same 128 KiB again and again on one connection, into a buffer of 64 MiB, while the command's other answers wait. Cause: `Initiator::r2t` checked that a request lies within the data, not that it had been asked for already. Change: R2Ts are in order and each byte is asked for once; else the connection ends with Data Transfer Out of Range. Every R2T of our own sessions is for all of the data, so sound nodes see no difference.

--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -118,6 +118,8 @@
     user: u64,
     /// Data of a write not in the capsule.
     data: Bytes,
+    /// How much of it R2Ts have asked for, in order.
+    requested: usize,
     got: Bytes,
     expect: u32,
     intact: bool,
@@ -207,7 +209,7 @@
         }
         let (capsule, later) = if inline { (data, Bytes::new()) } else { (Bytes::new(), data) };
         Pdu::CapsuleCmd { sqe: sqe.0, data: capsule, intact: true }.encode(self.digests, out);
-        let flight = Flight { user, data: later, got: Bytes::new(), expect, intact: true };
+        let flight = Flight { user, data: later, requested: 0, got: Bytes::new(), expect, intact: true };
         self.flights[usize::from(cid)] = Some(flight);
         Some(cid)
     }
@@ -289,9 +291,11 @@
             return Err(HostFault::Protocol(TermReason::InvalidHeaderField(8)));
         };
         let (start, end) = (offset as usize, offset as usize + length as usize);
-        if length == 0 || end > flight.data.len() {
+        // In order and each byte once: data that is asked for again would be sent as often as the controller likes.
+        if length == 0 || start != flight.requested || end > flight.data.len() {
             return Err(HostFault::Protocol(TermReason::DataOutOfRange));
         }
+        flight.requested = end;
         let mut at = start;
         while at < end {
             let next = (at + self.max_h2c_data).min(end);
