A write is not served before the node had its data

Callers saw nothing yet: a client could be told that a write was carried out which its node called done without having asked for the data. Cause: `Initiator::ended` held a success against the data of reads alone. Change: the success of a write whose data was not all asked for is Transient Transport Error, so that the attempt ends as an error that may have run. Result: the second test of tests/odd_controller.rs failed on (status 0) and passes.

--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -318,9 +318,11 @@
         };
         self.free.push_back(cqe.cid);
         let mut status = cqe.status;
-        // Data that does not match its digest, or is short, is no answer (TCP 3.3.1).
-        let short = flight.got.len() != flight.expect as usize;
-        if status.is_success() && (!flight.intact || short) {
+        // Data that does not match its digest, or is short, is no answer (TCP 3.3.1). Neither is the success of a
+        // write whose data the controller has not had.
+        let is_short = flight.got.len() != flight.expect as usize;
+        let is_unwritten = flight.requested != flight.data.len();
+        if status.is_success() && (!flight.intact || is_short || is_unwritten) {
             status = Status::passing(StatusCode::TransientTransportError);
         }
         let data = if status.is_success() { flight.got } else { Bytes::new() };
--- a/crates/nvme/tests/odd_controller.rs
+++ b/crates/nvme/tests/odd_controller.rs
@@ -61,3 +61,21 @@
         assert!(sent < 256, "a termination, no data");
     }
 }
+
+/// Guards against a write that a controller calls done before it had the data: it would be told to the client.
+#[test]
+fn a_write_is_not_done_before_its_data_was_asked_for() {
+    for asked in [0, BYTES / 2] {
+        let (mut host, cid) = host_with_a_write();
+        if asked > 0 {
+            receive(&mut host, &[request(cid, 0, asked)]);
+        }
+        let (_, events) = receive(&mut host, &[completion(cid)]);
+        let [HostEvent::Reply(reply)] = &events[..] else { panic!("{events:?}") };
+        assert!(reply.status.is(StatusCode::TransientTransportError), "{}", reply.status);
+    }
+    let (mut host, cid) = host_with_a_write();
+    let whole = [request(cid, 0, BYTES / 2), request(cid, BYTES / 2, BYTES / 2), completion(cid)];
+    let (_, events) = receive(&mut host, &whole);
+    assert!(matches!(&events[..], [HostEvent::Reply(reply)] if reply.status.is_success()), "{events:?}");
+}
