A fuzzer of odd, well-framed commands, sent by hosts that have connected in order

Change: `load::fuzz` draws the PDUs of an odd host and of an odd node by seed; `crowbay fuzz` plays eight hosts beside a good one that must be served and reads back what it wrote, at any target. Properties: the session with a core behind it (one answer for each command, the core accepts all that is handed on) and the initiator at an odd node (one reply each, no success without its data, no byte twice). A process test plays 10 s, by seed, against the demonstration.

--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -283,6 +283,32 @@
     pub check: bool,
 }
 
+/// Arguments of `fuzz`.
+#[derive(Debug, Args)]
+pub struct FuzzArgs {
+    /// Where the target listens
+    #[arg(long)]
+    pub address: SocketAddr,
+    /// NQN of its subsystem
+    #[arg(long)]
+    pub subsystem: String,
+    /// Namespace of the good host, from whose first 64 blocks its data is lost
+    #[arg(long, default_value_t = 1)]
+    pub nsid: u32,
+    /// Number of namespaces
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..))]
+    pub namespaces: u32,
+    /// Odd hosts
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=256))]
+    pub hosts: u16,
+    /// Seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How long to go on
+    #[arg(long, default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=86_400))]
+    pub seconds: u64,
+}
+
 /// Arguments of `badday`.
 #[derive(Debug, Args)]
 pub struct BaddayArgs {
--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -50,6 +50,11 @@
         #[arg(long, hide = true)]
         with_parent: bool,
     },
+    /// Fuzz a gateway or node: hosts that connect in order and send odd, well-framed commands, beside a good one
+    ///
+    /// The good host writes and reads back blocks of a namespace that the odd ones do not write to. Prints one JSON line. Exit
+    /// code 0 only if it was served throughout and read what it wrote.
+    Fuzz(FuzzArgs),
     /// Show it: one gateway, six stand-in nodes, clients and some troubles, in one process for 30 s
     Demo(DemoArgs),
     /// Play a scripted day through real gateway and node processes, and judge it
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -6,6 +6,7 @@
 mod command;
 mod control_plane;
 mod day;
+mod fuzz;
 mod load;
 mod log;
 mod operate;
@@ -46,6 +47,7 @@
         Command::Platform => platform::run(),
         Command::Node(args) => serve::node(&args),
         Command::Relay { file, with_parent } => serve::relay(&file, with_parent),
+        Command::Fuzz(args) => fuzz::fuzz(&args),
         Command::Demo(args) => day::demo(&args),
         Command::Badday(args) => day::badday_of(&args),
         Command::Soak(args) => day::soak(&args),
--- a/crates/load/src/host.rs
+++ b/crates/load/src/host.rs
@@ -323,7 +323,8 @@
     Ok(cid)
 }
 
-fn bring_up(
+/// Connects a queue and completes its handshake: its stream, its state, its controller and what that says of itself.
+pub(crate) fn bring_up(
     options: &HostOptions,
     qid: u16,
     cntlid: u16,
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod block;
 mod client;
+pub mod fuzz;
 mod host;
 
 pub use block::{Found, fill, look};
--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -178,6 +178,11 @@
         if self.is_ready() { self.free.len() } else { 0 }
     }
 
+    /// Digests in use, once the controller has answered.
+    pub fn digests(&self) -> Digests {
+        self.digests
+    }
+
     /// Commands out.
     pub fn outstanding(&self) -> usize {
         self.flights.len() - self.free.len()
