--- a/crates/crowbay/tests/fuzz.rs
+++ b/crates/crowbay/tests/fuzz.rs
@@ -3,7 +3,7 @@
 //! `CROWBAY_FUZZ_SECONDS` and `CROWBAY_FUZZ_SEED` play it longer, or with another seed.
 
 use std::io::{BufRead, BufReader};
-use std::process::{Child, ChildStdout, Command, Stdio};
+use std::process::{Child, Command, Stdio};
 
 use lab::DemoReady;
 use serde_json::Value;
@@ -11,7 +11,7 @@
 const EXE: &str = env!("CARGO_BIN_EXE_crowbay");
 
 /// A demonstration that is killed when the test is over.
-struct Demo(Child, BufReader<ChildStdout>);
+struct Demo(Child);
 
 impl Demo {
     fn start() -> (Demo, DemoReady) {
@@ -21,7 +21,7 @@
         let mut out = BufReader::new(child.stdout.take().expect("its output"));
         let mut line = String::new();
         out.read_line(&mut line).expect("its first line");
-        (Demo(child, out), serde_json::from_str(&line).expect("it says where it listens"))
+        (Demo(child), serde_json::from_str(&line).expect("it says where it listens"))
     }
 
     fn leaves(&mut self) -> bool {
