Counts of a peer are summed without a wrap; odd messages of peers and the control plane are tried

Callers saw nothing yet: a peer whose counts are near the end of their type had a shard taken for one in trouble, or for one without, by a sum that wrapped around (in a build with checks: a panic of the engine, which each of its messages brings about). Cause: `shows_trouble` added and multiplied a peer's 32-bit counts. Change: it saturates. Found by new tests that decode a sound MessagePack body, replace one to three of its values (numbers at the ends of their types, floats that are none, lists 300 times, fields left out) and hand it on as sound. Result: `repeats` failed after some hundred messages ("attempt to add with overflow", shard.rs:299) and passes 20,000; `fleet` (20,000), `recovery` (20,000), `plane` (a copy and a machine, 20,000 each) and `peer` (frames on 2,000 connections, checksums right) pass as they were.

--- a/crates/repeats/src/shard.rs
+++ b/crates/repeats/src/shard.rs
@@ -296,5 +296,8 @@
 /// window were bad. A node that refuses 3 of 10 at random is thus taken for one in trouble about once in
 /// ten minutes at a gateway that sends it 30 in a window.
 fn shows_trouble(served: u32, bad: u32) -> bool {
-    served == 0 && bad >= MIN_BAD_IN_QUARTER || served + bad >= MIN_ENDED_IN_WINDOW && bad >= 3 * served
+    // A peer's counts may be at the ends of their type.
+    let ended = served.saturating_add(bad);
+    let mostly_bad = bad >= served.saturating_mul(3);
+    served == 0 && bad >= MIN_BAD_IN_QUARTER || ended >= MIN_ENDED_IN_WINDOW && mostly_bad
 }
