A peer's lease requests for unknown shards are rejected and not remembered

Callers saw nothing yet: a peer (of another version of the site file, or out of order) that named ever new shards made the gateway keep a number for each, for ever; 256 fit in a message. Cause: `grant_lease` recorded a request in `LeaseBook::is_new_request`, and its worth in the slice's sum, before it looked whether the shard exists; found while reading what peers' messages decide. Change: the shard is looked up first, and the message's reason is reported once, as it is for observations. Result: the new test got no rejection before, and passes; repeats' suite passes.

--- a/crates/repeats/src/messaging.rs
+++ b/crates/repeats/src/messaging.rs
@@ -105,8 +105,16 @@
         for grant in &message.grants {
             self.accept_grant(now, &from, grant);
         }
-        let grants: Vec<LeaseGrant> =
-            message.wants.iter().filter_map(|request| self.grant_lease(now, &from, request)).collect();
+        let mut grants: Vec<LeaseGrant> = Vec::new();
+        for request in &message.wants {
+            // Checked first: of each request something is remembered.
+            if request.shard.is_some_and(|shard| !self.shard_caps.contains_key(&shard)) {
+                let reason = "it asks for tokens of a shard that the retry cap does not cover";
+                self.reject(from.clone(), reason, out);
+                continue;
+            }
+            grants.extend(self.grant_lease(now, &from, request));
+        }
         if !grants.is_empty() {
             self.counts.given += grants.len() as u64;
             // Allowances are lowered before the grant is sent: the scheduler must not spend tokens that
--- a/crates/repeats/tests/odd_messages.rs
+++ b/crates/repeats/tests/odd_messages.rs
@@ -63,3 +63,24 @@
         cap.handle(now, Input::MessageReceived { from: name(1 + n % 2), life: life(), body }, &mut out);
     }
 }
+
+/// Guards against a peer that fills the memory: what it had asked for last was kept for each shard that it named.
+#[test]
+fn lease_requests_for_unknown_shards_are_rejected() {
+    let mut cap = Cap::new(CapOptions::new(name(0), 3, vec![7, 8]), life(), 0, 1);
+    let mut out = Vec::new();
+    cap.handle(0, Input::PeersChanged((0..3).map(name).collect()), &mut out);
+    let request =
+        |shard| LeaseRequest { number: 1, shard: Some(shard), amount: 1000, worth: 2.0, life: life() };
+    let message = CapMessage { wants: vec![request(7), request(9)], ..CapMessage::default() };
+    let body = peer::wire::encode(&message);
+    cap.handle(1, Input::MessageReceived { from: name(1), life: life(), body }, &mut out);
+    let rejected: Vec<_> = out
+        .iter()
+        .filter_map(|output| match output {
+            Output::MessageRejected { reason, .. } => Some(*reason),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(rejected, ["it asks for tokens of a shard that the retry cap does not cover"]);
+}
