--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -3,6 +3,7 @@
 
 mod bed;
 mod clients;
+mod control;
 mod data;
 mod limits;
 mod nodes;
