A largest transfer of 4 KiB is a problem of the site file: it switched the limit off

Callers saw: with `limits.transfer_kib = 4` hosts were told MDTS 0, which means no limit, and the gateway kept none below 1 GiB: a Get Log Page of 32 bits of length had it allocate as much, a Write Zeroes 256 MiB, whatever `limits.held_mib` says. Cause: MDTS is a power of two of 4 KiB, of which 0 is taken; the check allowed 4 KiB. Change: the least is 8 KiB, and the file's problem says so. Result: the new test failed ("4" was no problem) and passes.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -227,8 +227,9 @@
             .for_each(|(key, n, most)| self.within(format!("limits.{key}"), n as f64, 1.0, most));
         self.within("limits.associations".into(), l.associations as f64, 1.0, 60000.0);
         self.within("limits.in_capsule_kib".into(), l.in_capsule_kib.into(), 1.0, 128.0);
-        if !(l.transfer_kib.is_power_of_two() && (4..=1024).contains(&l.transfer_kib)) {
-            let what = format!("{} is not a power of two from 4 to 1024", l.transfer_kib);
+        // MDTS 0, which 4 KiB would be, tells hosts that there is no limit (Base 5.17.2.1).
+        if !(l.transfer_kib.is_power_of_two() && (8..=1024).contains(&l.transfer_kib)) {
+            let what = format!("{} is not a power of two from 8 to 1024", l.transfer_kib);
             self.problem("limits.transfer_kib".into(), what);
         }
         // A client that reads slowly may have a whole queue of answers on the way: it asked for them.
--- a/crates/settings/src/site.rs
+++ b/crates/settings/src/site.rs
@@ -135,7 +135,7 @@
     pub queue_entries: u32,
     /// I/O queues of an association.
     pub io_queues: u16,
-    /// Largest transfer: 4 KiB times a power of two.
+    /// Largest transfer: 4 KiB times a power of two, at least 8 KiB.
     pub transfer_kib: u32,
     /// Data in a capsule.
     pub in_capsule_kib: u32,
--- a/crates/settings/tests/problems.rs
+++ b/crates/settings/tests/problems.rs
@@ -144,3 +144,17 @@
     let (text, _) = with(&[("op = \"flush\"", "op = \"read\"")]);
     assert!(problems(&text).iter().any(|p| p.what.contains("op = \"flush\"")), "{:?}", problems(&text));
 }
+
+/// Guards against a site that states 4 KiB and has no limit at all: hosts are told a power of two of 4 KiB, of which 0
+/// stands for none.
+#[test]
+fn a_largest_transfer_that_hosts_cannot_be_told_is_a_problem() {
+    let limits = |kib: u32| with(&[("[log]", &format!("[limits]\ntransfer_kib = {kib}\n\n[log]"))]).0;
+    for kib in [0, 1, 4, 12, 2048] {
+        let told = problems(&limits(kib));
+        assert!(told.iter().any(|p| p.key == "limits.transfer_kib"), "{kib}: {told:?}");
+    }
+    let site = Site::parse(&limits(8)).expect("well formed");
+    let options = site.gateway_options(0, 1, Vec::new(), None).expect("it can be told");
+    assert_eq!(options.target.max_transfer(), 8 * 1024);
+}
