--- a/crates/appliance/src/site.rs
+++ b/crates/appliance/src/site.rs
@@ -207,6 +207,7 @@
     fn run(&mut self, happens: &Receiver<Happens>, stop: &AtomicBool) {
         let mut next_beat = Instant::now();
         while !self.supervision.is_over() {
+            panics::test_point("supervisor");
             let left = next_beat.saturating_duration_since(Instant::now());
             match happens.recv_timeout(left) {
                 Ok(happening) => self.happened(happening),
--- a/crates/crowbay/tests/appliance_site/mod.rs
+++ b/crates/crowbay/tests/appliance_site/mod.rs
@@ -39,10 +39,10 @@
         stage
     }
 
-    /// A site of which a gateway's engine panics once the file [`Stage::trigger`] is there.
-    pub fn with_panic(nodes: u32, gateways: u32) -> Stage {
+    /// A site of which one process panics at a point once the file [`Stage::trigger`] is there.
+    pub fn with_panic_at(point: &str, nodes: u32, gateways: u32) -> Stage {
         let mut stage = Stage::dark(nodes, gateways, |text| text);
-        stage.environment.push(("CROWBAY_TEST_PANIC", format!("engine:{}", stage.trigger().display())));
+        stage.environment.push(("CROWBAY_TEST_PANIC", format!("{point}:{}", stage.trigger().display())));
         stage.start();
         stage
     }
--- a/crates/crowbay/tests/panics.rs
+++ b/crates/crowbay/tests/panics.rs
@@ -6,14 +6,14 @@
 mod common;
 mod stage;
 
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::path::PathBuf;
-use std::process::ExitStatus;
+use std::process::{Command, ExitStatus, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use common::machine::Machine;
-use common::process::{Running, text, until};
+use common::process::{Running, ended, text, until};
 use common::stage::Stage;
 use load::Found;
 use stage::starting::Starting;
@@ -148,3 +148,17 @@
     assert_eq!(process.end().code(), Some(EXIT_CODE));
     assert!(asked.elapsed() < AT_ONCE, "it took {:?}", asked.elapsed());
 }
+
+/// Guards against a demonstration that is held and whose gateway is gone: it left with exit code 0.
+#[test]
+fn a_held_demonstration_whose_gateway_panics_ends_at_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let trigger = folder.path().join("panic");
+    let mut command = Command::new(common::process::EXE);
+    command.args(["demo", "--hold"]).env(VARIABLE, format!("engine:{}", text(&trigger)));
+    let mut demo = command.stdin(Stdio::null()).stdout(Stdio::piped()).spawn().expect("it starts");
+    let mut line = String::new();
+    let mut out = BufReader::new(demo.stdout.take().expect("its output"));
+    out.read_line(&mut line).expect("its first line");
+    panicked(&trigger, || ended(&mut demo));
+}
