Review: a script ends itself after 95 s, and ends its own children alone

Cause: a script that waited for something that never comes had no end of its own, and the end of a script named all numbers that it had started, also of processes gone.

Change: review/lib-2.sh has a limit, and ends the children that still run and the program on the console.

--- a/review/lib-2.sh
+++ b/review/lib-2.sh
@@ -8,28 +8,39 @@
 RECORD=$CASE/record.txt
 TROUBLE=${TROUBLE:-1}
 export TROUBLE
-PIDS=()
 ulimit -c 0
 BEGUN=$(date +%s%N)
 TMP=$(mktemp -d) || exit 2
 : > "$RECORD" || exit 2
 cd "$ROOT" || exit 2
 
-# Ends what was started, by its number, however the script ends.
+# Ends what was started and still runs, by its number, however the script ends: its own children, and a program on a
+# console, whose number the console wrote down.
 clean_up() {
-    local pid file
-    for file in "$TMP"/pid "$TMP"/*/pid; do
-        [ -s "$file" ] && PIDS+=("$(cat "$file")")
+    local pid
+    kill -TERM "$WATCH" 2> /dev/null
+    if [ -s "$TMP/console/pid" ] && [ ! -e "$TMP/console/end" ]; then
+        kill -KILL "$(cat "$TMP/console/pid")" 2> /dev/null
+    fi
+    for pid in $(jobs -pr); do
+        [ "$pid" = "$WATCH" ] || kill -KILL "$pid" 2> /dev/null
     done
-    for pid in "${PIDS[@]:-}"; do
-        [ -n "$pid" ] && kill -KILL "$pid" 2>/dev/null
-    done
-    wait 2>/dev/null
+    wait 2> /dev/null
     rm -rf "$TMP"
 }
 trap clean_up EXIT
 trap 'exit 2' INT TERM
 
+# A script that hangs is ended after 95 s; what it may be waiting for then takes no more than 15 s.
+(
+    trap 'kill "$sleeper"; exit' TERM
+    sleep 95 &
+    sleeper=$!
+    wait "$sleeper"
+    kill -TERM $$
+) &
+WATCH=$!
+
 # Writes a line to the record, with the milliseconds since the start.
 note() { printf '%8d %s\n' $((($(date +%s%N) - BEGUN) / 1000000)) "$*" >> "$RECORD"; }
 
@@ -46,7 +57,6 @@
     shift
     "$@" > "$TMP/$name.out" 2> "$TMP/$name.err" &
     PID=$!
-    PIDS+=("$PID")
     note "started $name"
 }
 
