A log that cannot be written no longer ends the service

Cause: the log's subscriber reports a failed write by eprintln!, which panics without a standard error, and the panic hook logged through the same subscriber, so the process was aborted. Change: lines are queued and written by a thread that may fail or wait alone (package output), lost lines are counted in status, panics keep exit code 101, commands end quietly on a closed pipe, services outlive their terminal. Why it works: no write to standard output or error is on the path of a caller any more, and no failure of one is an error or a panic.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -13,7 +13,8 @@
     match Adapter::default().run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("crowbay-benchlink: {e}");
+            output::errln!("crowbay-benchlink: {e}");
+            output::finish();
             ExitCode::FAILURE
         }
     }
--- a/crates/crowbay/src/control_plane.rs
+++ b/crates/crowbay/src/control_plane.rs
@@ -68,6 +68,7 @@
     let folder = args.state.clone().unwrap_or_else(|| Path::new(STATE).join(&args.name));
     let mut run = table.machine_run(site.number(), index, folder);
     (run.records, run.seed) = (args.records.clone(), seed(args.seed));
+    serve::outlive_terminal()?;
     let stop = told_to_stop()?;
     if args.with_parent {
         serve::end_with_parent();
@@ -91,6 +92,7 @@
         from: Micros::from(s.from_ms) * 1000,
         span: Micros::from(s.for_ms) * 1000,
     });
+    serve::outlive_terminal()?;
     let stop = told_to_stop()?;
     if args.with_parent {
         serve::end_with_parent();
@@ -139,10 +141,10 @@
         let shown = serde_json::json!({
             "key": key.to_string(), "epoch": stamp.epoch.0, "version": stamp.version.0, "writer": writer.name,
         });
-        println!("{shown}");
+        output::outln!("{shown}");
     } else {
         let what = if args.delete { "deleted" } else { "durable" };
-        println!("{key} {stamp}, {what} at {}", writer.name);
+        output::outln!("{key} {stamp}, {what} at {}", writer.name);
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -164,9 +166,9 @@
         Failure { code, what: error.to_string() }
     })?;
     if args.json {
-        println!("{}", serde_json::to_string_pretty(&report)?);
+        output::outln!("{}", serde_json::to_string_pretty(&report)?);
     } else {
-        println!("{}", report.text());
+        output::outln!("{}", report.text());
     }
     Ok(kept(&report.verdict))
 }
@@ -181,31 +183,41 @@
     let verdict = planecheck::check_folder(records)
         .map_err(|error| Failure { code: USAGE, what: error.to_string() })?;
     if json {
-        println!("{}", serde_json::to_string_pretty(&verdict)?);
+        output::outln!("{}", serde_json::to_string_pretty(&verdict)?);
         return Ok(kept(&verdict));
     }
-    println!(
+    output::outln!(
         "{} changes written, {} entries in force at {} holders, {} digests compared",
-        verdict.written, verdict.in_force, verdict.holders, verdict.compared
+        verdict.written,
+        verdict.in_force,
+        verdict.holders,
+        verdict.compared
     );
     if let Some(all) = verdict.latencies.get("all").filter(|l| l.all.count > 0) {
         let ms = |micros: u64| micros as f64 / 1000.0;
         let (median, p99, worst) = (ms(all.all.median), ms(all.all.p99), ms(all.all.worst));
-        println!("in force after: median {median:.1} ms, p99 {p99:.1} ms, worst {worst:.1} ms");
+        output::outln!("in force after: median {median:.1} ms, p99 {p99:.1} ms, worst {worst:.1} ms");
     }
-    println!(
+    output::outln!(
         "{} changes lost with a writer's disk that was set back; {} holders and regions not at the end",
-        verdict.lost_with_disk, verdict.unreached_count
+        verdict.lost_with_disk,
+        verdict.unreached_count
     );
     for one in &verdict.unreached {
-        println!("    {} holds region {} up to {:?} of {:?}", one.holder, one.region, one.held, one.last);
+        output::outln!(
+            "    {} holds region {} up to {:?} of {:?}",
+            one.holder,
+            one.region,
+            one.held,
+            one.last
+        );
     }
-    println!("broken: {}", verdict.broken());
+    output::outln!("broken: {}", verdict.broken());
     for (kind, count) in &verdict.counts {
-        println!("  {kind:?}: {count}");
+        output::outln!("  {kind:?}: {count}");
     }
     for found in &verdict.breaks {
-        println!("    {:?} at {}, {}: {}", found.kind, found.at, found.t, found.what);
+        output::outln!("    {:?} at {}, {}: {}", found.kind, found.at, found.t, found.what);
     }
     Ok(kept(&verdict))
 }
--- a/crates/crowbay/src/day.rs
+++ b/crates/crowbay/src/day.rs
@@ -52,23 +52,32 @@
     let demo = Demo::start(site, &folder.path)?;
     if args.hold {
         let mut signals = Signals::new([SIGINT, SIGTERM])?;
-        println!("{}", serde_json::to_string(&demo.ready())?);
+        output::outln!("{}", serde_json::to_string(&demo.ready())?);
         signals.forever().next();
         return Ok(if demo.stop() { ExitCode::SUCCESS } else { ExitCode::FAILURE });
     }
     let ready = demo.ready();
-    println!("a gateway on {} serves {} over six stand-in nodes", ready.address, ready.nqn);
-    println!("nodes are shown as number:state/attempts out; clients, nodes and gateway share this process");
-    println!();
-    let (report, summary, status) = demo.play(&mut |line| println!("{line}"))?;
-    println!();
-    println!("answers    served {}, refused {}, failed {}", report.served, report.refused, report.failed);
-    println!(
+    output::outln!("a gateway on {} serves {} over six stand-in nodes", ready.address, ready.nqn);
+    output::outln!(
+        "nodes are shown as number:state/attempts out; clients, nodes and gateway share this process"
+    );
+    output::outln!();
+    let (report, summary, status) = demo.play(&mut |line| output::outln!("{line}"))?;
+    output::outln!();
+    output::outln!(
+        "answers    served {}, refused {}, failed {}",
+        report.served,
+        report.refused,
+        report.failed
+    );
+    output::outln!(
         "attempts   {} sent, {} of them repeats, {} ended late",
-        status.sent, status.retries, status.late_ends
+        status.sent,
+        status.retries,
+        status.late_ends
     );
-    println!("latency    {}", latency(&summary));
-    println!();
+    output::outln!("latency    {}", latency(&summary));
+    output::outln!();
     print_rules(&report);
     Ok(kept(&report))
 }
@@ -84,15 +93,15 @@
 }
 
 fn print_rules(report: &Report) {
-    println!("{:22} {:>8} {:>8}", "rule", "checked", "broken");
+    output::outln!("{:22} {:>8} {:>8}", "rule", "checked", "broken");
     for (name, rule) in &report.rules {
-        println!("{name:22} {:>8} {:>8}", rule.checked, rule.broken);
+        output::outln!("{name:22} {:>8} {:>8}", rule.checked, rule.broken);
         for finding in &rule.findings {
-            println!("    at {}: {}", finding.t, finding.what);
+            output::outln!("    at {}: {}", finding.t, finding.what);
         }
     }
-    println!();
-    println!("worth served: {:.3} of what was due", report.worth_part);
+    output::outln!();
+    output::outln!("worth served: {:.3} of what was due", report.worth_part);
 }
 
 fn code(broken: &BTreeSet<String>) -> ExitCode {
@@ -127,16 +136,21 @@
     plays: usize,
 ) -> Result<(), Failure> {
     let names = |rules: &BTreeSet<String>| rules.iter().cloned().collect::<Vec<_>>().join(", ");
-    println!();
-    println!("broken: {}; cut down by at most {plays} plays", names(broken));
+    output::outln!();
+    output::outln!("broken: {}; cut down by at most {plays} plays", names(broken));
     let (exe, trials) = (exe()?, out.join("trial"));
     let done = lab::cut_down(site, broken, out, plays, |file, trial| {
         let rules = broken_by(&lab::play(&exe, file, &trials, &mut |_| {})?);
         let what = if rules.is_empty() { "all kept".to_owned() } else { names(&rules) };
-        println!("{:4} troubles: {what}", trial.trouble.len());
+        output::outln!("{:4} troubles: {what}", trial.trouble.len());
         Ok(rules)
     })?;
-    println!("{} troubles are left after {} plays: {}", done.troubles.len(), done.plays, done.file.display());
+    output::outln!(
+        "{} troubles are left after {} plays: {}",
+        done.troubles.len(),
+        done.plays,
+        done.file.display()
+    );
     Ok(())
 }
 
@@ -157,17 +171,17 @@
     std::fs::create_dir_all(out)?;
     let file = out.join("drawn.toml");
     std::fs::write(&file, toml::to_string(site)?)?;
-    println!("{} troubles drawn by seed {seed}: {}", site.trouble.len(), file.display());
+    output::outln!("{} troubles drawn by seed {seed}: {}", site.trouble.len(), file.display());
     badday(&file, out)
 }
 
 /// Plays a day file and tells what it came to; the rules that were broken.
 fn badday(file: &Path, out: &Path) -> Result<BTreeSet<String>, Failure> {
     crate::serve::load(file)?;
-    let played = lab::play(&exe()?, file, out, &mut |line| println!("{line}"))?;
+    let played = lab::play(&exe()?, file, out, &mut |line| output::outln!("{line}"))?;
     let report = &played.report;
-    println!();
-    println!(
+    output::outln!();
+    output::outln!(
         "commands {}: served {}, refused {}, failed {}, aborted {}, lost with their connection {}; attempts {}",
         report.commands,
         report.served,
@@ -177,12 +191,12 @@
         report.lost,
         report.attempts
     );
-    println!("latency    {}", latency(&played.summary));
-    println!();
+    output::outln!("latency    {}", latency(&played.summary));
+    output::outln!();
     print_rules(report);
-    println!("records and report: {}", out.display());
+    output::outln!("records and report: {}", out.display());
     if !played.stuck.is_empty() {
-        eprintln!("did not leave when asked to: {}", played.stuck.join(", "));
+        output::errln!("did not leave when asked to: {}", played.stuck.join(", "));
     }
     Ok(broken_by(&played))
 }
@@ -199,9 +213,9 @@
     std::fs::create_dir_all(&args.out)?;
     let file = args.out.join("replay.toml");
     std::fs::write(&file, &mapped.toml)?;
-    mapped.mapped.iter().for_each(|line| println!("plays       {line}"));
-    mapped.unmapped.iter().for_each(|line| println!("leaves out  {line}"));
-    println!("day file: {}", file.display());
+    mapped.mapped.iter().for_each(|line| output::outln!("plays       {line}"));
+    mapped.unmapped.iter().for_each(|line| output::outln!("leaves out  {line}"));
+    output::outln!("day file: {}", file.display());
     if args.dry {
         crate::serve::load(&file)?;
         return Ok(ExitCode::SUCCESS);
@@ -226,15 +240,18 @@
         rounds: args.rounds,
     };
     if args.json {
-        let rows = lab::bench_path(&options, &mut |line| eprintln!("{line}"))?;
-        println!("{}", serde_json::to_string_pretty(&rows)?);
+        let rows = lab::bench_path(&options, &mut |line| output::errln!("{line}"))?;
+        output::outln!("{}", serde_json::to_string_pretty(&rows)?);
         return Ok(ExitCode::SUCCESS);
     }
-    println!("one process holds host, gateway and stand-in node; medians of {} rounds", args.rounds.max(1));
+    output::outln!(
+        "one process holds host, gateway and stand-in node; medians of {} rounds",
+        args.rounds.max(1)
+    );
     if options.journal.is_some() {
-        println!("'straight' is a gateway without a journal, 'through' one with it");
+        output::outln!("'straight' is a gateway without a journal, 'through' one with it");
     }
-    println!("{}", BenchRow::head());
-    lab::bench_path(&options, &mut |line| println!("{line}"))?;
+    output::outln!("{}", BenchRow::head());
+    lab::bench_path(&options, &mut |line| output::outln!("{line}"))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/crowbay/src/fuzz.rs
+++ b/crates/crowbay/src/fuzz.rs
@@ -25,6 +25,6 @@
         duration: Duration::from_secs(args.seconds),
     };
     let report = run(&options, &stop)?;
-    println!("{}", serde_json::to_string(&report)?);
+    output::outln!("{}", serde_json::to_string(&report)?);
     Ok(if report.is_good() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
--- a/crates/crowbay/src/load.rs
+++ b/crates/crowbay/src/load.rs
@@ -21,28 +21,29 @@
     if let Some(trace) = &scenario.trace {
         // Read twice, so that a wrong line is told before anybody is connected to.
         let commands = loadgen::read_trace(&scenario, trace).map_err(|e| wrong(e.to_string()))?;
-        eprintln!("{}: {} commands", trace.file.display(), commands.len());
+        output::errln!("{}: {} commands", trace.file.display(), commands.len());
     }
     if args.check {
-        println!("{}: well formed", args.file.display());
+        output::outln!("{}: well formed", args.file.display());
         return Ok(ExitCode::SUCCESS);
     }
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, stop.clone())?;
     signal_hook::flag::register(SIGINT, stop.clone())?;
-    let results = loadgen::run(&scenario, &stop, &mut |p| eprintln!("{}", line(p))).map_err(|e| match e {
-        RunError::Trace(_) | RunError::Files { .. } => wrong(e.to_string()),
-        _ => Failure { code: 1, what: e.to_string() },
-    })?;
+    let results =
+        loadgen::run(&scenario, &stop, &mut |p| output::errln!("{}", line(p))).map_err(|e| match e {
+            RunError::Trace(_) | RunError::Files { .. } => wrong(e.to_string()),
+            _ => Failure { code: 1, what: e.to_string() },
+        })?;
     if let Some(out) = &args.out {
         loadgen::save(&results, out)?;
     }
     if args.json {
-        println!("{}", serde_json::to_string_pretty(&results)?);
+        output::outln!("{}", serde_json::to_string_pretty(&results)?);
     } else {
-        print!("{}", loadgen::table(&results));
+        output::out!("{}", loadgen::table(&results));
         if let Some(out) = &args.out {
-            println!("results and charts: {}", out.display());
+            output::outln!("results and charts: {}", out.display());
         }
     }
     let good = results.valid && results.data_is_right();
--- a/crates/crowbay/src/log.rs
+++ b/crates/crowbay/src/log.rs
@@ -1,4 +1,4 @@
-//! Structured logs on standard error.
+//! Structured logs on standard error. A log that cannot be written costs lines, never the service.
 
 use settings::{Log, LogFormat, LogLevel};
 use tracing_subscriber::EnvFilter;
@@ -14,8 +14,11 @@
     };
     // The runtime tells of every descriptor; that is of use to nobody who runs a gateway.
     let filter = EnvFilter::new(format!("{level},may=warn"));
-    let builder =
-        tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_target(false);
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_writer(|| output::LogWriter)
+        .log_internal_errors(false)
+        .with_target(false);
     // The only failure is that logs were started before.
     let _ = match log.format {
         LogFormat::Text => builder.with_ansi(false).try_init(),
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -79,11 +79,16 @@
         Command::Man { dir } => setup::man(&dir),
         Command::Bench(args) => day::bench(&args),
     };
-    match done {
-        Ok(code) => code,
-        Err(failure) => {
-            eprintln!("crowbay: {}", failure.what);
-            ExitCode::from(failure.code)
-        }
-    }
+    let code = done.and_then(|code| printed().map(|()| code)).unwrap_or_else(|failure| {
+        output::errln!("crowbay: {}", failure.what);
+        ExitCode::from(failure.code)
+    });
+    output::finish();
+    code
+}
+
+/// Fails if the command's result could not be printed, unless its reader has closed the pipe.
+fn printed() -> Result<(), Failure> {
+    output::command_output_result()
+        .map_err(|error| Failure { code: 1, what: format!("standard output: {error}") })
 }
--- a/crates/crowbay/src/operate.rs
+++ b/crates/crowbay/src/operate.rs
@@ -24,7 +24,7 @@
 }
 
 fn json(value: &impl serde::Serialize) -> Ended {
-    println!("{}", serde_json::to_string_pretty(value)?);
+    output::outln!("{}", serde_json::to_string_pretty(value)?);
     Ok(ExitCode::SUCCESS)
 }
 
@@ -35,7 +35,7 @@
         if args.json {
             return json(&view);
         }
-        print!("{}", console::text(&view));
+        output::out!("{}", console::text(&view));
         return Ok(ExitCode::SUCCESS);
     }
     console::run(&socket, &who())?;
@@ -47,7 +47,7 @@
     if at.json {
         return json(&view);
     }
-    print!("{}", console::text(&view));
+    output::out!("{}", console::text(&view));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -56,7 +56,7 @@
     if at.json {
         return json(&view.nodes);
     }
-    print!("{}", console::nodes_text(&view));
+    output::out!("{}", console::nodes_text(&view));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -65,7 +65,7 @@
     if at.json {
         return json(&view.volumes);
     }
-    print!("{}", console::volumes_text(&view));
+    output::out!("{}", console::volumes_text(&view));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -76,12 +76,12 @@
         let all: Vec<_> = view.gateways.iter().map(|g| (&g.name, &g.requests)).collect();
         return json(&all);
     }
-    print!("{}", console::requests_text(&view));
+    output::out!("{}", console::requests_text(&view));
     Ok(ExitCode::SUCCESS)
 }
 
 pub fn why(request: &str, at: &SiteAt) -> Ended {
-    println!("{}", console::why(&view(at)?, request));
+    output::outln!("{}", console::why(&view(at)?, request));
     Ok(ExitCode::SUCCESS)
 }
 
@@ -93,9 +93,9 @@
     let from = format!("shell {}", std::process::id());
     let verdict = client(at)?.intent(change.clone(), &who(), &from, None, confirmed)?;
     if at.json {
-        println!("{}", serde_json::to_string(&verdict)?);
+        output::outln!("{}", serde_json::to_string(&verdict)?);
     } else {
-        println!("{}", console::verdict_text(&change, &verdict));
+        output::outln!("{}", console::verdict_text(&change, &verdict));
     }
     Ok(match verdict {
         v if v.is_done() => ExitCode::SUCCESS,
@@ -110,10 +110,10 @@
     if at.json {
         return json(&entries);
     }
-    println!("{:>8} {:20} {:12} {:16} {:28} before", "revision", "when", "who", "from", "change");
+    output::outln!("{:>8} {:20} {:12} {:16} {:28} before", "revision", "when", "who", "from", "change");
     for e in entries {
         let when = console::when(e.t);
-        println!(
+        output::outln!(
             "{:>8} {when:20} {:12} {:16} {:28} {}",
             e.revision.0,
             e.by,
@@ -127,12 +127,12 @@
 
 pub fn revive(at: &SiteAt) -> Ended {
     client(at)?.ask(appliance::wire::Question::Revive)?;
-    println!("what was given up is started again");
+    output::outln!("what was given up is started again");
     Ok(ExitCode::SUCCESS)
 }
 
 pub fn stop(at: &SiteAt) -> Ended {
     client(at)?.ask(appliance::wire::Question::Stop)?;
-    println!("the site stops: gateways answer what they took, then nodes leave");
+    output::outln!("the site stops: gateways answer what they took, then nodes leave");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/crowbay/src/serve.rs
+++ b/crates/crowbay/src/serve.rs
@@ -1,7 +1,7 @@
 //! `gateway`, `node`, `relay` and `appliance`: run until told to stop.
 
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
@@ -30,18 +30,22 @@
 }
 
 fn say_ready(name: &str, address: SocketAddr, peer: Option<SocketAddr>) -> Result<(), Failure> {
-    let line = serde_json::to_string(&Ready { name: name.to_owned(), address, peer })?;
-    let mut out = std::io::stdout();
-    writeln!(out, "{line}")?;
-    out.flush()?;
+    output::announce(&serde_json::to_string(&Ready { name: name.to_owned(), address, peer })?);
     Ok(())
 }
 
+/// Lets a service go on when the terminal from which it was started is closed; by default the signal that
+/// tells of it (SIGHUP) ends a process.
+pub fn outlive_terminal() -> std::io::Result<()> {
+    signal_hook::flag::register(SIGHUP, Arc::default()).map(|_| ())
+}
+
 /// Ends the process once standard input closes: its parent is gone.
 pub fn end_with_parent() {
     std::thread::spawn(|| {
         let mut rest = [0; 64];
         while matches!(std::io::stdin().read(&mut rest), Ok(n) if n > 0) {}
+        output::finish();
         std::process::exit(0);
     });
 }
@@ -124,6 +128,7 @@
         None => Recorder::none(),
     };
     let _identity = args.lock.as_deref().map(Identity::take).transpose()?;
+    outlive_terminal()?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let mut options = site.node_options(index, args.cold);
     options.disk = args.disk.as_ref().map(|path| DiskOptions {
@@ -158,14 +163,13 @@
 pub fn relay(file: &Path, with_parent: bool) -> Ended {
     let wrong = |what: String| Failure { code: USAGE, what };
     let plan = relay::Plan::load(file).map_err(|e| wrong(e.to_string()))?;
+    outlive_terminal()?;
     let mut signals = Signals::new([SIGINT, SIGTERM])?;
     let mut relay = relay::Relay::open(&plan)?;
     if with_parent {
         end_with_parent();
     }
-    let mut out = std::io::stdout();
-    writeln!(out, "{}", serde_json::to_string(&relay.listening())?)?;
-    out.flush()?;
+    output::announce(&serde_json::to_string(&relay.listening())?);
     // It holds nothing that would have to be ended in order: a cut is what it is for.
     let carries = std::thread::spawn(move || relay.run());
     std::thread::spawn(move || {
@@ -188,11 +192,13 @@
         state: std::path::absolute(&args.state)?,
         exe: std::env::current_exe()?,
     };
+    outlive_terminal()?;
     let stop = Arc::new(AtomicBool::new(false));
     signal_hook::flag::register(SIGTERM, stop.clone())?;
     signal_hook::flag::register(SIGINT, stop.clone())?;
     appliance::run(paths, &stop, |paths| {
-        println!("the site is supervised; watch it with: crowbay console --state {}", paths.state.display());
+        let state = paths.state.display();
+        output::announce(&format!("the site is supervised; watch it with: crowbay console --state {state}"));
     })?;
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/crowbay/src/setup.rs
+++ b/crates/crowbay/src/setup.rs
@@ -29,15 +29,15 @@
         return Ok(usual);
     }
     loop {
-        print!("{question} [{usual}]: ");
-        std::io::stdout().flush()?;
+        output::out!("{question} [{usual}]: ");
+        output::command_output_result()?;
         let mut line = String::new();
         if std::io::stdin().lock().read_line(&mut line)? == 0 || line.trim().is_empty() {
             return Ok(usual);
         }
         match line.trim().parse() {
             Ok(value) => return Ok(value),
-            Err(_) => println!("'{}' is not understood", line.trim()),
+            Err(_) => output::outln!("'{}' is not understood", line.trim()),
         }
     }
 }
@@ -59,7 +59,7 @@
     let mut file =
         std::fs::File::create_new(&args.file).map_err(|e| usage(format!("{}: {e}", args.file.display())))?;
     file.write_all(text.as_bytes())?;
-    println!("{} is written; next: crowbay doctor --config {0} --state DIR", args.file.display());
+    output::outln!("{} is written; next: crowbay doctor --config {0} --state DIR", args.file.display());
     Ok(ExitCode::SUCCESS)
 }
 
@@ -92,7 +92,7 @@
 
 pub fn doctor(config: &Path, state: &Path) -> Ended {
     let (mut bad, told) =
-        (0, |ok: bool, what: String| println!("{} {what}", if ok { "ok  " } else { "BAD " }));
+        (0, |ok: bool, what: String| output::outln!("{} {what}", if ok { "ok  " } else { "BAD " }));
     let mut check = |ok: bool, what: String| {
         bad += u32::from(!ok);
         told(ok, what);
@@ -100,7 +100,7 @@
     let site = match Site::load(config) {
         Ok(site) => site,
         Err(e) => {
-            println!("BAD  the site file:\n{e}");
+            output::outln!("BAD  the site file:\n{e}");
             return Ok(ExitCode::from(USAGE));
         }
     };
@@ -144,20 +144,25 @@
     for v in &site.volume {
         let alone = v.shards.iter().any(|s| site.node.iter().filter(|n| n.shard == *s).count() > 1);
         if !alone {
-            println!("note {}: each of its shards has one node; a drain of one refuses that part", v.name);
+            output::outln!(
+                "note {}: each of its shards has one node; a drain of one refuses that part",
+                v.name
+            );
         }
     }
     Ok(if bad == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 pub fn completions(shell: clap_complete::Shell) -> Ended {
-    clap_complete::generate(shell, &mut Cli::command(), "crowbay", &mut std::io::stdout());
+    let mut script = Vec::new();
+    clap_complete::generate(shell, &mut Cli::command(), "crowbay", &mut script);
+    output::out!("{}", String::from_utf8_lossy(&script));
     Ok(ExitCode::SUCCESS)
 }
 
 pub fn man(dir: &Path) -> Ended {
     std::fs::create_dir_all(dir).map_err(|e| usage(format!("{}: {e}", dir.display())))?;
     clap_mangen::generate_to(Cli::command(), dir)?;
-    println!("manual pages are in {}", dir.display());
+    output::outln!("manual pages are in {}", dir.display());
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/crowbay/src/show.rs
+++ b/crates/crowbay/src/show.rs
@@ -11,7 +11,7 @@
 
 pub fn check(file: &Path) -> Ended {
     let site = crate::serve::load(file)?;
-    println!(
+    output::outln!(
         "{}: well formed; {} classes, {} plans, {} volumes, {} gateways, {} nodes, {} clients, {} troubles",
         file.display(),
         site.class.len(),
@@ -43,7 +43,7 @@
         return Err(unexpected());
     };
     if at.json {
-        println!("{}", serde_json::to_string_pretty(&status)?);
+        output::outln!("{}", serde_json::to_string_pretty(&status)?);
     } else {
         print_status(&status);
     }
@@ -53,22 +53,40 @@
 fn print_status(s: &Status) {
     let up = (s.now - s.started) as f64 / 1e6;
     let stopping = if s.stopping { ", stopping" } else { "" };
-    println!("{} on {}, up {up:.0} s{stopping}; {} connections", s.name, s.address, s.connections);
-    println!(
+    output::outln!("{} on {}, up {up:.0} s{stopping}; {} connections", s.name, s.address, s.connections);
+    output::outln!(
         "taken {}, served {}, refused {}, failed {}, aborted {}, left by their client {}, open {}",
-        s.taken, s.served, s.refused, s.failed, s.aborted, s.withdrawn, s.open
+        s.taken,
+        s.served,
+        s.refused,
+        s.failed,
+        s.aborted,
+        s.withdrawn,
+        s.open
     );
     for (cause, count) in &s.causes {
-        println!("not served, {cause}: {count}");
+        output::outln!("not served, {cause}: {count}");
     }
-    println!("attempts {}, repeats {}, out {}, late {}", s.sent, s.retries, s.out, s.late_ends);
-    println!();
-    println!(
+    output::outln!("attempts {}, repeats {}, out {}, late {}", s.sent, s.retries, s.out, s.late_ends);
+    if s.lost_log_lines > 0 {
+        output::outln!("lines of the log that could not be written: {}", s.lost_log_lines);
+    }
+    output::outln!();
+    output::outln!(
         "{:16} {:21} {:>5} {:>9} {:>10} {:>5} {:>9} {:>9} {:>8} {:>9}",
-        "node", "address", "shard", "state", "link", "out", "sent", "served", "unserved", "last ms"
+        "node",
+        "address",
+        "shard",
+        "state",
+        "link",
+        "out",
+        "sent",
+        "served",
+        "unserved",
+        "last ms"
     );
     for n in &s.nodes {
-        println!(
+        output::outln!(
             "{:16} {:21} {:>5} {:>9} {:>10} {:>5} {:>9} {:>9} {:>8} {:>9.1}",
             n.name,
             n.address,
@@ -82,21 +100,35 @@
             n.latency as f64 / 1000.0
         );
     }
-    println!();
-    println!(
+    output::outln!();
+    output::outln!(
         "{:16} {:>5} {:>6} {:>9} {:>9} {:>9} {:>9} {:>11}",
-        "volume", "nsid", "open", "taken", "served", "refused", "failed", "units"
+        "volume",
+        "nsid",
+        "open",
+        "taken",
+        "served",
+        "refused",
+        "failed",
+        "units"
     );
     for v in &s.volumes {
-        println!(
+        output::outln!(
             "{:16} {:>5} {:>6} {:>9} {:>9} {:>9} {:>9} {:>11.0}",
-            v.name, v.nsid, v.open, v.taken, v.served, v.refused, v.failed, v.units
+            v.name,
+            v.nsid,
+            v.open,
+            v.taken,
+            v.served,
+            v.refused,
+            v.failed,
+            v.units
         );
     }
     let lines = console::fleet_lines(s);
     if !lines.is_empty() {
-        println!();
-        lines.iter().for_each(|line| println!("{line}"));
+        output::outln!();
+        lines.iter().for_each(|line| output::outln!("{line}"));
     }
 }
 
@@ -115,7 +147,7 @@
         RecoveryVerb::Status { control, json } => {
             let (shown, now, name) = recovery_of(control)?;
             if *json {
-                println!("{}", serde_json::to_string_pretty(&shown)?);
+                output::outln!("{}", serde_json::to_string_pretty(&shown)?);
             } else {
                 print_recovery(&name, &shown, now);
             }
@@ -149,44 +181,49 @@
         return Err(Failure { code: USAGE, what });
     }
     ask(control, request)?;
-    println!("carried out, and in the gateway's log: {costs}");
+    output::outln!("carried out, and in the gateway's log: {costs}");
     Ok(ExitCode::SUCCESS)
 }
 
 fn print_recovery(name: &str, r: &recovery::Shown, now: i64) {
     let ago = |t: i64| (now - t) as f64 / 1e6;
-    println!(
+    output::outln!(
         "{name} in life {}: {} for {:.1} s",
         r.life,
         format!("{:?}", r.phase).to_lowercase(),
         ago(r.since)
     );
     if !r.waits_for.is_empty() {
-        println!("waits for the words of {}", r.waits_for.join(", "));
+        output::outln!("waits for the words of {}", r.waits_for.join(", "));
     }
     let of = r.orders_of.as_ref().map_or(String::new(), |peer| format!(", as {peer} told"));
-    println!("orders {}{of}", r.orders);
+    output::outln!("orders {}{of}", r.orders);
     if r.blind {
-        println!("its journal of work in hand was missing or damaged: all writes rest once");
+        output::outln!("its journal of work in hand was missing or damaged: all writes rest once");
     }
     let [ran, not_there, unknown] = r.settled;
-    println!(
+    output::outln!(
         "writes from before: {ran} ran, {not_there} not there, {unknown} unknown, {} open",
         r.unsettled.len()
     );
     for key in &r.unsettled {
         let p = key.place;
-        println!(
+        output::outln!(
             "  {:>8}  volume {} blocks {}+{}, at {}: waits for {}",
-            key.number, p.nsid, p.slba, p.blocks, key.node, key.waits_for
+            key.number,
+            p.nsid,
+            p.slba,
+            p.blocks,
+            key.node,
+            key.waits_for
         );
     }
     match r.full_by {
         Some(t) if t > now => {
-            println!("all is open in {:.1} s at the latest, if every node is there", -ago(t))
+            output::outln!("all is open in {:.1} s at the latest, if every node is there", -ago(t))
         }
-        Some(_) => println!("all is open once every node is there and answers"),
-        None => println!("all is open"),
+        Some(_) => output::outln!("all is open once every node is there and answers"),
+        None => output::outln!("all is open"),
     }
 }
 
@@ -209,8 +246,8 @@
         }
         None => reads.clone(),
     };
-    println!("reads   {reads}");
-    println!("writes  {writes}");
+    output::outln!("reads   {reads}");
+    output::outln!("writes  {writes}");
 }
 
 pub fn requests(at: &At, most: usize) -> Ended {
@@ -219,19 +256,28 @@
         return Err(unexpected());
     };
     if at.json {
-        println!("{}", serde_json::to_string_pretty(&requests)?);
+        output::outln!("{}", serde_json::to_string_pretty(&requests)?);
         return Ok(ExitCode::SUCCESS);
     }
-    println!(
+    output::outln!(
         "{:>10} {:>9} {:16} {:6} {:16} {:>8}  nodes",
-        "request", "age ms", "volume", "op", "class", "attempts"
+        "request",
+        "age ms",
+        "volume",
+        "op",
+        "class",
+        "attempts"
     );
     for r in requests {
         let age = r.age as f64 / 1000.0;
         let nodes = if r.nodes.is_empty() { "held".to_owned() } else { r.nodes.join(" ") };
-        println!(
+        output::outln!(
             "{:>10} {age:>9.1} {:16} {:6} {:16} {:>8}  {nodes}",
-            r.id, r.volume, r.op, r.class, r.attempts
+            r.id,
+            r.volume,
+            r.op,
+            r.class,
+            r.attempts
         );
     }
     Ok(ExitCode::SUCCESS)
@@ -240,6 +286,6 @@
 pub fn stop(at: &At) -> Ended {
     let Some(control) = &at.control else { return operate::stop(&site_at(at)) };
     ask(control, &ControlRequest::Stop)?;
-    println!("the gateway takes nothing new and leaves once all is answered");
+    output::outln!("the gateway takes nothing new and leaves once all is answered");
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/emulator/src/node.rs
+++ b/crates/emulator/src/node.rs
@@ -155,6 +155,7 @@
         let state = self.shared.lock();
         NodeStatus {
             name: self.shared.options.name.clone(),
+            lost_log_lines: output::lost_lines(),
             address: self.address,
             shard: self.shared.options.shard,
             started: state.started,
--- a/crates/emulator/src/node/options.rs
+++ b/crates/emulator/src/node/options.rs
@@ -51,6 +51,9 @@
 pub struct NodeStatus {
     /// Its name.
     pub name: String,
+    /// Lines of its log that could not be written.
+    #[serde(default)]
+    pub lost_log_lines: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Its shard.
--- a/crates/gateway/src/engine/status.rs
+++ b/crates/gateway/src/engine/status.rs
@@ -138,6 +138,7 @@
             late_ends: tally.late,
             causes: self.unserved_causes(),
             contained_panics: panics::contained_count(),
+            lost_log_lines: output::lost_lines(),
             reasons: self.core.reasons().iter().map(|(k, n)| ((*k).to_owned(), *n)).collect(),
             recovery: self.recovery.as_ref().map(RecoveryDriver::progress),
             fleet: self.fleet_status(),
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -168,6 +168,9 @@
     /// program.
     #[serde(default)]
     pub contained_panics: u64,
+    /// Lines of the log that could not be written.
+    #[serde(default)]
+    pub lost_log_lines: u64,
     /// Progress of the recovery; `None` without peers to recover with.
     #[serde(default)]
     pub recovery: Option<recovery::Shown>,
--- a/crates/panics/src/lib.rs
+++ b/crates/panics/src/lib.rs
@@ -40,6 +40,7 @@
     std::panic::set_hook(Box::new(|info| {
         report(info);
         if !IS_CONTAINED.with(Cell::get) {
+            output::finish();
             // Without unwinding: destructors may wait for the task that has just ended.
             std::process::exit(EXIT_CODE);
         }
@@ -84,7 +85,7 @@
             "panic, a fault of the program: {consequence}; please report this line with the log before it"
         );
     } else {
-        eprintln!("ERROR panic in {task} at {place}: {reason}; a fault of the program: {consequence}");
+        output::errln!("ERROR panic in {task} at {place}: {reason}; a fault of the program: {consequence}");
     }
 }
 
--- a/crates/planelink/src/machine.rs
+++ b/crates/planelink/src/machine.rs
@@ -345,6 +345,7 @@
         let (copy, counts) = (self.machine.copy(), self.machine.counts());
         let (bytes_in, bytes_out) = self.net.bytes();
         let line = MachineLine {
+            lost_log_lines: output::lost_lines(),
             t: now,
             name: &self.run.name.0,
             open: self.machine.writer().map(Writer::is_open),
--- a/crates/planelink/src/status.rs
+++ b/crates/planelink/src/status.rs
@@ -1,7 +1,6 @@
 //! The lines that processes of the plane say of themselves.
 
 use std::collections::BTreeMap;
-use std::io::Write;
 
 use plane::{Cursor, Micros, Region};
 use serde::Serialize;
@@ -39,6 +38,8 @@
     pub(crate) wholes: u64,
     pub(crate) turned_away: u64,
     pub(crate) waits_for: Vec<String>,
+    /// Lines of its log and of these lines that could not be written.
+    pub(crate) lost_log_lines: u64,
 }
 
 /// A process of gateways without a data path.
@@ -69,10 +70,7 @@
     let Ok(text) = serde_json::to_string(line) else { return };
     match tell {
         Some(tell) => tell(&text),
-        None => {
-            // Whoever started the process may be gone; its work does not depend on being watched.
-            let mut out = std::io::stdout().lock();
-            let _ = writeln!(out, "{text}").and_then(|()| out.flush());
-        }
+        // Whoever started the process may be gone or slow; its work does not depend on being watched.
+        None => output::announce(&text),
     }
 }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -211,9 +211,10 @@
         }
     }
 
-    /// The machine's counts, and the panics that ended one connection alone.
+    /// The machine's counts, the panics that ended one connection alone, and the lines that were lost.
     fn summary(&self) -> String {
-        format!("{} contained_panics={}", self.machine.summary(), panics::contained_count())
+        let (panics, lost) = (panics::contained_count(), output::lost_lines());
+        format!("{} contained_panics={panics} lost_log_lines={lost}", self.machine.summary())
     }
 
     /// Queues bytes for writing on a connection.
--- a/crates/records/src/file.rs
+++ b/crates/records/src/file.rs
@@ -62,7 +62,8 @@
             file.write_all(&bytes)
         });
         if let Err(e) = written {
-            eprintln!("a record could not be written, so this process ends: {e}");
+            output::errln!("a record could not be written, so this process ends: {e}");
+            output::finish();
             std::process::exit(3);
         }
     }
--- a/crates/restartsoak/src/main.rs
+++ b/crates/restartsoak/src/main.rs
@@ -130,15 +130,15 @@
 fn tell(played: &Played, out: &Path) {
     let seed = played.seed;
     match &played.result {
-        Err(error) => println!("seed {seed}: not played: {error}"),
+        Err(error) => output::outln!("seed {seed}: not played: {error}"),
         Ok((_, breaches)) if breaches.is_empty() => {}
         Ok((_, breaches)) => {
-            println!(
+            output::outln!(
                 "seed {seed}: {} breaches; records in {}",
                 breaches.len(),
                 out.join(format!("seed-{seed}")).display()
             );
-            breaches.iter().take(5).for_each(|breach| println!("  {breach}"));
+            breaches.iter().take(5).for_each(|breach| output::outln!("  {breach}"));
         }
     }
 }
@@ -154,7 +154,7 @@
     };
     let is_clean = |played: &&Played| played.result.as_ref().is_ok_and(|(_, breaches)| breaches.is_empty());
     let clean = all.iter().filter(is_clean).count();
-    println!(
+    output::outln!(
         "{} seeds, {} lives, {} requests ({} served, {} refused, {} failed), {} attempts, {:.0} s",
         all.len(),
         records.iter().map(|records| records.lives.len()).sum::<usize>(),
@@ -165,6 +165,6 @@
         records.iter().map(|records| records.attempts.len()).sum::<usize>(),
         begun.elapsed().as_secs_f64(),
     );
-    println!("{clean} passed, {} failed", all.len() - clean);
+    output::outln!("{clean} passed, {} failed", all.len() - clean);
     if clean == all.len() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
