Requests of platform clients share a part of the granted memory

Callers saw: with hundreds of clients that stopped within a body or sent it slowly, the process passed its memory limit and was killed. Cause: nothing bounded the sum of what connections hold; open bodies, their encoded copies and emptied buffers were not counted at all. Change: a request beyond 4 KiB is read on only once there is room for all of it, the smallest first; open requests keep their room; bodies are shared and not copied; the load is a command (crowbay hostile). Why it works: every byte read beyond 4 KiB a connection has its room before it is read.

--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -309,6 +309,41 @@
     pub seconds: u64,
 }
 
+/// Arguments of `hostile`.
+#[derive(Debug, Args)]
+pub struct HostileArgs {
+    /// Where the gateway listens
+    #[arg(long)]
+    pub address: SocketAddr,
+    /// What the hostile clients do
+    #[arg(long, value_enum)]
+    pub kind: hostile::Kind,
+    /// Hostile clients, each with one connection at a time
+    #[arg(long, default_value_t = 6, value_parser = clap::value_parser!(u16).range(1..=1000))]
+    pub connections: u16,
+    /// Sound clients beside them
+    #[arg(long, default_value_t = 12, value_parser = clap::value_parser!(u16).range(1..=300))]
+    pub sound_clients: u16,
+    /// Class of reads, as the gateway's settings name it
+    #[arg(long)]
+    pub read_class: String,
+    /// Class of writes
+    #[arg(long)]
+    pub write_class: String,
+    /// Plan of the requests
+    #[arg(long)]
+    pub plan: String,
+    /// Shard of the requests
+    #[arg(long, default_value_t = 0)]
+    pub shard: u32,
+    /// Seed of all that is drawn
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How long to go on
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(1..=86_400))]
+    pub seconds: u64,
+}
+
 /// Arguments of `badday`.
 #[derive(Debug, Args)]
 pub struct BaddayArgs {
--- a/crates/crowbay/src/command.rs
+++ b/crates/crowbay/src/command.rs
@@ -55,6 +55,11 @@
     /// The good host writes and reads back blocks of a namespace that the odd ones do not write to. Prints one JSON line. Exit
     /// code 0 only if it was served throughout and read what it wrote.
     Fuzz(FuzzArgs),
+    /// Offer hostile load to a platform gateway: clients that flood, stop half way or leave, beside sound ones
+    ///
+    /// The sound clients ask for one read at a time and give it 1 s. Prints one JSON line. Exit code 0 only if none of their
+    /// requests was lost, late or failed and nine in ten were served.
+    Hostile(HostileArgs),
     /// Show it: one gateway, six stand-in nodes, clients and some troubles, in one process for 30 s
     Demo(DemoArgs),
     /// Play a scripted day through real gateway and node processes, and judge it
--- a/crates/crowbay/src/main.rs
+++ b/crates/crowbay/src/main.rs
@@ -7,6 +7,7 @@
 mod control_plane;
 mod day;
 mod fuzz;
+mod hostile;
 mod load;
 mod log;
 mod operate;
@@ -48,6 +49,7 @@
         Command::Node(args) => serve::node(&args),
         Command::Relay { file, with_parent } => serve::relay(&file, with_parent),
         Command::Fuzz(args) => fuzz::fuzz(&args),
+        Command::Hostile(args) => hostile::hostile(&args),
         Command::Demo(args) => day::demo(&args),
         Command::Badday(args) => day::badday_of(&args),
         Command::Soak(args) => day::soak(&args),
--- a/crates/http1/src/body.rs
+++ b/crates/http1/src/body.rs
@@ -79,9 +79,6 @@
             }
             Framing::Length(length) => {
                 let length = *length;
-                // Reserve once instead of growing repeatedly. The operating system provides reserved memory
-                // only when it is written to, so a large stated length alone uses hardly any.
-                input.reserve(length.saturating_sub(input.len()));
                 Ok((input.len() >= length).then(|| input.split_to(length).freeze()))
             }
             Framing::Chunked(chunked) => {
@@ -91,6 +88,24 @@
         }
     }
 
+    /// Returns the stated length; none if the end of the body is marked in another way.
+    pub(crate) fn stated_length(&self) -> Option<usize> {
+        match self.framing {
+            Framing::Length(length) => Some(length),
+            Framing::Unstated => Some(0),
+            Framing::Chunked(_) | Framing::UntilEnd => None,
+        }
+    }
+
+    /// Reserves memory for the rest of a body of stated length, once instead of growing repeatedly. The
+    /// operating system provides reserved memory only when it is written to, so a large stated length alone
+    /// uses hardly any.
+    pub(crate) fn reserve(&self, input: &mut BytesMut) {
+        if let Some(length) = self.stated_length() {
+            input.reserve(length.saturating_sub(input.len()));
+        }
+    }
+
     /// Returns the body if it ends with the orderly close of the connection.
     pub(crate) fn end(self) -> Option<Bytes> {
         matches!(self.framing, Framing::UntilEnd).then(|| self.bytes.freeze())
--- a/crates/http1/src/encode.rs
+++ b/crates/http1/src/encode.rs
@@ -28,11 +28,23 @@
 /// POST.
 pub fn encode_request(method: &str, target: &str, fields: &[(&str, &str)], body: &[u8]) -> Bytes {
     let mut out = BytesMut::with_capacity(256 + body.len());
+    write_request_line_and_length(&mut out, method, target, body.len());
+    finish(out, fields, body, true)
+}
+
+/// Encodes the head of a request whose body of `length` bytes is sent separately.
+pub fn encode_request_head(method: &str, target: &str, fields: &[(&str, &str)], length: usize) -> Bytes {
+    let mut out = BytesMut::with_capacity(256);
+    write_request_line_and_length(&mut out, method, target, length);
+    finish(out, fields, &[], true)
+}
+
+/// Writes the request line and, where the request has one, the content length.
+fn write_request_line_and_length(out: &mut BytesMut, method: &str, target: &str, length: usize) {
     let _ = write!(out, "{method} {target} HTTP/1.1\r\n");
-    if !body.is_empty() || method == "PUT" || method == "POST" {
-        let _ = write!(out, "Content-Length: {}\r\n", body.len());
+    if length > 0 || method == "PUT" || method == "POST" {
+        let _ = write!(out, "Content-Length: {length}\r\n");
     }
-    finish(out, fields, body, true)
 }
 
 /// Appends the header fields, the end of the head and the body.
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -17,7 +17,7 @@
 mod response;
 mod stream;
 
-pub use encode::{encode_request, encode_response, encode_response_head};
+pub use encode::{encode_request, encode_request_head, encode_response, encode_response_head};
 pub use error::DecodeError;
 pub use fields::{Fields, RepeatedField};
 pub use request::{Request, RequestDecoder, RequestEvent};
--- a/crates/http1/src/request.rs
+++ b/crates/http1/src/request.rs
@@ -61,6 +61,21 @@
         self.current.is_none() && self.input.is_empty()
     }
 
+    /// Returns the size of the body that is being received: its stated length, or the limit if it states none;
+    /// `None` while no body is being received.
+    pub fn body_size(&self) -> Option<usize> {
+        let (_, body, _) = self.current.as_ref()?;
+        Some(body.stated_length().unwrap_or(self.limits.body))
+    }
+
+    /// Reserves memory for the rest of the body that is being received. Without it, the memory grows with
+    /// what has been received.
+    pub fn reserve_body(&mut self) {
+        if let Some((_, body, _)) = &self.current {
+            body.reserve(&mut self.input);
+        }
+    }
+
     /// Returns the next event, or `None` if more input is needed.
     ///
     /// # Errors
@@ -77,10 +92,16 @@
         }
         let Some((_, body, expects_continue)) = &mut self.current else { return Ok(None) };
         match body.read(&mut self.input, &self.limits)? {
-            Some(bytes) => Ok(self.current.take().map(|(mut request, _, _)| {
-                request.body = bytes;
-                RequestEvent::Complete(request)
-            })),
+            Some(bytes) => {
+                if self.input.is_empty() && !bytes.is_empty() {
+                    // It would keep the memory that it shares with the body.
+                    self.input = BytesMut::new();
+                }
+                Ok(self.current.take().map(|(mut request, _, _)| {
+                    request.body = bytes;
+                    RequestEvent::Complete(request)
+                }))
+            }
             None if std::mem::take(expects_continue) && self.input.is_empty() => {
                 Ok(Some(RequestEvent::ExpectsContinue))
             }
--- a/crates/http1/src/response.rs
+++ b/crates/http1/src/response.rs
@@ -79,7 +79,10 @@
             self.current = Some((head, Body::new(framing)));
         }
         let Some((_, body)) = &mut self.current else { return Ok(None) };
-        let Some(bytes) = body.read(&mut self.input, &self.limits)? else { return Ok(None) };
+        let Some(bytes) = body.read(&mut self.input, &self.limits)? else {
+            body.reserve(&mut self.input);
+            return Ok(None);
+        };
         self.informational = 0;
         Ok(self.current.take().map(|(mut response, _)| {
             response.body = bytes;
--- a/crates/platform/src/admission.rs
+++ b/crates/platform/src/admission.rs
@@ -74,13 +74,32 @@
 }
 
 impl AdmittedRequest {
+    /// Encodes the request for a storage node, without its body. `wait`: how long this gateway will wait for
+    /// the response.
+    pub fn forward_head(&self, host: &str, wait: Micros) -> Bytes {
+        self.encode(host, wait, |method, target, fields| {
+            http1::encode_request_head(method, target, fields, self.body.len())
+        })
+    }
+
     /// Encodes the request for a storage node. `wait`: how long this gateway will wait for the response.
     pub fn forward(&self, host: &str, wait: Micros) -> Bytes {
+        self.encode(host, wait, |method, target, fields| {
+            http1::encode_request(method, target, fields, &self.body)
+        })
+    }
+
+    fn encode(
+        &self,
+        host: &str,
+        wait: Micros,
+        encode: impl FnOnce(&str, &str, &[(&str, &str)]) -> Bytes,
+    ) -> Bytes {
         let wait = (wait / 1000).max(1).to_string();
         let mut fields =
             vec![("Host", host), ("X-Request-ID", self.id.as_str()), ("X-Timeout-Ms", wait.as_str())];
         fields.extend(self.key.as_deref().map(|key| ("Idempotency-Key", key)));
-        http1::encode_request(&self.method, &self.target, &fields, &self.body)
+        encode(&self.method, &self.target, &fields)
     }
 }
 
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -6,6 +6,7 @@
 use http1::{Limits, RequestDecoder};
 
 use crate::arrivals::Arrivals;
+use crate::input_budget::{FREE_BYTES, Room};
 
 /// A connection closed for writing, whose input is still read and discarded so that the peer can read the
 /// last response.
@@ -19,6 +20,8 @@
 /// A client's connection.
 pub(crate) struct ClientConnection {
     pub(crate) decoder: RequestDecoder,
+    /// Maximum size of a head in bytes.
+    head_limit: usize,
     pub(crate) arrivals: Arrivals,
     /// Start of the current wait: when the connection was accepted, its last response was written, or a
     /// request began to arrive.
@@ -36,6 +39,12 @@
     pub(crate) discarded_bytes: usize,
     /// The connection was to be closed but had input or output pending, which hasn't been handled yet.
     pub(crate) close_declined: bool,
+    /// Its part of the memory for requests.
+    pub(crate) room: Room,
+    /// Its reader may deliver input; otherwise reading has stopped.
+    pub(crate) is_reading: bool,
+    /// The room for which the connection waits unread.
+    pub(crate) needed_room: Option<usize>,
     /// Set once the connection is closed for writing; further input is discarded.
     pub(crate) lingering: Option<Lingering>,
 }
@@ -44,6 +53,7 @@
     pub(crate) fn new(now: Micros, limits: Limits, request_timeout: Micros) -> Self {
         ClientConnection {
             decoder: RequestDecoder::new(limits),
+            head_limit: limits.head,
             arrivals: Arrivals::default(),
             waiting_since: now,
             request_timeout,
@@ -52,10 +62,30 @@
             served: false,
             discarded_bytes: 0,
             close_declined: false,
+            room: Room::default(),
+            is_reading: true,
+            needed_room: None,
             lingering: None,
         }
     }
 
+    /// Whether input is read and discarded.
+    pub(crate) fn discards_input(&self) -> bool {
+        self.lingering.is_some() || self.discarded_bytes > 0
+    }
+
+    /// The room needed for what arrives: none beyond [`FREE_BYTES`] for the beginning of a request, then that
+    /// of a head, then that of its body.
+    pub(crate) fn arriving_room(&self) -> usize {
+        let buffered = self.decoder.buffered_bytes();
+        match self.decoder.body_size() {
+            _ if self.lingering.is_some() => 0,
+            Some(size) => size.max(buffered),
+            None if buffered < FREE_BYTES => buffered,
+            None => buffered.max(self.head_limit),
+        }
+    }
+
     /// Whether the connection has no open request, no lingering close and no part of a further request.
     pub(crate) fn is_idle(&self) -> bool {
         self.open_request.is_none() && self.lingering.is_none() && self.decoder.is_idle()
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::io::{self, ErrorKind, Read};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 
 use bytes::Bytes;
@@ -15,10 +15,10 @@
 use transport::{Outlet, SharedDescriptor};
 
 use crate::gateway::Message;
+use crate::input_budget::FREE_BYTES;
+use crate::machine::READ_BYTES;
 use crate::socket::{ConnectionEnd, SocketId};
 
-/// Size of the read buffer in bytes.
-const READ_BUFFER: usize = 16 << 10;
 /// Maximum bytes queued for a peer that doesn't read, in addition to one response of maximum size.
 const MAX_UNSENT: usize = 128 << 10;
 
@@ -34,6 +34,8 @@
     unhandled_input: AtomicBool,
     /// Lets the reader continue.
     read_permit: Semphore,
+    /// Maximum number of bytes that the reader reads next.
+    read_bytes: AtomicUsize,
     /// Wakes the reader while it waits for its socket; set once the reader has started.
     waker: Mutex<Option<WaitIoWaker>>,
 }
@@ -56,7 +58,20 @@
             Arc::new(Outlet::from_shared_with_owner_flushes(stream.clone(), max_response + MAX_UNSENT));
         let (closed, unhandled_input) = (AtomicBool::new(false), AtomicBool::new(false));
         let (read_permit, waker) = (Semphore::new(0), Mutex::new(None));
-        Arc::new(Connection { socket, serial, stream, outlet, closed, unhandled_input, read_permit, waker })
+        // A client's first request needs no room beyond that.
+        let first = if matches!(socket, SocketId::Client(_)) { FREE_BYTES } else { READ_BYTES };
+        let read_bytes = AtomicUsize::new(first);
+        Arc::new(Connection {
+            socket,
+            serial,
+            stream,
+            outlet,
+            closed,
+            unhandled_input,
+            read_permit,
+            read_bytes,
+            waker,
+        })
     }
 
     /// Starts connecting to an address.
@@ -161,7 +176,7 @@
         // permits then, so a reader that delivered it would wait for ever and hold its descriptor.
         while !self.closed.load(Ordering::SeqCst) {
             // The buffer is allocated per read, so that a connection without traffic holds none.
-            let mut buffer = vec![0; READ_BUFFER];
+            let mut buffer = vec![0; self.read_bytes.load(Ordering::Relaxed)];
             match (&*self.stream).read(&mut buffer) {
                 Ok(0) => return ConnectionEnd::Orderly,
                 // Input of a client that has already closed is dropped: a request in it would be admitted
@@ -187,8 +202,9 @@
         ConnectionEnd::Broken
     }
 
-    /// Lets the reader continue.
-    pub(crate) fn resume(&self) {
+    /// Lets the reader continue and read this many bytes at most.
+    pub(crate) fn resume(&self, bytes: usize) {
+        self.read_bytes.store(bytes, Ordering::Relaxed);
         self.unhandled_input.store(false, Ordering::SeqCst);
         self.read_permit.post();
     }
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -385,9 +385,9 @@
                 }
             }
             Output::Close(socket) => self.close(socket),
-            Output::ResumeReading(socket) => {
+            Output::ResumeReading(socket, bytes) => {
                 if let Some(connection) = self.connections.get(&socket) {
-                    connection.resume();
+                    connection.resume(bytes);
                 }
             }
             Output::Accept => {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,6 +21,7 @@
 mod discovery;
 mod endpoint;
 mod gateway;
+mod input_budget;
 mod json_stream;
 mod machine;
 mod node_connections;
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -3,6 +3,7 @@
 
 mod attempts;
 mod clients;
+mod input;
 mod lists;
 mod shutdown;
 mod summary;
@@ -13,7 +14,7 @@
 use bytes::Bytes;
 use decisions::{Micros, NodeId, NodeState, Outcome, RequestId};
 use dispatch::{AttemptId, Command, Dispatcher, Verdict};
-use http1::{Limits, Request, RequestEvent};
+use http1::{Limits, Request, RequestDecoder, RequestEvent};
 use profile::Service;
 
 use crate::admission::{AdmittedRequest, Rejection, admit};
@@ -21,6 +22,7 @@
 use crate::config::Config;
 use crate::discovery::{self, Discovery};
 use crate::endpoint::{EndpointList, Zones};
+use crate::input_budget::InputBudget;
 use crate::node_connections::{ConnectionChoice, ConnectionUpdate, NodeConnections};
 use crate::outcome::reported_load;
 use crate::resource_limits::ResourceLimits;
@@ -29,9 +31,11 @@
 
 /// Limits on messages from clients and nodes; the protocol's bodies hold up to 64 KiB.
 pub(crate) const MESSAGE_LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 8 };
-/// Response bodies of at least this length are written from their own buffer; copying a shorter one behind
-/// the head is cheaper than a second write.
+/// Bodies of at least this length are written from their own buffer; copying a shorter one behind the head is
+/// cheaper than a second write.
 const MIN_SHARED_BODY: usize = 16 << 10;
+/// Maximum number of bytes read at a time.
+pub(crate) const READ_BYTES: usize = 16 << 10;
 /// Bytes of pipelined requests that are buffered while a client's request is open.
 const MAX_PIPELINED_BYTES: usize = 16 << 10;
 /// While less than this fraction (1/8) of the client connections is free, responses close their connection.
@@ -101,6 +105,7 @@
     dispatcher: Dispatcher<Pending>,
     clients: HashMap<u64, ClientConnection>,
     client_timers: ClientTimers,
+    input_budget: InputBudget,
     /// The connection accepted last. It isn't closed to make room before another one has been accepted.
     newest_client: u64,
     /// Ids of the requests without a final response.
@@ -146,6 +151,7 @@
             dispatcher: Dispatcher::new(config.settings.clone(), config.seed),
             clients: HashMap::new(),
             client_timers: ClientTimers::default(),
+            input_budget: InputBudget::new(limits.max_buffered_request_bytes),
             newest_client: 0,
             open_request_ids: HashSet::new(),
             connections: NodeConnections::new(
@@ -226,6 +232,7 @@
             + self.open_request_ids.len();
         self.clients.len()
             + self.client_timers.len()
+            + self.input_budget.entries()
             + nodes
             + requests
             + self.connections.table_entries()
@@ -309,7 +316,7 @@
                 self.run_discovery_steps(now, steps);
             }
         }
-        self.outputs.push(Output::ResumeReading(socket));
+        self.outputs.push(Output::ResumeReading(socket, READ_BYTES));
     }
 
     /// Handles a connection that ended or could not be established.
@@ -369,6 +376,7 @@
             self.stop_listening_sent = true;
             self.outputs.push(Output::StopListening);
         }
+        self.resume_waiting_readers();
         self.accept_or_make_room(now);
     }
 
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -54,10 +54,16 @@
         let (mut next, mut invalid) = (Some(first), Vec::new());
         while let Some(attempt) = next.take() {
             match self.encode_attempt(now, attempt) {
-                // A connection that its node closed right after establishing it would be reopened again and
-                // again if it were treated as a stale idle one. Its end is reported instead.
-                Some(bytes) if fresh => self.outputs.push(Output::Write(SocketId::Node(connection), bytes)),
-                Some(bytes) => self.outputs.push(Output::WriteIfIdle(SocketId::Node(connection), bytes)),
+                Some((first_part, body)) => {
+                    let socket = SocketId::Node(connection);
+                    // A connection that its node closed right after establishing it would be reopened again
+                    // and again if it were treated as a stale idle one. Its end is reported instead.
+                    self.outputs.push(match fresh {
+                        true => Output::Write(socket, first_part),
+                        false => Output::WriteIfIdle(socket, first_part),
+                    });
+                    self.outputs.extend(body.map(|body| Output::Write(socket, body)));
+                }
                 None => {
                     invalid.push(attempt);
                     next = self.connections.start_declined(now, connection);
@@ -69,12 +75,17 @@
         }
     }
 
-    /// Returns the bytes of an attempt that starts now; none if it is no longer valid.
-    fn encode_attempt(&mut self, now: Micros, attempt: AttemptId) -> Option<Bytes> {
+    /// Returns the bytes of an attempt that starts now, a large body apart, which is shared instead of copied;
+    /// none if the attempt is no longer valid.
+    fn encode_attempt(&mut self, now: Micros, attempt: AttemptId) -> Option<(Bytes, Option<Bytes>)> {
         let (node, due) = self.dispatcher.begin_write(now, attempt)?;
         let pending = self.dispatcher.payload(attempt.request)?;
         let host = self.nodes.get(&node).map_or_else(String::new, |a| a.address.to_string());
-        Some(pending.admitted.forward(&host, due - now))
+        let (admitted, wait) = (&pending.admitted, due - now);
+        if admitted.body.len() < MIN_SHARED_BODY {
+            return Some((admitted.forward(&host, wait), None));
+        }
+        Some((admitted.forward_head(&host, wait), Some(admitted.body.clone())))
     }
 
     /// Withdraws attempts that wait for a connection and are no longer valid.
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -6,12 +6,13 @@
     pub(super) fn client_received(&mut self, now: Micros, id: u64, at: Micros, bytes: &[u8]) {
         let Some(client) = self.clients.get_mut(&id) else { return };
         client.close_declined = false;
+        client.is_reading = false;
         if let Some(lingering) = &mut client.lingering {
             if lingering.bytes_left < bytes.len() {
                 return self.close_client(now, id);
             }
             lingering.bytes_left -= bytes.len();
-            return self.outputs.push(Output::ResumeReading(SocketId::Client(id)));
+            return self.resume_reading(id);
         }
         if client.open_request.is_some()
             && (client.discarded_bytes > 0
@@ -30,9 +31,9 @@
         }
         client.decoder.receive(bytes);
         client.arrivals.record(bytes.len(), at);
-        // Reading resumes first, so that these bytes no longer count as unprocessed input.
-        self.outputs.push(Output::ResumeReading(SocketId::Client(id)));
         self.handle_buffered_requests(now, id);
+        self.settle_room(id);
+        self.resume_reading(id);
     }
 
     /// Handles pipelined bytes beyond the [`MAX_PIPELINED_BYTES`] that are buffered behind an open request.
@@ -51,7 +52,7 @@
             let message = Bytes::from_static(b"too much was sent behind an open request\n");
             self.write_response(now, id, 400, &[], message, false);
         }
-        self.outputs.push(Output::ResumeReading(SocketId::Client(id)));
+        self.resume_reading(id);
     }
 
     /// Handles the requests in a client's buffer, one at a time.
@@ -102,6 +103,7 @@
             }
         };
         self.open_request_ids.insert(admitted.id.clone());
+        let held_bytes = admitted.target.len() + admitted.body.len();
         let mut request_for_decisions = admitted.request.clone();
         if let Some(shutdown) = self.answer_deadline() {
             request_for_decisions.timeout = request_for_decisions.timeout.min(shutdown - now).max(0);
@@ -116,6 +118,7 @@
             client.open_request = Some((request, keep));
             self.client_timers.remove(client, id);
         }
+        self.take_open_room(id, held_bytes);
         self.run_dispatcher_commands(now);
     }
 
@@ -123,10 +126,12 @@
     /// its lingering connection is to be closed if nothing is pending.
     pub(super) fn client_timer_due(&mut self, now: Micros, id: u64) {
         let slots_short = self.accept_wanted && self.clients.len() >= self.limits.client_connections;
+        let memory_short = self.input_budget.is_short();
         let Some(client) = self.clients.get_mut(&id) else { return };
         if client.open_request.is_some() {
             return;
         }
+        let is_short = slots_short || memory_short && !client.is_idle();
         if let Some(lingering) = &client.lingering {
             if now >= lingering.close_at {
                 return self.close_client(now, id);
@@ -139,7 +144,7 @@
         // send it again.
         let deadline = client.waiting_since + client.request_timeout;
         let is_idle_after_response = client.served && client.is_idle();
-        if !is_idle_after_response && now < deadline && !slots_short {
+        if !is_idle_after_response && now < deadline && !is_short {
             let next_check = (now + client.request_timeout / 8).min(deadline);
             return self.client_timers.set(client, id, next_check);
         }
@@ -147,7 +152,11 @@
             return self.start_close_if_no_input(now, id);
         }
         self.rejected += 1;
-        self.write_response(now, id, 408, &[], Bytes::from_static(b"no whole request came in time\n"), false);
+        let (status, message): (u16, &[u8]) = match client.needed_room {
+            Some(_) => (503, b"no memory is free for a request of this size; try again\n"),
+            None => (408, b"no whole request came in time\n"),
+        };
+        self.write_response(now, id, status, &[], Bytes::from_static(message), false);
     }
 
     /// Closes a connection without an open request, unless it has unread input.
@@ -171,6 +180,7 @@
 
     fn start_lingering(now: Micros, client: &mut ClientConnection) {
         client.lingering = Some(Lingering { bytes_left: MAX_DISCARDED_BYTES, close_at: now + MAX_LINGER });
+        client.decoder = RequestDecoder::new(MESSAGE_LIMITS);
     }
 
     /// Reports the result of [`Output::CloseIfIdle`]; `done` is false if input is unread or output is pending.
@@ -196,16 +206,18 @@
     /// Removes a client whose connection was closed locally and uses the free slot; its open request, if any,
     /// goes on.
     fn forget_client(&mut self, now: Micros, id: u64) {
-        if let Some(client) = self.clients.remove(&id) {
+        if let Some(mut client) = self.clients.remove(&id) {
             self.client_timers.remove(&client, id);
+            self.release_all_room(&mut client, id);
             self.accept_or_make_room(now);
         }
     }
 
     /// Handles a client connection that ended: its open request is withdrawn.
     pub(super) fn client_ended(&mut self, now: Micros, id: u64, end: ConnectionEnd) {
-        let Some(client) = self.clients.remove(&id) else { return };
+        let Some(mut client) = self.clients.remove(&id) else { return };
         self.client_timers.remove(&client, id);
+        self.release_all_room(&mut client, id);
         if let Some((request, _)) = client.open_request {
             match self.withdraw(now, request) {
                 Some(pending) => self.unanswered.push(pending.unanswered(now, Cause::ClientEnded(end))),
@@ -267,6 +279,7 @@
         };
         let keep = client.open_request.take().is_some_and(|(_, keep)| keep) && client.discarded_bytes == 0;
         client.served = true;
+        self.release_open_room(id);
         self.write_response(now, id, status, fields, body, keep);
         self.handle_buffered_requests(now, id);
     }
@@ -311,6 +324,9 @@
             Self::start_lingering(now, client);
             self.client_timers.set(client, id, now + LINGER_CHECK_INTERVAL);
             self.outputs.push(Output::ShutdownWrite(socket));
+            // What comes now is discarded, so it needs no room.
+            self.settle_room(id);
+            self.resume_reading(id);
         }
     }
 }
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -15,6 +15,9 @@
     pub max_response_bytes: usize,
     /// Maximum size of all incomplete node responses together, in bytes.
     pub max_buffered_response_bytes: usize,
+    /// Maximum size of all requests that are arriving or open together, in bytes, besides the first 4 KiB of
+    /// each.
+    pub max_buffered_request_bytes: usize,
 }
 
 impl ResourceLimits {
@@ -38,7 +41,8 @@
             client_connections: each,
             node_connections: each,
             max_response_bytes: (memory / 32).max(MESSAGE_LIMITS.body),
-            max_buffered_response_bytes: memory / 4,
+            max_buffered_response_bytes: memory / 6,
+            max_buffered_request_bytes: (memory / 10).max(2 * MESSAGE_LIMITS.body),
         }
     }
 }
--- a/crates/platform/src/socket.rs
+++ b/crates/platform/src/socket.rs
@@ -50,8 +50,8 @@
     CloseIfUnsent(SocketId),
     /// Close at once, without reporting the connection's end.
     Close(SocketId),
-    /// Resume reading.
-    ResumeReading(SocketId),
+    /// Resume reading: once, at most this many bytes.
+    ResumeReading(SocketId, usize),
     /// Accept one more connection.
     Accept,
     /// Accept the connections already queued, then stop listening.
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -133,6 +133,7 @@
                 node_connections: 16,
                 max_response_bytes: 512 << 10,
                 max_buffered_response_bytes: 1 << 20,
+                max_buffered_request_bytes: 1 << 20,
             },
         )
     }
@@ -181,6 +182,7 @@
                 node_connections: 16,
                 max_response_bytes: 512 << 10,
                 max_buffered_response_bytes: 1 << 20,
+                max_buffered_request_bytes: 1 << 20,
             },
             &node_list(5, true, &members),
         )
@@ -253,7 +255,7 @@
                     self.closed.insert(socket);
                     self.connecting.retain(|(connecting, _)| *connecting != socket);
                 }
-                Output::ResumeReading(_) => self.resume_count += 1,
+                Output::ResumeReading(..) => self.resume_count += 1,
                 Output::Accept => self.accept_permits += 1,
                 Output::StopListening => self.stopped_listening = true,
             }
@@ -372,6 +374,7 @@
     node_connections: 16,
     max_response_bytes: 512 << 10,
     max_buffered_response_bytes: 1 << 20,
+    max_buffered_request_bytes: 1 << 20,
 };
 
 /// A gateway, a client, and the connection on which its request was sent.
--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -13,9 +13,13 @@
 #![warn(missing_docs)]
 #![deny(unsafe_op_in_unsafe_fn)]
 
+mod poller;
+
 use std::io;
 use std::sync::Once;
 
+pub use poller::yield_to_poller;
+
 /// Size of a coroutine's stack, in machine words: 1 MiB of address space, of which only touched pages use
 /// memory.
 ///
@@ -35,6 +39,7 @@
     static ONCE: Once = Once::new();
     ONCE.call_once(|| {
         may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+        poller::start();
     });
 }
 
--- a/crates/world/src/world/gateway.rs
+++ b/crates/world/src/world/gateway.rs
@@ -290,7 +290,7 @@
                     self.drop_conn(conn);
                 }
             }
-            Output::ResumeReading(_) => {}
+            Output::ResumeReading(..) => {}
             Output::Accept => self.gateways[g].leaves += 1,
             Output::StopListening => {
                 self.gateways[g].listening = false;
