The decision module forgets volumes beyond a limit of records

Callers saw: memory grew without end while one client sent reads of ever new volumes. Cause: volumes and unserved requests are remembered for 5 s or until their limit is full, however many there are; fair_share sorts them all. Change: beyond a limit (65,536; the platform derives it from its memory) the least recently used half is forgotten, never a volume with open requests; a limit that may have been forgotten begins empty, as after a restart. Arrival times for the retry budget are trimmed as they come and counted by bisection.

--- a/crates/decisions/src/answers.rs
+++ b/crates/decisions/src/answers.rs
@@ -189,6 +189,7 @@
     /// record's lifetime, `SWEEP_INTERVAL`, counts from the end of the last try that was not late. The cost:
     /// a client that retries for longer than that gets a new latency target.
     pub(crate) fn remember_unserved(&mut self, id: RequestId) {
+        self.make_room_for_unserved();
         if let Some(open) = self.state.requests.get(&id) {
             let unserved =
                 Unserved { due: open.first_due, ended: open.last_timely_try_ended.unwrap_or(self.state.now) };
--- a/crates/decisions/src/lib.rs
+++ b/crates/decisions/src/lib.rs
@@ -48,6 +48,7 @@
 mod law;
 mod nodes;
 mod queue;
+mod records;
 mod requests;
 mod scheduler;
 mod settings;
--- a/crates/decisions/src/scheduler.rs
+++ b/crates/decisions/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::law::*;
+use crate::records::DEFAULT_MAX_RECORDS;
 use crate::settings::*;
 use crate::state::*;
 
@@ -25,6 +26,8 @@
     pub(crate) latency_ratio_targets: [f64; 3],
     /// Logarithms of the latencies of all nodes.
     pub(crate) fleet_latency: LatencyMean,
+    /// Limit of records of each kind (`records.rs`).
+    pub(crate) max_records: usize,
     pub(crate) state: State,
 }
 
@@ -35,7 +38,13 @@
         let target = |worth: f64| SPARE_LATENCY_RATIO_TARGET * worth.clamp(0.01, 1.0).sqrt();
         let latency_ratio_targets = [1.0, target(settings.share_worth), target(settings.spare_worth)];
         let state = State { random: seed, ..State::default() };
-        Scheduler { settings, latency_ratio_targets, fleet_latency: LatencyMean::new(SMOOTHING), state }
+        Scheduler {
+            settings,
+            latency_ratio_targets,
+            fleet_latency: LatencyMean::new(SMOOTHING),
+            max_records: DEFAULT_MAX_RECORDS,
+            state,
+        }
     }
 
     /// Handles one event at the time `now` and appends the actions it leads to.
@@ -157,9 +166,7 @@
 
     fn on_request(&mut self, request: Request) {
         let now = self.state.now;
-        if self.settings.retry_budget.is_some() {
-            self.state.request_times.push_back(now);
-        }
+        self.record_arrival();
         let id = request.id;
         let (Some(class), Some(_)) =
             (self.settings.classes.get(request.class), self.settings.plans.get(request.plan))
@@ -189,13 +196,15 @@
 
     /// Counts a request's units as demand of its volume, whose record is created if it is new.
     fn record_demand(&mut self, request: &Request) {
+        self.make_room_for_volume(request.volume);
         let now = self.state.now;
         let plan = &self.settings.plans[request.plan];
         let hosts = f64::from(request.hosts.max(1));
-        let host_started = self.state.started_at.unwrap_or(now);
+        let host_started = self.state.started_at.max(self.state.limits_forgotten_at).unwrap_or(now);
         let volume = self.state.volumes.entry(request.volume).or_insert_with(|| Volume {
             // This host may have been killed and restarted, and the process before it may have spent its
-            // whole part of the limit. So the bucket is taken as empty at the start, and has refilled since.
+            // whole part of the limit. So the bucket is taken as empty at the start, and has refilled since;
+            // likewise from when volumes were forgotten, of which this may be one.
             limit: (plan.limit > 0.0).then(|| TokenBucket {
                 level: -plan.limit_slack / hosts,
                 updated_at: host_started,
--- a/crates/decisions/src/state.rs
+++ b/crates/decisions/src/state.rs
@@ -65,6 +65,8 @@
     /// How this host's requests are distributed over the shards.
     pub(crate) shard_usage: ShardUsage,
     pub(crate) volumes: BTreeMap<VolumeId, Volume>,
+    /// When volumes with a limit were last forgotten for lack of room.
+    pub(crate) limits_forgotten_at: Option<Micros>,
     pub(crate) key_orders: BTreeMap<KeyId, KeyOrder>,
     /// Requests that recently ended unserved.
     pub(crate) recent_unserved: BTreeMap<Fingerprint, Unserved>,
--- a/crates/decisions/src/verdict.rs
+++ b/crates/decisions/src/verdict.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use crate::law::*;
+use crate::records::count_after;
 use crate::scheduler::Scheduler;
 use crate::settings::*;
 use crate::state::*;
@@ -175,8 +176,8 @@
     fn has_retry_budget(&self) -> bool {
         self.settings.retry_budget.is_none_or(|budget| {
             let since = self.state.now - budget.window;
-            let requests = self.state.request_times.iter().filter(|&&t| t > since).count();
-            let retries = self.state.retry_times.iter().filter(|&&t| t >= since).count();
+            let requests = count_after(&self.state.request_times, since);
+            let retries = count_after(&self.state.retry_times, since - 1);
             (retries + 1) as f64 <= budget.base + budget.per_request * requests as f64
         })
     }
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -80,6 +80,11 @@
         }
     }
 
+    /// Sets how many volumes and unserved requests the scheduler remembers at most.
+    pub fn limit_records(&mut self, max: usize) {
+        self.scheduler.limit_records(max);
+    }
+
     /// Accepts a request, which gets exactly one final answer, and assigns its id; the id in `request` is
     /// ignored.
     pub fn submit(&mut self, now: Micros, mut request: Request, payload: P) -> RequestId {
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -184,6 +184,7 @@
             unanswered: UnansweredLog::default(),
             outputs: Vec::new(),
         };
+        machine.dispatcher.limit_records(limits.max_records);
         machine.apply_list(now, &config.remembered_nodes, true);
         machine.tick(now);
         machine
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -4,6 +4,9 @@
 
 use crate::machine::MESSAGE_LIMITS;
 
+/// Memory that the decision module uses for one record of each kind, at most.
+const RECORD_BYTES: usize = 512;
+
 /// Resource limits of the parts of a gateway.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub struct ResourceLimits {
@@ -18,6 +21,8 @@
     /// Maximum size of all requests that are arriving or open together, in bytes, besides the first 4 KiB of
     /// each.
     pub max_buffered_request_bytes: usize,
+    /// Maximum number of volumes, and of unserved requests, that the decision module remembers.
+    pub max_records: usize,
 }
 
 impl ResourceLimits {
@@ -42,6 +47,7 @@
             node_connections: each,
             max_response_bytes: (memory / 32).max(MESSAGE_LIMITS.body),
             max_buffered_response_bytes: memory / 6,
+            max_records: memory / RECORD_BYTES / 50,
             max_buffered_request_bytes: (memory / 10).max(2 * MESSAGE_LIMITS.body),
         }
     }
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -134,6 +134,7 @@
                 max_response_bytes: 512 << 10,
                 max_buffered_response_bytes: 1 << 20,
                 max_buffered_request_bytes: 1 << 20,
+                max_records: 1 << 16,
             },
         )
     }
@@ -183,6 +184,7 @@
                 max_response_bytes: 512 << 10,
                 max_buffered_response_bytes: 1 << 20,
                 max_buffered_request_bytes: 1 << 20,
+                max_records: 1 << 16,
             },
             &node_list(5, true, &members),
         )
@@ -375,6 +377,7 @@
     max_response_bytes: 512 << 10,
     max_buffered_response_bytes: 1 << 20,
     max_buffered_request_bytes: 1 << 20,
+    max_records: 1 << 16,
 };
 
 /// A gateway, a client, and the connection on which its request was sent.
