Platform clients whose sockets always have input take turns

Callers saw: beside one client that writes small or unsound requests at full speed, the others get their answers late or never. Cause: the runtime asks for ready sockets only once no coroutine is ready to run; a reader whose socket is never empty and the engine wake each other for ever. Told from other causes by a trace of the flooded process (strace -f -c, 2 s): 36,727 writev, 379 recvfrom, 19 accept4, no epoll_wait; so neither the inbox, the cost of a rejection nor the accept path held the others up. Change: four requests of a client in a turn; a connection with unhandled requests is not read on; a reader that reads four times in a row, and the engine between two turns, give way to the poller (task::yield_to_poller). Why it works: the work between two polls is bounded by clients and requests.

--- a/crates/crowbay/tests/hostile.rs
+++ b/crates/crowbay/tests/hostile.rs
@@ -4,19 +4,28 @@
 
 mod stage;
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
 
 use hostile::{Kind, Options, Report, Target, run};
+use http1::RequestDecoder;
 use stage::gauge::Gauge;
-use stage::{Node, Process, agent, list, request};
+use stage::{LIMITS, Process, agent, list, next_request, request, serve};
 
 /// The least memory and the descriptors that the platform grants.
 const MEMORY_MB: u64 = 32;
 const DESCRIPTORS: u64 = 1024;
+/// An attempt may begin this long after its client has closed.
+const DEPARTURE_GRACE: Duration = Duration::from_millis(100);
+/// Time for which the machine may hold up a stand-in between an event and its note of it.
+const NOTE_SLACK: Duration = Duration::from_millis(50);
 const NODES: usize = 4;
 
+/// Requests that stand-in nodes received, with the time.
+type Received = Arc<Mutex<Vec<(Instant, String)>>>;
+
 fn number_from(variable: &str, default: u64) -> u64 {
     std::env::var(variable).map_or(default, |text| text.parse().expect("a number"))
 }
@@ -24,19 +33,20 @@
 /// A gateway before sound nodes of one shard.
 struct Site {
     process: Process,
+    received: Received,
 }
 
 impl Site {
     fn start() -> Site {
-        let nodes: Vec<_> =
-            (0..NODES).map(|n| (format!("node{n}"), Arc::new(Node::default()).start())).collect();
+        let received = Received::default();
+        let nodes: Vec<_> = (0..NODES).map(|n| (format!("node{n}"), node(&received))).collect();
         let nodes: Vec<_> = nodes.iter().map(|(name, at)| (name.as_str(), *at)).collect();
         let mut known = list(1, &nodes);
         known["members"].as_array_mut().expect("members").iter_mut().for_each(|m| m["cell"] = 0.into());
         let mut config = request::site(agent(known.clone(), Arc::default()), &known, true);
         config["limits"]["memory_mb"] = MEMORY_MB.into();
         config["limits"]["sockets"] = DESCRIPTORS.into();
-        Site { process: Process::start(&config) }
+        Site { process: Process::start(&config), received }
     }
 
     /// Plays hostile load; returns what became of it and the most memory the gateway held, in KB.
@@ -64,6 +74,25 @@
     }
 }
 
+/// A stand-in node that answers at once.
+fn node(received: &Received) -> std::net::SocketAddr {
+    let received = received.clone();
+    serve(move |mut stream| {
+        use std::io::Write;
+        let mut decoder = RequestDecoder::new(LIMITS);
+        while let Some(request) = next_request(&mut stream, &mut decoder) {
+            let arrived = Instant::now();
+            let id = request.fields.unique("x-request-id").ok().flatten().unwrap_or_default();
+            let id = String::from_utf8_lossy(id).into_owned();
+            let answer = http1::encode_response(200, &[], id.as_bytes(), true);
+            received.lock().expect("received").push((arrived, id));
+            if stream.write_all(&answer).is_err() {
+                return;
+            }
+        }
+    })
+}
+
 /// Sound clients are served beside it, within the memory that is granted.
 fn is_borne(kind: Kind, connections: u16) {
     let site = Site::start();
@@ -94,3 +123,72 @@
 fn open_bodies_and_heads_together_stay_within_the_memory() {
     is_borne(Kind::Mixed, 300);
 }
+
+/// Guards against one client whose requests keep the others' from being read.
+#[test]
+fn one_flood_of_unsound_requests_delays_nobody() {
+    is_borne(Kind::Unsound, 1);
+}
+
+#[test]
+fn six_floods_of_unsound_requests_delay_nobody() {
+    is_borne(Kind::Unsound, 6);
+}
+
+#[test]
+fn six_floods_of_readiness_checks_delay_nobody() {
+    is_borne(Kind::Ready, 6);
+}
+
+#[test]
+fn six_floods_of_new_classes_delay_nobody() {
+    is_borne(Kind::Classes, 6);
+}
+
+/// Guards against memory that grows with the requests of a flood.
+#[test]
+fn six_floods_of_short_reads_delay_nobody_and_hold_no_memory() {
+    is_borne(Kind::Reads, 6);
+}
+
+/// Guards against tables that grow with the names that a client makes up.
+#[test]
+fn six_floods_of_reads_of_new_volumes_delay_nobody_and_hold_no_memory() {
+    is_borne(Kind::Volumes, 6);
+}
+
+#[test]
+fn floods_of_sixty_connections_delay_nobody() {
+    for kind in [Kind::Unsound, Kind::Ready, Kind::Classes, Kind::Reads] {
+        is_borne(kind, 60);
+    }
+}
+
+#[test]
+fn floods_of_hundreds_of_connections_delay_nobody() {
+    for kind in [Kind::Unsound, Kind::Reads] {
+        is_borne(kind, 300);
+    }
+}
+
+/// Guards against requests that are sent on after their client has closed with its answers unread.
+#[test]
+fn nothing_is_sent_for_clients_that_have_left() {
+    let site = Site::start();
+    let (report, _) = site.play(Kind::Leaving, 9);
+    let closed: HashMap<&str, Instant> = report
+        .departures
+        .iter()
+        .flat_map(|departure| departure.ids.iter().map(|id| (id.as_str(), departure.closed)))
+        .collect();
+    assert!(!closed.is_empty());
+    let received = site.received.lock().expect("received");
+    let mut times: HashMap<&str, u32> = HashMap::new();
+    for (arrived, id) in received.iter() {
+        let Some(closed) = closed.get(id.as_str()) else { continue };
+        let after = arrived.saturating_duration_since(*closed);
+        assert!(after < DEPARTURE_GRACE + NOTE_SLACK, "{id} was sent {after:?} after its client had left");
+        *times.entry(id).or_default() += 1;
+    }
+    assert!(report.is_good(), "{:?}", report.sound);
+}
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -17,6 +17,25 @@
     pub(crate) close_at: Micros,
 }
 
+/// How many requests of a client were handled in the latest turn in which there were any.
+#[derive(Clone, Copy, Default)]
+pub(crate) struct HandledInTurn {
+    turn: u64,
+    requests: u32,
+}
+
+impl HandledInTurn {
+    /// Counts one more request; returns false, and does not count it, if `max` were handled in this turn.
+    pub(crate) fn count(&mut self, turn: u64, max: u32) -> bool {
+        if self.turn != turn {
+            *self = HandledInTurn { turn, requests: 0 };
+        }
+        let is_allowed = self.requests < max;
+        self.requests += u32::from(is_allowed);
+        is_allowed
+    }
+}
+
 /// A client's connection.
 pub(crate) struct ClientConnection {
     pub(crate) decoder: RequestDecoder,
@@ -41,6 +60,10 @@
     pub(crate) close_declined: bool,
     /// Its part of the memory for requests.
     pub(crate) room: Room,
+    /// Number of its requests handled in a turn of the machine.
+    pub(crate) handled: HandledInTurn,
+    /// It waits for its next turn with input that was not handled.
+    pub(crate) awaits_turn: bool,
     /// Its reader may deliver input; otherwise reading has stopped.
     pub(crate) is_reading: bool,
     /// The room for which the connection waits unread.
@@ -63,6 +86,8 @@
             discarded_bytes: 0,
             close_declined: false,
             room: Room::default(),
+            handled: HandledInTurn::default(),
+            awaits_turn: false,
             is_reading: true,
             needed_room: None,
             lingering: None,
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -19,6 +19,8 @@
 use crate::machine::READ_BYTES;
 use crate::socket::{ConnectionEnd, SocketId};
 
+/// Reads in a row after which other sockets get to deliver what they have.
+const READS_IN_A_ROW: u32 = 4;
 /// Maximum bytes queued for a peer that doesn't read, in addition to one response of maximum size.
 const MAX_UNSENT: usize = 128 << 10;
 
@@ -174,7 +176,12 @@
         }
         // After this side closed the connection, data may still be readable. The engine issues no more read
         // permits then, so a reader that delivered it would wait for ever and hold its descriptor.
+        let mut reads_in_a_row = 0;
         while !self.closed.load(Ordering::SeqCst) {
+            if reads_in_a_row >= READS_IN_A_ROW {
+                task::yield_to_poller();
+                reads_in_a_row = 0;
+            }
             // The buffer is allocated per read, so that a connection without traffic holds none.
             let mut buffer = vec![0; self.read_bytes.load(Ordering::Relaxed)];
             match (&*self.stream).read(&mut buffer) {
@@ -190,10 +197,12 @@
                     drop(buffer);
                     let _ = inbox.send(Message::Received { socket, serial, at: clock.now(), bytes });
                     self.read_permit.wait();
+                    reads_in_a_row += 1;
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     drop(buffer);
                     io.wait_io();
+                    reads_in_a_row = 0;
                 }
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return ConnectionEnd::Broken,
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -191,6 +191,14 @@
                 tracing::info!("{}", self.summary());
             }
             self.flush_starved();
+            if self.machine.has_waiting_input() {
+                // Between two turns all sockets that are ready get to deliver what they have.
+                task::yield_to_poller();
+                let woken = self.clock.now();
+                let count = self.handle_messages(messages);
+                stall_detector.end_iteration(now, woken, self.clock.now(), count);
+                continue;
+            }
             let retry_at = if self.starved.is_empty() { Micros::MAX } else { now + FLUSH_RETRY_INTERVAL };
             let due = self.machine.next_due().min(retry_at);
             if due != announced_due {
@@ -200,17 +208,23 @@
             let Ok(first) = messages.recv() else { return };
             let woken = self.clock.now();
             self.handle_message(first);
-            let mut count = 1;
-            while count < MESSAGES_PER_ITERATION
-                && let Ok(next) = messages.try_recv()
-            {
-                self.handle_message(next);
-                count += 1;
-            }
+            let count = 1 + self.handle_messages(messages);
             stall_detector.end_iteration(due, woken, self.clock.now(), count);
         }
     }
 
+    /// Handles messages that are there, within the limit of an iteration; returns their number.
+    fn handle_messages(&mut self, messages: &Receiver<Message>) -> usize {
+        let mut count = 0;
+        while count < MESSAGES_PER_ITERATION
+            && let Ok(next) = messages.try_recv()
+        {
+            self.handle_message(next);
+            count += 1;
+        }
+        count
+    }
+
     /// The machine's counts, the panics that ended one connection alone, and the lines that were lost.
     fn summary(&self) -> String {
         let (panics, lost) = (panics::contained_count(), output::lost_lines());
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -7,8 +7,9 @@
 mod lists;
 mod shutdown;
 mod summary;
+mod turns;
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -106,6 +107,9 @@
     clients: HashMap<u64, ClientConnection>,
     client_timers: ClientTimers,
     input_budget: InputBudget,
+    turn: u64,
+    /// Clients with input that waits for their next turn.
+    awaiting_turn: VecDeque<u64>,
     /// The connection accepted last. It isn't closed to make room before another one has been accepted.
     newest_client: u64,
     /// Ids of the requests without a final response.
@@ -151,6 +155,8 @@
             dispatcher: Dispatcher::new(config.settings.clone(), config.seed),
             clients: HashMap::new(),
             client_timers: ClientTimers::default(),
+            turn: 0,
+            awaiting_turn: VecDeque::new(),
             input_budget: InputBudget::new(limits.max_buffered_request_bytes),
             newest_client: 0,
             open_request_ids: HashSet::new(),
@@ -202,7 +208,10 @@
             self.shutdown_since.filter(|_| !self.stop_listening_sent).map(|at| at + ACCEPT_AFTER_SIGTERM);
         let shutdown = shutdown.or(self.answer_deadline().filter(|_| !self.responses_close_connections));
         let shutdown = shutdown.or(self.exit_deadline().filter(|_| !self.clients.is_empty()));
+        // Input that waits is due at once, whatever the timers say.
+        let waiting_input = self.has_waiting_input().then_some(Micros::MIN);
         [
+            waiting_input,
             self.dispatcher.next_due(),
             self.connections.next_due(),
             self.client_timers.next_due(),
@@ -234,6 +243,7 @@
         self.clients.len()
             + self.client_timers.len()
             + self.input_budget.entries()
+            + self.awaiting_turn.len()
             + nodes
             + requests
             + self.connections.table_entries()
@@ -358,6 +368,7 @@
         while let Some(id) = self.client_timers.pop_due(now) {
             self.client_timer_due(now, id);
         }
+        self.begin_turn(now);
         let steps = self.discovery.tick(now);
         self.run_discovery_steps(now, steps);
         if now >= self.next_sweep {
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -59,9 +59,13 @@
     pub(super) fn handle_buffered_requests(&mut self, now: Micros, id: u64) {
         loop {
             let Some(client) = self.clients.get_mut(&id) else { return };
-            if client.open_request.is_some() || client.lingering.is_some() {
+            if client.open_request.is_some() || client.lingering.is_some() || client.decoder.is_idle() {
                 break;
             }
+            if !self.may_handle_request(id) {
+                break;
+            }
+            let Some(client) = self.clients.get_mut(&id) else { return };
             match client.decoder.poll() {
                 Ok(None) => break,
                 Ok(Some(RequestEvent::ExpectsContinue)) => {
--- a/crates/platform/src/machine/input.rs
+++ b/crates/platform/src/machine/input.rs
@@ -10,7 +10,7 @@
     /// Lets a client's connection be read on, or lets it wait unread until there is room for its request.
     pub(super) fn resume_reading(&mut self, id: u64) {
         let Some(client) = self.clients.get_mut(&id) else { return };
-        if client.is_reading {
+        if client.is_reading || client.awaits_turn {
             return;
         }
         let needed = Room { arriving: client.arriving_room(), ..client.room };
