Fewer stacks are prepared at the start

Cause: the coroutine runtime prepares 1,000 stacks at its start, of which each takes two pages, whatever the connections; they took 7.5 of the 32 MB that the least grant allows. Change: 128 are prepared and kept; further ones come and go with their coroutines.

--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -28,6 +28,9 @@
 /// connections reserve 10 GB of it.
 pub const STACK_WORDS: usize = 128 * 1024;
 
+/// Stacks kept for the next coroutines, about 8 KiB each. All are prepared at the start.
+const POOLED_STACKS: usize = 128;
+
 /// Configures the runtime, once per process: one thread runs all coroutines.
 ///
 /// With several threads, a wait for a socket in this version of `may` looks at its coroutine's stack after it
@@ -38,7 +41,11 @@
 pub fn init_runtime() {
     static ONCE: Once = Once::new();
     ONCE.call_once(|| {
-        may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+        may::config()
+            .set_workers(1)
+            .set_stack_size(STACK_WORDS)
+            .set_pool_capacity(POOLED_STACKS)
+            .set_worker_pin(false);
         poller::start();
     });
 }
