A client that has closed has left, whatever it sent before

Callers saw: beside a flood, requests of a client that had closed with its answers unread were sent to nodes, and an id that came again was sent again. Cause: the end was looked for with a peek, which shows it only once everything before it is read, and not at all where reading had stopped; ids were forgotten with their request.

--- a/crates/platform/src/admission.rs
+++ b/crates/platform/src/admission.rs
@@ -31,6 +31,9 @@
     /// Another open request has the same id.
     #[error("a request with this X-Request-ID is open")]
     IdOpen,
+    /// A request with this id was sent to a node before its client left, and may have run.
+    #[error("a request with this X-Request-ID was sent on before its client left")]
+    IdDeparted,
     /// The idempotency key is missing on a class that requires one, or can't be forwarded.
     #[error("Idempotency-Key must be given once on this class, as up to 128 visible characters")]
     Key,
@@ -48,7 +51,7 @@
         match self {
             Rejection::Path => 404,
             Rejection::Method => 405,
-            Rejection::IdOpen => 409,
+            Rejection::IdOpen | Rejection::IdDeparted => 409,
             _ => 400,
         }
     }
--- a/crates/platform/src/connection.rs
+++ b/crates/platform/src/connection.rs
@@ -11,6 +11,7 @@
 use may::sync::mpsc::Sender;
 use nix::errno::Errno;
 use records::Clock;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::{Domain, Protocol, Socket, Type};
 use transport::{Outlet, SharedDescriptor};
 
@@ -101,12 +102,17 @@
             && self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Whether the peer has closed the connection and everything before that was read.
-    fn is_at_end(&self) -> bool {
-        match self.stream.peek(&mut [0]) {
-            Ok(n) => n == 0,
-            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
-        }
+    /// Whether the peer has closed the connection, or its side of it, whatever is still unread.
+    pub(crate) fn has_peer_left(&self) -> bool {
+        let left = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+        let mut descriptors = [PollFd::new(&*self.stream, left)];
+        let is_reported = poll(&mut descriptors, Some(&Timespec::default())).is_ok_and(|count| count > 0);
+        is_reported && descriptors[0].revents().intersects(left)
+    }
+
+    /// Whether a client has left with input that the engine has not handled, while it is not being read.
+    pub(crate) fn has_left_unread(&self) -> bool {
+        self.unhandled_input.load(Ordering::SeqCst) && self.has_peer_left()
     }
 
     /// Whether all input was handled and all output was written.
@@ -186,9 +192,9 @@
             let mut buffer = vec![0; self.read_bytes.load(Ordering::Relaxed)];
             match (&*self.stream).read(&mut buffer) {
                 Ok(0) => return ConnectionEnd::Orderly,
-                // Input of a client that has already closed is dropped: a request in it would be admitted
-                // late, and its attempt would run for nobody.
-                Ok(_) if matches!(self.socket, SocketId::Client(_)) && self.is_at_end() => {
+                // Input of a client that has already closed is dropped, however much of it is unread: a request
+                // in it would be admitted late, and its attempt would run for nobody.
+                Ok(_) if matches!(self.socket, SocketId::Client(_)) && self.has_peer_left() => {
                     return ConnectionEnd::Orderly;
                 }
                 Ok(n) => {
@@ -264,6 +270,29 @@
         }
     }
 
+    /// Guards against a client that has closed and is not noticed before all that it has sent is read.
+    #[test]
+    fn the_end_of_a_peer_is_seen_behind_unread_input() {
+        use std::io::Write;
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
+        let address = listener.local_addr().expect("its address");
+        let mut peer = TcpStream::connect(address).expect("a connection");
+        let (stream, _) = listener.accept().expect("the connection");
+        stream.set_nonblocking(true).expect("a socket that does not block");
+        let connection = Connection::from_stream(SocketId::Client(1), 1, stream, 0);
+        peer.write_all(&[b'x'; 100]).expect("it is written");
+        let deadline = Instant::now() + Duration::from_secs(20);
+        while connection.has_no_input() {
+            assert!(Instant::now() < deadline, "nothing arrived");
+        }
+        assert!(!connection.has_peer_left());
+        drop(peer);
+        while !connection.has_peer_left() {
+            assert!(Instant::now() < deadline, "the end is not seen");
+        }
+        assert!(!connection.has_no_input(), "the input is still unread");
+    }
+
     #[test]
     fn closing_a_connecting_socket_ends_its_reader_without_a_wakeup_from_the_system() {
         task::init_runtime();
--- a/crates/platform/src/gateway.rs
+++ b/crates/platform/src/gateway.rs
@@ -24,6 +24,9 @@
 
 /// Messages handled before the timers are checked again.
 const MESSAGES_PER_ITERATION: usize = 256;
+/// Interval of looking whether clients that are not being read have left. An attempt may begin for 0.1 s after
+/// its client has closed.
+const DEPARTURE_CHECK_INTERVAL: Micros = 20_000;
 /// Interval of retrying output for which no writer could be started.
 const FLUSH_RETRY_INTERVAL: Micros = 10_000;
 /// Interval of the summary line in the log.
@@ -123,6 +126,7 @@
             next_serial: 0,
             next_client: 0,
             next_summary: clock.now() + SUMMARY_INTERVAL,
+            last_departure_check: clock.now(),
         };
         task::spawn("engine", move || {
             engine.run(&messages, &ticker);
@@ -169,6 +173,7 @@
     next_serial: u64,
     next_client: u64,
     next_summary: Micros,
+    last_departure_check: Micros,
 }
 
 impl Engine {
@@ -191,6 +196,7 @@
                 tracing::info!("{}", self.summary());
             }
             self.flush_starved();
+            self.end_departed_clients(now);
             if self.machine.has_waiting_input() {
                 // Between two turns all sockets that are ready get to deliver what they have.
                 task::yield_to_poller();
@@ -200,7 +206,7 @@
                 continue;
             }
             let retry_at = if self.starved.is_empty() { Micros::MAX } else { now + FLUSH_RETRY_INTERVAL };
-            let due = self.machine.next_due().min(retry_at);
+            let due = self.machine.next_due().min(retry_at).min(self.next_departure_check());
             if due != announced_due {
                 ticker.set_due(due);
                 announced_due = due;
@@ -213,6 +219,36 @@
         }
     }
 
+    /// When clients that are not being read are looked at next.
+    fn next_departure_check(&self) -> Micros {
+        if self.machine.has_unread_clients() {
+            self.last_departure_check + DEPARTURE_CHECK_INTERVAL
+        } else {
+            Micros::MAX
+        }
+    }
+
+    /// Ends the connections of clients that have left while they are not being read. A reader notices such an
+    /// end only when it reads on, and until then attempts would begin for nobody.
+    fn end_departed_clients(&mut self, now: Micros) {
+        if now < self.next_departure_check() {
+            return;
+        }
+        self.last_departure_check = now;
+        let is_client = |socket: &SocketId| matches!(socket, SocketId::Client(_));
+        let departed: Vec<SocketId> = self
+            .connections
+            .iter()
+            .filter(|(socket, connection)| is_client(socket) && connection.has_left_unread())
+            .map(|(socket, _)| *socket)
+            .collect();
+        for socket in departed {
+            self.close(socket);
+            self.machine.connection_ended(now, socket, ConnectionEnd::Orderly);
+        }
+        self.perform_outputs(now);
+    }
+
     /// Handles messages that are there, within the limit of an iteration; returns their number.
     fn handle_messages(&mut self, messages: &Receiver<Message>) -> usize {
         let mut count = 0;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -18,6 +18,7 @@
 mod closing;
 mod config;
 mod connection;
+mod departed_ids;
 mod discovery;
 mod endpoint;
 mod gateway;
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -21,6 +21,7 @@
 use crate::admission::{AdmittedRequest, Rejection, admit};
 use crate::client::{ClientConnection, ClientTimers, Lingering};
 use crate::config::Config;
+use crate::departed_ids::DepartedIds;
 use crate::discovery::{self, Discovery};
 use crate::endpoint::{EndpointList, Zones};
 use crate::input_budget::InputBudget;
@@ -114,6 +115,7 @@
     newest_client: u64,
     /// Ids of the requests without a final response.
     open_request_ids: HashSet<String>,
+    departed_ids: DepartedIds,
     connections: NodeConnections,
     nodes: HashMap<NodeId, NodeAddress>,
     /// The nodes that are no longer listed and not removed yet.
@@ -160,6 +162,7 @@
             input_budget: InputBudget::new(limits.max_buffered_request_bytes),
             newest_client: 0,
             open_request_ids: HashSet::new(),
+            departed_ids: DepartedIds::default(),
             connections: NodeConnections::new(
                 Limits { body: limits.max_response_bytes, ..MESSAGE_LIMITS },
                 idle_timeout,
@@ -374,6 +377,7 @@
         if now >= self.next_sweep {
             self.next_sweep = now + SWEEP_INTERVAL;
             self.out_of_descriptors = false;
+            self.departed_ids.sweep(now);
             for node in self.dispatcher.remove_gone_nodes() {
                 self.nodes.remove(&node);
                 self.gone_nodes.remove(&node);
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -181,6 +181,10 @@
         // where the settings permit it.
         let out: Vec<AttemptId> =
             self.dispatcher.attempts_in_flight().map(|(a, _)| a).filter(|a| a.request == request).collect();
+        let is_out = out.iter().any(|attempt| !self.dispatcher.awaits_connection(*attempt));
+        if is_out || pending.attempts.may_have_run() {
+            self.departed_ids.remember(now, &pending.admitted.id);
+        }
         for attempt in out {
             if self.dispatcher.awaits_connection(attempt) {
                 self.connections.forget_attempt(attempt);
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -95,8 +95,10 @@
             return self.write_response(now, id, 200, &[], Bytes::from_static(b"ready\n"), keep);
         }
         let admitted = admit(request, &self.gateway_settings, &self.settings, now - received_at);
-        let admitted = admitted.and_then(|request| {
-            if self.open_request_ids.contains(&request.id) { Err(Rejection::IdOpen) } else { Ok(request) }
+        let admitted = admitted.and_then(|request| match () {
+            () if self.open_request_ids.contains(&request.id) => Err(Rejection::IdOpen),
+            () if self.departed_ids.contains(&request.id) => Err(Rejection::IdDeparted),
+            () => Ok(request),
         });
         let admitted = match admitted {
             Ok(request) => request,
--- a/crates/platform/src/machine/turns.rs
+++ b/crates/platform/src/machine/turns.rs
@@ -18,6 +18,11 @@
         !self.awaiting_turn.is_empty()
     }
 
+    /// Whether some connections are not being read, so that only the socket tells that their clients have left.
+    pub fn has_unread_clients(&self) -> bool {
+        self.has_waiting_input() || self.input_budget.is_short()
+    }
+
     /// Counts a request of a client that is to be handled now. Returns false if the client has to wait for its
     /// next turn.
     pub(super) fn may_handle_request(&mut self, id: u64) -> bool {
--- a/crates/platform/src/unanswered.rs
+++ b/crates/platform/src/unanswered.rs
@@ -40,6 +40,16 @@
         self.0.push(AttemptRecord { node, decided_at: now, ended: None });
     }
 
+    /// Whether one of the attempts that have ended may have run.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.0.iter().filter_map(|record| record.ended).any(|(_, outcome)| match outcome {
+            Outcome::Served | Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled => {
+                true
+            }
+            Outcome::Full | Outcome::Unreachable | Outcome::NotSent => false,
+        })
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn ended(&mut self, now: Micros, attempt: u32, outcome: Outcome) {
         if let Some(record) = self.0.get_mut(attempt as usize) {
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -278,3 +278,59 @@
     gateway.end(three, false);
     assert_eq!(gateway.accept_permits, before + 1);
 }
+
+/// Guards against an id that runs a second time when it comes again after its client has left.
+#[test]
+fn an_id_that_was_sent_for_a_client_that_left_does_not_run_again() {
+    let (mut gateway, client, node) = gateway_with_sent_request(&read_request("r1", 0));
+    assert!(gateway.take_written(node).contains("X-Request-ID: r1"));
+    gateway.end(client, false);
+    let again = gateway.connect_client();
+    gateway.receive(again, read_request("r1", 0));
+    assert_eq!(gateway.take_statuses(again), [409]);
+    assert!(gateway.connecting_to_nodes().is_empty());
+    // A client that left before anything of its request was sent may bring it again.
+    gateway.receive(again, read_request("r2", 0));
+    let node = gateway.connecting_to_nodes()[0];
+    gateway.end(again, false);
+    let again = gateway.connect_client();
+    gateway.receive(again, read_request("r2", 0));
+    gateway.establish(node);
+    assert!(gateway.take_statuses(again).is_empty(), "it is open");
+}
+
+/// Guards against one client whose requests are all handled before anybody else's.
+#[test]
+fn requests_sent_at_once_are_handled_in_turns() {
+    let mut gateway = TestGateway::with_two_nodes();
+    let (busy, other) = (gateway.connect_client(), gateway.connect_client());
+    gateway.receive(busy, "GET /ready HTTP/1.1\r\n\r\n".repeat(100));
+    let first = gateway.take_statuses(busy).len();
+    assert!((1..100).contains(&first), "{first}");
+    gateway.receive(other, "GET /ready HTTP/1.1\r\n\r\n");
+    assert_eq!(gateway.take_statuses(other), [200]);
+    // What waits is due at once.
+    gateway.advance(0);
+    assert_eq!(gateway.take_statuses(busy).len(), 100 - first);
+}
+
+/// Guards against bodies that are not sent to their end and fill the memory: reading gives way.
+#[test]
+fn a_body_without_room_waits_unread_and_is_told_so_in_time() {
+    let limits = ResourceLimits { max_buffered_request_bytes: 100_000, ..LARGE_LIMITS };
+    let mut gateway = TestGateway::with_list(limits, &node_list(5, true, &[]));
+    let head = write_request("w", 0, "").replace("Content-Length: 0", "Content-Length: 64000");
+    let (first, second, small) =
+        (gateway.connect_client(), gateway.connect_client(), gateway.connect_client());
+    gateway.receive(first, &head);
+    let reads = gateway.resume_count;
+    gateway.receive(second, head.replace("request-id: w", "request-id: x"));
+    assert_eq!(gateway.resume_count, reads, "it waits unread");
+    gateway.receive(small, "GET /ready HTTP/1.1\r\n\r\n");
+    assert_eq!(gateway.take_statuses(small), [200], "small requests need no room");
+    gateway.advance(1_300_000);
+    assert_eq!(gateway.take_statuses(first), [408], "it held the room for half of its time");
+    assert_eq!(gateway.take_statuses(second), [503]);
+    gateway.advance(10_000_000);
+    assert_eq!(gateway.machine.open_requests(), 0);
+}
