NVMe hosts that write at full speed take turns with all others

Callers saw: beside hosts that write commands at full speed, on the admin queue or an I/O queue, another host's commands are not answered. Change: readers of hosts and nodes count their work and give way to the poller after 512 requests (task::WorkBudget), the engine after each batch while commands wait. Why it works: the work between two polls is bounded.

--- a/crates/crowbay/src/arguments.rs
+++ b/crates/crowbay/src/arguments.rs
@@ -299,8 +299,11 @@
     #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u32).range(1..))]
     pub namespaces: u32,
     /// Odd hosts
-    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(1..=256))]
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u16).range(0..=256))]
     pub hosts: u16,
+    /// Hosts that write commands at full speed, in turns on their admin queue and on an I/O queue
+    #[arg(long, default_value_t = 0, value_parser = clap::value_parser!(u16).range(0..=256))]
+    pub floods: u16,
     /// Seed of all that is drawn
     #[arg(long, default_value_t = 1)]
     pub seed: u64,
--- a/crates/crowbay/src/fuzz.rs
+++ b/crates/crowbay/src/fuzz.rs
@@ -21,6 +21,7 @@
         nsid: args.nsid,
         namespaces: args.namespaces,
         hosts: args.hosts,
+        floods: args.floods,
         seed: args.seed,
         duration: Duration::from_secs(args.seconds),
     };
--- a/crates/crowbay/tests/fuzz.rs
+++ b/crates/crowbay/tests/fuzz.rs
@@ -61,3 +61,18 @@
     assert!(report["odd"]["completions"].as_object().expect("by code").len() > 8, "{report}");
     assert!(demo.leaves(), "the demonstration was still there and left in order");
 }
+
+/// Guards against hosts that write at full speed and keep the others' commands from being read.
+#[test]
+fn a_host_is_served_throughout_beside_hosts_that_write_at_full_speed() {
+    let (mut demo, ready) = Demo::start();
+    let address = ready.address.to_string();
+    let args = ["fuzz", "--address", &address, "--subsystem", &ready.nqn, "--hosts", "0", "--floods", "6"];
+    let done = Command::new(EXE).args(args).args(["--seconds", "7"]).output().expect("it runs");
+    let said = String::from_utf8_lossy(&done.stdout);
+    println!("{said}{}", String::from_utf8_lossy(&done.stderr));
+    assert!(done.status.success(), "{said}{}", String::from_utf8_lossy(&done.stderr));
+    let report: Value = serde_json::from_str(&said).expect("a report");
+    assert!(report["flood"]["commands"].as_u64() > Some(1000), "{report}");
+    assert!(demo.leaves(), "the demonstration was still there and left in order");
+}
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -191,7 +191,10 @@
                 ticker.set_due(due);
                 ticker_due = due;
             }
-            if self.host_queues.is_empty() {
+            if !self.host_queues.is_empty() {
+                // Commands wait for their turn; meanwhile sockets that are ready deliver what they have.
+                task::yield_to_poller();
+            } else {
                 let Ok(first) = messages.recv() else { return };
                 let now = clock.now();
                 self.refresh_retry_allowance(now);
--- a/crates/gateway/src/front_end.rs
+++ b/crates/gateway/src/front_end.rs
@@ -10,6 +10,7 @@
 use may::net::{TcpListener, TcpStream};
 use nvme::{GatherList, Output, PduSink, Session, Target};
 use records::Clock;
+use task::WorkBudget;
 
 use crate::connection::{Connection, ConnectionId};
 use crate::message::{Inbox, Message};
@@ -19,6 +20,9 @@
 /// Bytes read at a time.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Size of the shortest answer that a session writes, in bytes.
+const ANSWER_BYTES: usize = 24;
+
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(5);
 
@@ -109,23 +113,25 @@
     /// Reads until the connection ends.
     fn read(&self, stream: &mut TcpStream, connection: &Arc<Connection>) {
         let mut buffer = vec![0; READ_BUFFER_BYTES].into_boxed_slice();
+        let mut budget = WorkBudget::default();
         let mut keep_open = true;
         while keep_open {
             match stream.read(&mut buffer) {
                 Ok(0) | Err(_) => return,
-                Ok(n) => keep_open = self.handle_received(connection, &buffer[..n]),
+                Ok(n) => keep_open = self.handle_received(connection, &buffer[..n], &mut budget),
             }
         }
     }
 
     /// Handles received bytes of a connection. Returns whether to keep it open.
-    fn handle_received(&self, connection: &Arc<Connection>, bytes: &[u8]) -> bool {
+    fn handle_received(&self, connection: &Arc<Connection>, bytes: &[u8], budget: &mut WorkBudget) -> bool {
         panics::test_point("front");
         let (mut out, mut outputs) = (BytesMut::new(), Vec::new());
         {
             let mut session = connection.session();
             session.receive(bytes, self.clock.now(), &mut self.target(), &mut out, &mut outputs);
         }
+        let units = bytes.len() / WorkBudget::BYTES_PER_UNIT + out.len() / ANSWER_BYTES + outputs.len();
         let mut answers = GatherList::new();
         answers.append_copy(&out);
         connection.outlet.push(answers);
@@ -152,6 +158,8 @@
                 }
             }
         }
+        // A host that writes at full speed would otherwise keep all others' sockets from being noticed.
+        budget.spend(units);
         keep_open
     }
 }
--- a/crates/gateway/src/node_connection/replies.rs
+++ b/crates/gateway/src/node_connection/replies.rs
@@ -6,6 +6,7 @@
 use may::net::TcpStream;
 use nvme::{GatherList, HostEvent, Reply, Sqe, StatusCode, Submission};
 use storage_core::{AttemptEnd, Opcode, OutgoingAttempt};
+use task::WorkBudget;
 
 use super::{NodeConnection, READ_BUFFER_BYTES, State};
 use crate::message::Message;
@@ -17,26 +18,31 @@
     /// Reads the admin queue until its connection ends.
     pub(super) fn read_admin(&self, stream: &mut TcpStream) {
         let (mut buffer, mut events) = (vec![0; ADMIN_BUFFER_BYTES], Vec::new());
+        let mut budget = WorkBudget::default();
         loop {
             let n = match stream.read(&mut buffer) {
                 Ok(0) | Err(_) => return,
                 Ok(n) => n,
             };
-            let mut state = self.state();
-            let Some((initiator, outlet)) = &mut state.admin else { return };
-            let mut out = GatherList::new();
-            initiator.receive(&buffer[..n], &mut out, &mut events);
-            outlet.push(out);
+            {
+                let mut state = self.state();
+                let Some((initiator, outlet)) = &mut state.admin else { return };
+                let mut out = GatherList::new();
+                initiator.receive(&buffer[..n], &mut out, &mut events);
+                outlet.push(out);
+            }
+            let units = events.len();
             if events.drain(..).any(|e| matches!(e, HostEvent::Fault(_))) {
                 return;
             }
+            budget.spend(units);
         }
     }
 
     /// Reads replies until the connection ends.
     pub(super) fn read(&self, stream: &mut TcpStream) {
         let mut buffer = vec![0; READ_BUFFER_BYTES].into_boxed_slice();
-        let mut events = Vec::new();
+        let (mut events, mut budget) = (Vec::new(), WorkBudget::default());
         loop {
             let n = match stream.read(&mut buffer) {
                 Ok(0) | Err(_) => return,
@@ -64,10 +70,12 @@
                     }
                 }
             }
+            let units = n / WorkBudget::BYTES_PER_UNIT + ended.len();
             ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::AttemptEnded(a, end)));
             if !keep_open {
                 return;
             }
+            budget.spend(units);
         }
     }
 }
--- a/crates/load/src/fuzz.rs
+++ b/crates/load/src/fuzz.rs
@@ -5,6 +5,7 @@
 //! opcodes, descriptors, lengths, ranges, identifiers and data are drawn from the ends of their types as well as
 //! from what is usual. [`PduGenerator`] and [`OddNode`] need no sockets; [`run`] plays the former over TCP.
 
+mod flood_host;
 mod generator;
 mod odd_host;
 mod odd_node;
@@ -12,6 +13,7 @@
 mod values;
 mod witness;
 
+pub use flood_host::FloodCounts;
 pub use generator::{Delivery, PduGenerator, QueueKind, Scope, Step};
 pub use odd_host::OddHostCounts;
 pub use odd_node::OddNode;
--- a/crates/load/src/fuzz/run.rs
+++ b/crates/load/src/fuzz/run.rs
@@ -8,6 +8,7 @@
 use nvme::Digests;
 use serde::Serialize;
 
+use super::flood_host::{FloodCounts, flood};
 use super::generator::Scope;
 use super::odd_host::{OddHost, OddHostCounts};
 use super::witness::{Violation, Witness, WitnessCounts};
@@ -35,6 +36,8 @@
     pub namespaces: u32,
     /// Odd hosts.
     pub hosts: u16,
+    /// Hosts that write commands at full speed, in turns on their admin queue and on an I/O queue.
+    pub floods: u16,
     /// Seed of all that is drawn.
     pub seed: u64,
     /// How long to go on.
@@ -58,6 +61,8 @@
     pub elapsed_us: u64,
     /// The odd hosts together.
     pub odd: OddHostCounts,
+    /// The flooding hosts together.
+    pub flood: FloodCounts,
     /// The good host.
     pub good: WitnessCounts,
     /// What the good host must not see, if it saw it; the run ended there.
@@ -101,9 +106,22 @@
         }
         host.counts
     };
-    let play = &play;
+    let play_flood = |number: u16| {
+        let host = host_options(options, options.hosts + number);
+        let mut counts = FloodCounts::default();
+        while goes_on() {
+            if flood(&host, number.is_multiple_of(2), &mut counts, goes_on).is_err() {
+                thread::sleep(RECONNECT_PAUSE);
+            }
+        }
+        counts
+    };
+    let (play, play_flood) = (&play, &play_flood);
+    let mut flood_counts = FloodCounts::default();
     thread::scope(|threads| {
         let hosts: Vec<_> = (1..=options.hosts).map(|number| threads.spawn(move || play(number))).collect();
+        let floods: Vec<_> =
+            (1..=options.floods).map(|number| threads.spawn(move || play_flood(number))).collect();
         while violation.is_none() && start.elapsed() < options.duration && goes_on() {
             violation = witness.round().err().map(|violation| violation.to_string());
         }
@@ -113,9 +131,21 @@
                 odd.add(&counts);
             }
         }
+        for host in floods {
+            if let Ok(counts) = host.join() {
+                flood_counts.add(counts);
+            }
+        }
     });
     let elapsed_us = start.elapsed().as_micros() as u64;
-    Ok(FuzzReport { seed: options.seed, elapsed_us, odd, good: witness.counts, violation })
+    Ok(FuzzReport {
+        seed: options.seed,
+        elapsed_us,
+        odd,
+        flood: flood_counts,
+        good: witness.counts,
+        violation,
+    })
 }
 
 /// Host 0 is the good one.
--- a/crates/task/src/lib.rs
+++ b/crates/task/src/lib.rs
@@ -18,7 +18,7 @@
 use std::io;
 use std::sync::Once;
 
-pub use poller::yield_to_poller;
+pub use poller::{WorkBudget, yield_to_poller};
 
 /// Size of a coroutine's stack, in machine words: 1 MiB of address space, of which only touched pages use
 /// memory.
--- a/crates/task/src/poller.rs
+++ b/crates/task/src/poller.rs
@@ -34,6 +34,35 @@
     }
 }
 
+/// Units of work of a coroutine after which sockets get their turn; a unit is about a request or 4 KiB of data.
+const UNITS_PER_TURN: usize = 512;
+
+/// Work of a coroutine that serves one connection, bounded between two polls of the sockets.
+#[derive(Debug)]
+pub struct WorkBudget {
+    left: usize,
+}
+
+impl WorkBudget {
+    /// Bytes of data that count as one unit of work, like a request.
+    pub const BYTES_PER_UNIT: usize = 4096;
+
+    /// Counts work that was done, one unit at least, and gives way to sockets when the budget is used up.
+    pub fn spend(&mut self, units: usize) {
+        self.left = self.left.saturating_sub(units.max(1));
+        if self.left == 0 {
+            yield_to_poller();
+            *self = WorkBudget::default();
+        }
+    }
+}
+
+impl Default for WorkBudget {
+    fn default() -> Self {
+        WorkBudget { left: UNITS_PER_TURN }
+    }
+}
+
 /// Starts what [`yield_to_poller`] needs, while a descriptor is certainly left.
 pub(crate) fn start() {
     POLLER.get_or_init(Poller::start);
