Answers that clients do not read share a part of the granted memory

Cause: answers to clients that do not read were bounded for each connection, by 1.1 MB of 32, and not in their sum. Change: the engine counts such answers each 10 ms, and beyond a tenth of the memory requests are refused (503).

--- a/crates/crowbay/tests/hostile.rs
+++ b/crates/crowbay/tests/hostile.rs
@@ -1,6 +1,7 @@
 //! Hostile load on the platform gateway as a process, beside sound clients that must be served.
 //!
-//! `CROWBAY_HOSTILE_SECONDS` is the length of each play (3 here), `CROWBAY_SEED` its seed.
+//! `CROWBAY_HOSTILE_SECONDS` is the length of each play (3 here), `CROWBAY_SEED` its seed, `CROWBAY_MEMORY_MB`
+//! and `CROWBAY_DESCRIPTORS` what the gateway is granted.
 
 mod stage;
 
@@ -22,6 +23,8 @@
 /// Time for which the machine may hold up a stand-in between an event and its note of it.
 const NOTE_SLACK: Duration = Duration::from_millis(50);
 const NODES: usize = 4;
+/// Size of the answers to clients that do not read them; the protocol's longest.
+const LONG_ANSWER: usize = 64 << 10;
 
 /// Requests that stand-in nodes received, with the time.
 type Received = Arc<Mutex<Vec<(Instant, String)>>>;
@@ -30,6 +33,10 @@
     std::env::var(variable).map_or(default, |text| text.parse().expect("a number"))
 }
 
+fn memory_mb() -> u64 {
+    number_from("CROWBAY_MEMORY_MB", MEMORY_MB)
+}
+
 /// A gateway before sound nodes of one shard.
 struct Site {
     process: Process,
@@ -44,8 +51,8 @@
         let mut known = list(1, &nodes);
         known["members"].as_array_mut().expect("members").iter_mut().for_each(|m| m["cell"] = 0.into());
         let mut config = request::site(agent(known.clone(), Arc::default()), &known, true);
-        config["limits"]["memory_mb"] = MEMORY_MB.into();
-        config["limits"]["sockets"] = DESCRIPTORS.into();
+        config["limits"]["memory_mb"] = memory_mb().into();
+        config["limits"]["sockets"] = number_from("CROWBAY_DESCRIPTORS", DESCRIPTORS).into();
         Site { process: Process::start(&config), received }
     }
 
@@ -84,7 +91,9 @@
             let arrived = Instant::now();
             let id = request.fields.unique("x-request-id").ok().flatten().unwrap_or_default();
             let id = String::from_utf8_lossy(id).into_owned();
-            let answer = http1::encode_response(200, &[], id.as_bytes(), true);
+            let body =
+                if id.starts_with("unread") { vec![b'y'; LONG_ANSWER] } else { id.clone().into_bytes() };
+            let answer = http1::encode_response(200, &[], &body, true);
             received.lock().expect("received").push((arrived, id));
             if stream.write_all(&answer).is_err() {
                 return;
@@ -98,7 +107,7 @@
     let site = Site::start();
     let (report, memory) = site.play(kind, connections);
     assert!(report.is_good(), "{kind:?} by {connections}: {:?}", report.sound);
-    assert!(memory < MEMORY_MB << 10, "{kind:?} by {connections}: {memory} KB");
+    assert!(memory < memory_mb() << 10, "{kind:?} by {connections}: {memory} KB");
 }
 
 /// Guards against a process that passes its memory limit by the bodies that hundreds of clients do not end.
@@ -119,6 +128,16 @@
     is_borne(Kind::OpenHeads, 300);
 }
 
+/// Guards against a process that passes its memory limit by answers that nobody reads.
+#[test]
+fn unread_answers_stay_within_the_memory() {
+    let site = Site::start();
+    let (report, memory) = site.play(Kind::Unread, 200);
+    let sound = report.sound;
+    assert!(sound.asked > 0 && sound.lost + sound.late + sound.failed == 0, "{sound:?}");
+    assert!(memory < memory_mb() << 10, "{memory} KB");
+}
+
 #[test]
 fn open_bodies_and_heads_together_stay_within_the_memory() {
     is_borne(Kind::Mixed, 300);
--- a/crates/hostile/src/connection.rs
+++ b/crates/hostile/src/connection.rs
@@ -73,6 +73,14 @@
     read_input(stream, end, |_| {});
 }
 
+/// Waits for the end of the connection or the run without reading.
+pub(crate) fn wait_for_end(stream: &TcpStream, end: RunEnd<'_>) {
+    // An end shows as an error: unread answers are lost with it.
+    while !end.is_over() && stream.take_error().is_ok_and(|error| error.is_none()) {
+        end.wait(POLL_INTERVAL);
+    }
+}
+
 /// Reads and passes on what is read until the connection or the run ends.
 pub(crate) fn read_input(mut stream: &TcpStream, end: RunEnd<'_>, mut handle: impl FnMut(&[u8])) {
     let mut buffer = [0; 16 << 10];
--- a/crates/hostile/src/leaving.rs
+++ b/crates/hostile/src/leaving.rs
@@ -1,4 +1,4 @@
-//! Clients that write several requests at once and close before they have read the answers.
+//! Clients that write several requests at once and do not read the answers.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use crate::connection::{RunEnd, reconnect, write_all};
+use crate::connection::{RunEnd, reconnect, wait_for_end, write_all};
 use crate::request::Target;
 
 /// Requests written at once.
@@ -24,6 +24,23 @@
     pub ids: Vec<String>,
 }
 
+/// Requests of a client that reads nothing.
+const UNREAD_BATCH: usize = 100;
+
+/// Opens connections, writes requests and reads nothing, until the end of the run. Returns the number of
+/// connections.
+pub(crate) fn read_nothing(client: usize, target: &Target, address: SocketAddr, end: RunEnd<'_>) -> u64 {
+    let mut number = 0;
+    reconnect(address, end, |stream| {
+        number += 1;
+        let request = |n| target.read(&format!("unread-{client}-{number}-{n}"), TIMEOUT_MS);
+        let batch: String = (0..UNREAD_BATCH).map(request).collect();
+        if write_all(&stream, batch.as_bytes(), end) {
+            wait_for_end(&stream, end);
+        }
+    })
+}
+
 /// Opens connections, writes requests and leaves, until the end of the run.
 pub(crate) fn leave(
     client: usize,
--- a/crates/hostile/src/lib.rs
+++ b/crates/hostile/src/lib.rs
@@ -41,6 +41,8 @@
     Reads,
     /// The same, each of a volume of its own.
     Volumes,
+    /// Write 100 valid reads at once and read none of the answers, until the peer ends the connection.
+    Unread,
     /// Write 4 to 60 valid requests at once and close with the answers unread, beside one flood of [`Kind::Unsound`].
     Leaving,
 }
--- a/crates/hostile/src/run.rs
+++ b/crates/hostile/src/run.rs
@@ -11,7 +11,7 @@
 use crate::bodies::stop_half_way;
 use crate::connection::RunEnd;
 use crate::flood::flood;
-use crate::leaving::{Departure, leave};
+use crate::leaving::{Departure, leave, read_nothing};
 use crate::request::Target;
 use crate::sound::{SoundCounts, ask};
 
@@ -122,6 +122,10 @@
             connections: stop_half_way(options.kind, client, seed, target, address, end),
             ..HostileCounts::default()
         },
+        Kind::Unread => HostileCounts {
+            connections: read_nothing(client, target, address, end),
+            ..HostileCounts::default()
+        },
         Kind::Leaving if client > 0 => {
             let departures = leave(client, seed, target, address, end);
             HostileCounts { connections: departures.len() as u64, departures, ..HostileCounts::default() }
--- a/crates/interleavings/tests/spill.rs
+++ b/crates/interleavings/tests/spill.rs
@@ -120,6 +120,7 @@
             Some(writer) => writer.join().expect("it wrote"),
             None => {
                 assert!(!outlet.send_buffer.is_pending(), "it says that something is under way for ever");
+                assert_eq!(outlet.send_buffer.pending_bytes(1), 0, "it counts what is written");
                 return outlet.send_buffer.socket().wire().bytes.clone();
             }
         }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,6 +21,7 @@
 mod departed_ids;
 mod discovery;
 mod endpoint;
+mod engine;
 mod gateway;
 mod input_budget;
 mod json_stream;
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -108,6 +108,8 @@
     clients: HashMap<u64, ClientConnection>,
     client_timers: ClientTimers,
     input_budget: InputBudget,
+    /// Bytes of answers that wait for clients which do not read.
+    unsent_bytes: usize,
     turn: u64,
     /// Clients with input that waits for their next turn.
     awaiting_turn: VecDeque<u64>,
@@ -157,6 +159,7 @@
             dispatcher: Dispatcher::new(config.settings.clone(), config.seed),
             clients: HashMap::new(),
             client_timers: ClientTimers::default(),
+            unsent_bytes: 0,
             turn: 0,
             awaiting_turn: VecDeque::new(),
             input_budget: InputBudget::new(limits.max_buffered_request_bytes),
@@ -236,23 +239,6 @@
         self.dispatcher.open_requests()
     }
 
-    /// Returns the number of entries in all tables except the log lines not taken yet. Tests use it to find
-    /// leaks.
-    pub fn table_entries(&self) -> usize {
-        let nodes = self.dispatcher.node_views().len() + self.nodes.len();
-        let requests = self.dispatcher.open_requests()
-            + self.dispatcher.attempts_in_flight().count()
-            + self.open_request_ids.len();
-        self.clients.len()
-            + self.client_timers.len()
-            + self.input_budget.entries()
-            + self.awaiting_turn.len()
-            + nodes
-            + requests
-            + self.connections.table_entries()
-            + self.discovery.open_watches()
-    }
-
     /// Returns log lines on the requests that ended without a final response since the last call.
     pub fn take_unanswered_lines(&mut self) -> Vec<String> {
         self.unanswered.take_lines()
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -94,6 +94,12 @@
         if request.method == "GET" && request.target == "/ready" {
             return self.write_response(now, id, 200, &[], Bytes::from_static(b"ready\n"), keep);
         }
+        if self.unsent_bytes > self.limits.max_unsent_bytes {
+            // One more answer might find no room; the cost is that everyone is refused until it is read.
+            self.rejected += 1;
+            let message = Bytes::from_static(b"answers that are not read fill the memory; try again\n");
+            return self.write_response(now, id, 503, &[], message, keep);
+        }
         let admitted = admit(request, &self.gateway_settings, &self.settings, now - received_at);
         let admitted = admitted.and_then(|request| match () {
             () if self.open_request_ids.contains(&request.id) => Err(Rejection::IdOpen),
--- a/crates/platform/src/machine/input.rs
+++ b/crates/platform/src/machine/input.rs
@@ -32,6 +32,12 @@
         self.outputs.push(Output::ResumeReading(SocketId::Client(id), bytes));
     }
 
+    /// Sets how many bytes of answers wait for clients which do not read. While they are more than their part
+    /// of the memory, requests are refused.
+    pub fn set_unsent_bytes(&mut self, bytes: usize) {
+        self.unsent_bytes = bytes;
+    }
+
     /// Lets connections that wait for room be read on, as far as there is room.
     pub(super) fn resume_waiting_readers(&mut self) {
         while let Some((_, id)) = self.input_budget.first_waiting() {
--- a/crates/platform/src/machine/summary.rs
+++ b/crates/platform/src/machine/summary.rs
@@ -1,8 +1,25 @@
-//! The machine's summary line for the log. It has no effect on decisions.
+//! The machine's summary line for the log, and the size of its tables. They have no effect on decisions.
 
 use super::Machine;
 
 impl Machine {
+    /// Returns the number of entries in all tables except the log lines not taken yet. Tests use it to find
+    /// leaks.
+    pub fn table_entries(&self) -> usize {
+        let nodes = self.dispatcher.node_views().len() + self.nodes.len();
+        let requests = self.dispatcher.open_requests()
+            + self.dispatcher.attempts_in_flight().count()
+            + self.open_request_ids.len();
+        self.clients.len()
+            + self.client_timers.len()
+            + self.input_budget.entries()
+            + self.awaiting_turn.len()
+            + nodes
+            + requests
+            + self.connections.table_entries()
+            + self.discovery.open_watches()
+    }
+
     /// Returns a log line with the sizes of the tables and the counters.
     pub fn summary(&self) -> String {
         let c = self.dispatcher.counts();
--- a/crates/platform/src/resource_limits.rs
+++ b/crates/platform/src/resource_limits.rs
@@ -21,6 +21,8 @@
     /// Maximum size of all requests that are arriving or open together, in bytes, besides the first 4 KiB of
     /// each.
     pub max_buffered_request_bytes: usize,
+    /// Bytes of answers that wait for clients which do not read, beyond which requests are refused.
+    pub max_unsent_bytes: usize,
     /// Maximum number of volumes, and of unserved requests, that the decision module remembers.
     pub max_records: usize,
 }
@@ -47,6 +49,7 @@
             node_connections: each,
             max_response_bytes: (memory / 32).max(MESSAGE_LIMITS.body),
             max_buffered_response_bytes: memory / 6,
+            max_unsent_bytes: memory / 10,
             max_records: memory / RECORD_BYTES / 50,
             max_buffered_request_bytes: (memory / 10).max(2 * MESSAGE_LIMITS.body),
         }
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -334,3 +334,16 @@
     gateway.advance(10_000_000);
     assert_eq!(gateway.machine.open_requests(), 0);
 }
+
+/// Guards against answers that nobody reads and that fill the memory together.
+#[test]
+fn requests_are_refused_while_answers_that_nobody_reads_fill_their_part_of_the_memory() {
+    let mut gateway = TestGateway::with_two_nodes();
+    let client = gateway.connect_client();
+    gateway.machine.set_unsent_bytes(2 << 20);
+    gateway.receive(client, read_request("r1", 0));
+    assert_eq!(gateway.take_statuses(client), [503]);
+    gateway.machine.set_unsent_bytes(0);
+    gateway.receive(client, read_request("r2", 0));
+    assert_eq!(gateway.machine.open_requests(), 1);
+}
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -135,6 +135,7 @@
                 max_buffered_response_bytes: 1 << 20,
                 max_buffered_request_bytes: 1 << 20,
                 max_records: 1 << 16,
+                max_unsent_bytes: 1 << 20,
             },
         )
     }
@@ -185,6 +186,7 @@
                 max_buffered_response_bytes: 1 << 20,
                 max_buffered_request_bytes: 1 << 20,
                 max_records: 1 << 16,
+                max_unsent_bytes: 1 << 20,
             },
             &node_list(5, true, &members),
         )
@@ -378,6 +380,7 @@
     max_buffered_response_bytes: 1 << 20,
     max_buffered_request_bytes: 1 << 20,
     max_records: 1 << 16,
+    max_unsent_bytes: 1 << 20,
 };
 
 /// A gateway, a client, and the connection on which its request was sent.
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -68,6 +68,12 @@
         self.send_buffer.is_pending()
     }
 
+    /// Number of bytes that the system may not have accepted yet; of the chunk that the writer holds, its largest
+    /// size counts.
+    pub fn pending_bytes(&self) -> usize {
+        self.send_buffer.pending_bytes(CHUNK_BYTES)
+    }
+
     /// Writes bytes, immediately or later, in the order of the calls.
     pub fn push(self: &Arc<Self>, bytes: GatherList) {
         if !bytes.is_empty() {
--- a/crates/transport/src/send_buffer.rs
+++ b/crates/transport/src/send_buffer.rs
@@ -78,6 +78,12 @@
         state.writing || !state.pending.is_empty()
     }
 
+    /// Number of buffered bytes; a chunk that the writer holds counts as `chunk` bytes.
+    pub(crate) fn pending_bytes(&self, chunk: usize) -> usize {
+        let state = self.state();
+        state.pending.len() + if state.writing { chunk } else { 0 }
+    }
+
     /// Buffers bytes until the next flush. Returns whether a flush is needed.
     pub(crate) fn append(&self, write: impl FnOnce(&mut GatherList)) -> bool {
         let mut state = self.state();
