A wait for room ends whatever the connection waited for first

Cause: a connection that waited for the room of a head, and whose head was parsed meanwhile, was to wait for its body; its first wait stayed in the list for ever once it left, and kept all others waiting unread. Found by reading the change again. Change: the earlier wait ends with the new one; room is counted anew after each answer. Measured: the new test fails without the change (the other client was never read on) and passes with it; platform's tests pass.

--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -294,6 +294,8 @@
         self.release_open_room(id);
         self.write_response(now, id, status, fields, body, keep);
         self.handle_buffered_requests(now, id);
+        self.settle_room(id);
+        self.resume_reading(id);
     }
 
     /// Whether few connection slots are left, in which case responses close their connections.
--- a/crates/platform/src/machine/input.rs
+++ b/crates/platform/src/machine/input.rs
@@ -15,10 +15,10 @@
         }
         let needed = Room { arriving: client.arriving_room(), ..client.room };
         if !client.discards_input() && !self.input_budget.try_change(&mut client.room, needed) {
-            if client.needed_room.replace(needed.arriving).is_none() {
-                self.input_budget.wait(needed.arriving, id);
-            }
-            return;
+            // It may have waited for less: the head of its next request, and now for that request's body.
+            Self::end_wait_for_room(&mut self.input_budget, client, id);
+            client.needed_room = Some(needed.arriving);
+            return self.input_budget.wait(needed.arriving, id);
         }
         Self::end_wait_for_room(&mut self.input_budget, client, id);
         client.decoder.reserve_body();
--- a/crates/platform/tests/clients.rs
+++ b/crates/platform/tests/clients.rs
@@ -347,3 +347,29 @@
     gateway.receive(client, read_request("r2", 0));
     assert_eq!(gateway.machine.open_requests(), 1);
 }
+
+/// Guards against a wait for room that is never ended and keeps all others waiting.
+#[test]
+fn a_wait_for_room_that_changes_keeps_nobody_else_waiting() {
+    let limits = ResourceLimits { max_buffered_request_bytes: 66_000, ..LARGE_LIMITS };
+    let list = node_list(5, true, &[list_entry("a", address(1), 0, "in_service")]);
+    let mut gateway = TestGateway::with_list(limits, &list);
+    let large = |id: &str| write_request(id, 0, "").replace("Content-Length: 0", "Content-Length: 64000");
+    let (holder, changing, other) =
+        (gateway.connect_client(), gateway.connect_client(), gateway.connect_client());
+    gateway.receive(holder, large("holder"));
+    // Behind an open request, first the room of a head is needed, then that of a body.
+    gateway.receive(changing, read_request("r1", 0) + &large("changing") + &"x".repeat(6000));
+    gateway.receive(other, large("other"));
+    let node = gateway.establish_node();
+    gateway.receive(node, ok_response("1"));
+    assert_eq!(gateway.take_statuses(changing), [200]);
+    gateway.machine.tick(gateway.now);
+    gateway.perform_outputs();
+    gateway.end(changing, false);
+    let reads = gateway.resume_count;
+    gateway.end(holder, false);
+    gateway.machine.tick(gateway.now);
+    gateway.perform_outputs();
+    assert_eq!(gateway.resume_count, reads + 1, "the other has its room");
+}
