The test that waits for a request to be given up asks without running it

Change: it waits until the 409 no longer says that the request is open, and also demands that the id is not taken again; all else in the test is as it was.

--- a/crates/crowbay/tests/customers.rs
+++ b/crates/crowbay/tests/customers.rs
@@ -195,9 +195,14 @@
     assert!(site.nodes.all().iter().all(|s| s.timeout_ms <= if s.id == "short" { 150 } else { 5000 }));
 }
 
-/// Asks with an id whose request was given up, until that is known.
+/// Asks with an id whose request was given up after a node had it, until that is known. It is not open any more then, and
+/// does not run again either.
 fn until_given_up(site: &Site, id: &str) {
-    until("it is given up", || site.ask("transfer-out", id, 1).status != 409);
+    until("it is given up", || {
+        let answer = site.ask("transfer-out", id, 1);
+        assert_eq!(answer.status, 409, "it may have run");
+        !String::from_utf8_lossy(&answer.body).contains("is open")
+    });
 }
 
 #[test]
