Plays of hostile load run one at a time, and tell of a gateway without processor

Traced by the thread's schedstat in two further runs of the file: the gateway's thread was ready and had no processor for 1.5 to 2.1 of 3 s in all plays at once, 0.6 s alone (300 floods). Change: a lock in the test file; each play prints that time.

--- a/crates/crowbay/tests/hostile.rs
+++ b/crates/crowbay/tests/hostile.rs
@@ -7,7 +7,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicBool;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use hostile::{Kind, Options, Report, Target, run};
@@ -37,14 +37,21 @@
     number_from("CROWBAY_MEMORY_MB", MEMORY_MB)
 }
 
+/// Held by the play that is on. Several floods at once take all processors, and the gateway's thread, ready to run,
+/// had none for 1.5 to 2 of 3 s; what is late then says nothing of the gateway.
+static PLAY: Mutex<()> = Mutex::new(());
+
 /// A gateway before sound nodes of one shard.
 struct Site {
     process: Process,
     received: Received,
+    /// Dropped last, once the process has ended.
+    _play: MutexGuard<'static, ()>,
 }
 
 impl Site {
     fn start() -> Site {
+        let play = PLAY.lock().unwrap_or_else(PoisonError::into_inner);
         let received = Received::default();
         let nodes: Vec<_> = (0..NODES).map(|n| (format!("node{n}"), node(&received))).collect();
         let nodes: Vec<_> = nodes.iter().map(|(name, at)| (name.as_str(), *at)).collect();
@@ -53,7 +60,18 @@
         let mut config = request::site(agent(known.clone(), Arc::default()), &known, true);
         config["limits"]["memory_mb"] = memory_mb().into();
         config["limits"]["sockets"] = number_from("CROWBAY_DESCRIPTORS", DESCRIPTORS).into();
-        Site { process: Process::start(&config), received }
+        Site { _play: play, process: Process::start(&config), received }
+    }
+
+    /// How long the gateway's thread that had to wait most for a processor did so, since its start.
+    fn longest_delayed_thread(&self) -> Duration {
+        let tasks =
+            std::fs::read_dir(format!("/proc/{}/task", self.process.child.id())).expect("its threads");
+        let delay = |task: std::io::Result<std::fs::DirEntry>| {
+            let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+            text.split_ascii_whitespace().nth(1)?.parse().ok()
+        };
+        Duration::from_nanos(tasks.filter_map(delay).max().unwrap_or(0))
     }
 
     /// Plays hostile load; returns what became of it and the most memory the gateway held, in KB.
@@ -76,7 +94,11 @@
         let gauge = Gauge::new(self.process.child.id());
         let report = run(&options, &AtomicBool::new(false)).expect("the gateway listens");
         let (memory, descriptors) = gauge.most();
-        println!("{kind:?} by {connections}: {memory} KB, {descriptors} descriptors; {report:?}");
+        let delayed = self.longest_delayed_thread();
+        println!(
+            "{kind:?} by {connections}: {memory} KB, {descriptors} descriptors, a thread ready without a processor \
+             for {delayed:?}; {report:?}"
+        );
         (report, memory)
     }
 }
