A batch of messages is written as far as the socket accepts it, and no further

Change: Outlet::write_batch tells how many messages have begun, buffers the rest of the last one alone and drops the others; a listener hears when the socket accepts more. GatherList::truncate; an initiator takes back a command of which nothing was sent. In the model of the socket under the checker a write that fails takes nothing, as with a system's.

--- a/crates/gather/src/lib.rs
+++ b/crates/gather/src/lib.rs
@@ -94,6 +94,23 @@
         }
     }
 
+    /// Keeps the first `len` bytes and drops those behind them.
+    pub fn truncate(&mut self, len: usize) {
+        let tail_start = self.len - self.tail.len();
+        self.tail.truncate(len.saturating_sub(tail_start));
+        self.len = self.len.min(len.max(tail_start));
+        while self.len > len
+            && let Some(last) = self.pieces.back_mut()
+        {
+            let excess = (self.len - len).min(last.len());
+            last.truncate(last.len() - excess);
+            self.len -= excess;
+            if last.is_empty() {
+                self.pieces.pop_back();
+            }
+        }
+    }
+
     /// Removes and returns a piece from the front, with at most `max_bytes` bytes.
     pub fn take(&mut self, max_bytes: usize) -> Bytes {
         let piece = match self.pieces.front_mut() {
--- a/crates/gather/src/tests.rs
+++ b/crates/gather/src/tests.rs
@@ -8,6 +8,7 @@
     Append(usize, usize),
     Advance(usize),
     Take(usize),
+    Truncate(usize),
     Write(usize),
 }
 
@@ -19,6 +20,7 @@
         (size(), size()).prop_map(|(a, b)| Step::Append(a, b)),
         size().prop_map(Step::Advance),
         size().prop_map(Step::Take),
+        size().prop_map(Step::Truncate),
         size().prop_map(Step::Write),
     ]
 }
@@ -49,6 +51,11 @@
                     out.extend(expected.drain(..n));
                     list.advance(n);
                 }
+                Step::Truncate(n) => {
+                    expected.truncate(n);
+                    list.truncate(n);
+                    prop_assert_eq!(list.len(), expected.len());
+                }
                 Step::Take(n) => {
                     let piece = list.take(n);
                     prop_assert!(piece.len() <= n);
--- a/crates/interleavings/tests/spill.rs
+++ b/crates/interleavings/tests/spill.rs
@@ -25,11 +25,17 @@
 }
 
 impl Wire {
-    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Whether it breaks, or is shut, before it has taken so many more bytes.
+    fn check(&self, count: usize) -> io::Result<()> {
         let room = self.breaks_at.map_or(usize::MAX, |at| at.saturating_sub(self.bytes.len()));
-        if self.shut.is_some() || room < bytes.len() {
+        if self.shut.is_some() || room < count {
             return Err(io::ErrorKind::BrokenPipe.into());
         }
+        Ok(())
+    }
+
+    fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.check(bytes.len())?;
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
@@ -47,6 +53,11 @@
 impl WriteSide for Socket {
     fn write_now(&self, rest: &mut GatherList) -> io::Result<()> {
         let mut wire = self.wire();
+        // As with a system's socket, a write that fails takes nothing.
+        let count = rest.len().min(wire.room);
+        if count > 0 {
+            wire.check(count)?;
+        }
         let taken = rest.take(wire.room);
         wire.room -= taken.len();
         if taken.is_empty() { Ok(()) } else { wire.write(&taken) }
@@ -197,6 +208,35 @@
     );
 }
 
+/// Three messages in one batch, of which the socket takes one and a part of the second, or none, while another
+/// thread pushes an answer of its own.
+fn batch_beside_an_answer() {
+    let outlet = Outlet::new(4, None);
+    let own = outlet.clone();
+    let answers = thread::spawn(move || {
+        append(&own, b"xy");
+        flush(&own);
+    });
+    let mut batch = GatherList::new();
+    batch.append_copy(b"abcdefghi");
+    let begun = outlet.send_buffer.write_batch(batch, &[3, 6, 9], || start(&outlet));
+    answers.join().expect("it answered");
+    let seen = settle(&outlet);
+    let begun_bytes = &b"abcdefghi"[..3 * begun];
+    let expected = [[b"xy", begun_bytes].concat(), [begun_bytes, b"xy"].concat()];
+    assert!(expected.contains(&seen), "{begun} of the batch have begun, and the peer got {seen:?}");
+}
+
+/// The socket breaks within a batch.
+fn batch_on_a_broken_socket() {
+    let outlet = Outlet::new(100, Some(0));
+    let mut batch = GatherList::new();
+    batch.append_copy(b"abcdef");
+    assert_eq!(outlet.send_buffer.write_batch(batch, &[3, 6], || start(&outlet)), 0, "nothing was accepted");
+    assert_eq!(settle(&outlet), b"");
+    assert_eq!(is_shut(&outlet), Some(Shutdown::Both));
+}
+
 /// The connection breaks under the writer while more is appended.
 fn broken() {
     let outlet = Outlet::new(1, Some(2));
@@ -268,6 +308,17 @@
     println!("{}", check(None, broken));
 }
 
+#[test]
+fn a_batch_is_written_as_far_as_it_has_begun_and_no_further() {
+    println!("beside an answer: {}", check(None, batch_beside_an_answer));
+    println!("broken: {}", check(None, batch_on_a_broken_socket));
+}
+
+#[test]
+fn a_message_that_is_written_although_it_has_not_begun_is_caught() {
+    assert_detected(Fault::UnbegunBuffered, "of the batch have begun", None, batch_beside_an_answer);
+}
+
 #[test]
 fn what_is_kept_after_a_close_is_caught() {
     assert_detected(Fault::AppendAfterClose, "kept after the close", None, appended_after);
--- a/crates/nvme/src/initiator.rs
+++ b/crates/nvme/src/initiator.rs
@@ -133,6 +133,15 @@
         Some(cid)
     }
 
+    /// Takes back a command of which nothing was sent; its data is returned to nobody. It gets no reply.
+    pub fn take_back(&mut self, cid: u16) {
+        if let Some(flight) = self.flights.get_mut(usize::from(cid))
+            && flight.take().is_some()
+        {
+            self.free.push_front(cid);
+        }
+    }
+
     /// Takes bytes off the stream; appends what is to be sent to `out` and what happened to `events`.
     pub fn receive(&mut self, bytes: &[u8], out: &mut impl PduSink, events: &mut Vec<HostEvent>) {
         self.decoder.push(bytes);
--- a/crates/nvme/tests/common/mod.rs
+++ b/crates/nvme/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A controller side, and a connection to it that is spoken to by hand.
 #![allow(dead_code)]
 
+pub mod wire;
+
 use bytes::{Bytes, BytesMut};
 use nvme::*;
 
--- a/crates/nvme/tests/protocol.rs
+++ b/crates/nvme/tests/protocol.rs
@@ -3,92 +3,10 @@
 mod common;
 
 use bytes::{Bytes, BytesMut};
+use common::wire::*;
 use common::*;
 use nvme::*;
 
-/// A host's connection to a session, without a wire between them.
-struct Wire {
-    host: Initiator,
-    session: Session,
-    events: Vec<HostEvent>,
-    outputs: Vec<Output>,
-    now: Micros,
-}
-
-impl Wire {
-    fn new(target: &mut Target, options: InitiatorOptions) -> Self {
-        let mut to_controller = BytesMut::new();
-        let offered = Digests { header: true, data: true };
-        let host = Initiator::new(options, &mut to_controller);
-        let session = Session::new(target, offered);
-        let mut wire = Wire { host, session, events: Vec::new(), outputs: Vec::new(), now: 0 };
-        wire.carry(target, to_controller);
-        wire
-    }
-
-    /// Carries bytes to and fro until both are quiet.
-    fn carry(&mut self, target: &mut Target, mut to_controller: BytesMut) {
-        while !to_controller.is_empty() {
-            let mut to_host = BytesMut::new();
-            self.session.receive(&to_controller, self.now, target, &mut to_host, &mut self.outputs);
-            to_controller.clear();
-            self.host.receive(&to_host, &mut to_controller, &mut self.events);
-        }
-    }
-
-    fn submit(&mut self, target: &mut Target, sqe: Sqe, data: Bytes, expect: u32) {
-        let mut out = BytesMut::new();
-        let submission = Submission { sqe, data, expect, user: u64::from(sqe.opcode()) };
-        self.host.submit(submission, &mut out).expect("there is room");
-        self.carry(target, out);
-    }
-
-    fn complete(&mut self, target: &mut Target, cid: u16, completion: Completion) {
-        let mut to_host = BytesMut::new();
-        assert!(self.session.complete(cid, completion, &mut to_host));
-        let mut back = BytesMut::new();
-        self.host.receive(&to_host, &mut back, &mut self.events);
-        self.carry(target, back);
-    }
-
-    fn command(&mut self) -> IoCommand {
-        match self.outputs.pop() {
-            Some(Output::Command(command)) => command,
-            other => panic!("no command: {other:?}"),
-        }
-    }
-
-    fn reply(&mut self) -> Reply {
-        match self.events.pop() {
-            Some(HostEvent::Reply(reply)) => reply,
-            other => panic!("no reply: {other:?}"),
-        }
-    }
-
-    fn status(&mut self, target: &mut Target, sqe: Sqe, expect: u32) -> Status {
-        self.submit(target, sqe, Bytes::new(), expect);
-        self.reply().status
-    }
-}
-
-fn pair(target: &mut Target, digests: Digests) -> (Wire, Wire) {
-    let admin = Wire::new(target, options(0, 0, digests));
-    let Some(HostEvent::Ready { cntlid, limits: Some(limits) }) = admin.events.last().cloned() else {
-        panic!("the admin queue is not up: {:?}", admin.events)
-    };
-    assert_eq!(limits.retry_delays, [1, 5, 20]);
-    assert_eq!(limits.max_transfer, 128 * 1024);
-    assert_eq!(limits.in_capsule, 8192);
-    let io = Wire::new(target, options(1, cntlid, digests));
-    assert!(matches!(io.events.last(), Some(HostEvent::Ready { .. })), "{:?}", io.events);
-    (admin, io)
-}
-
-fn all_digests() -> [Digests; 4] {
-    [(false, false), (true, false), (false, true), (true, true)]
-        .map(|(header, data)| Digests { header, data })
-}
-
 #[test]
 fn reads_and_writes_of_every_size_arrive_byte_for_byte_with_and_without_digests() {
     for digests in all_digests() {
@@ -386,3 +304,28 @@
     admin.host.receive(&out, &mut BytesMut::new(), &mut admin.events);
     assert_eq!(admin.reply().dw0, 0x04_0002);
 }
+
+/// Guards against entries of a queue that are lost with each command of which nothing was sent.
+#[test]
+fn a_command_that_is_taken_back_leaves_its_entry_to_the_next_and_gets_no_reply() {
+    let mut t = target();
+    let (_admin, mut io) = pair(&mut t, Digests::default());
+    let entries = io.host.room();
+    let submission = |user| Submission {
+        sqe: Sqe::blocks(io::WRITE, 1, 0, 1),
+        data: Bytes::from(vec![7; 4096]),
+        expect: 0,
+        user,
+    };
+    for user in 0..2 * entries as u64 {
+        let cid = io.host.submit(submission(user), &mut BytesMut::new()).expect("there is room");
+        io.host.take_back(cid);
+        io.host.take_back(cid);
+    }
+    assert_eq!((io.host.room(), io.host.outstanding()), (entries, 0));
+    io.submit(&mut t, Sqe::blocks(io::FLUSH, 1, 0, 0), Bytes::new(), 0);
+    let cid = io.command().cid;
+    io.complete(&mut t, cid, Completion::of(Status::SUCCESS));
+    assert_eq!(io.reply().user, u64::from(io::FLUSH), "only what was sent is answered");
+    assert!(io.host.abandon().is_empty());
+}
--- a/crates/sync/src/checker.rs
+++ b/crates/sync/src/checker.rs
@@ -29,6 +29,8 @@
     TwoWriters,
     /// A connection is finished with unwritten data.
     FinishDropsData,
+    /// Messages of a batch that have not begun are buffered all the same.
+    UnbegunBuffered,
     /// A writer's failure is not recorded as a cut.
     CutNotRecorded,
     /// The ticker does not check the due time again after publishing how long it sleeps, and its user does
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -1,12 +1,14 @@
 //! The outgoing side of a connection, which never blocks its user.
 
+use std::fmt;
 use std::io::{self, ErrorKind, IoSlice, Write};
 use std::net::{Shutdown, TcpStream};
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::Arc;
 
 use gather::GatherList;
-use may::io::CoIo;
+use may::io::{CoIo, WaitIo};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 
 use crate::send_buffer::{SendBuffer, WriteSide};
 
@@ -24,6 +26,16 @@
 #[derive(Debug)]
 pub struct Outlet {
     send_buffer: SendBuffer<Socket>,
+    on_writable: Option<WritableListener>,
+}
+
+/// Called when the socket accepts data again.
+struct WritableListener(Box<dyn Fn() + Send + Sync>);
+
+impl fmt::Debug for WritableListener {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("WritableListener")
+    }
 }
 
 /// The connection's non-blocking socket.
@@ -41,16 +53,33 @@
         Ok(Outlet::from_shared(Arc::new(stream.inner().try_clone()?), limit))
     }
 
+    /// Like [`Outlet::new`], for a user of [`Outlet::write_batch`]: `on_writable` is called each time that the
+    /// socket had not accepted everything, has now got the remainder and accepts more, or is closed. It must
+    /// not block.
+    ///
+    /// # Errors
+    ///
+    /// No descriptor is left.
+    pub fn with_writable_listener(
+        stream: &may::net::TcpStream,
+        limit: usize,
+        on_writable: impl Fn() + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let outlet = Outlet::new(stream, limit)?;
+        Ok(Outlet { on_writable: Some(WritableListener(Box::new(on_writable))), ..outlet })
+    }
+
     /// The outlet of a connection whose descriptor is shared with its reader. The socket must be
     /// non-blocking.
     pub fn from_shared(stream: Arc<TcpStream>, limit: usize) -> Self {
-        Outlet { send_buffer: SendBuffer::new(Socket(stream), limit) }
+        Outlet { send_buffer: SendBuffer::new(Socket(stream), limit), on_writable: None }
     }
 
     /// Like [`Outlet::from_shared`], for an owner that regularly flushes any outlet that [is
     /// starved](Outlet::is_starved).
     pub fn from_shared_with_owner_flushes(stream: Arc<TcpStream>, limit: usize) -> Self {
-        Outlet { send_buffer: SendBuffer::new(Socket(stream), limit).with_owner_flushes() }
+        let send_buffer = SendBuffer::new(Socket(stream), limit).with_owner_flushes();
+        Outlet { send_buffer, on_writable: None }
     }
 
     /// Whether data waits for which no writer could be started for lack of a descriptor.
@@ -88,6 +117,14 @@
         self.send_buffer.append(write)
     }
 
+    /// Writes a batch of messages as far as the socket accepts them, unless something else is still to be
+    /// written. `ends` holds the offset of the end of each message in the batch. Returns how many of them, from
+    /// the first on, have begun: the system has accepted at least one byte of each. Nothing of the others is or
+    /// will be written.
+    pub fn write_batch(self: &Arc<Self>, batch: GatherList, ends: &[usize]) -> usize {
+        self.send_buffer.write_batch(batch, ends, || self.start_writer())
+    }
+
     /// Writes the buffered data, as far as the socket accepts it.
     pub fn flush(self: &Arc<Self>) {
         self.send_buffer.flush(|| self.start_writer());
@@ -114,19 +151,26 @@
         let descriptor = Arc::new(self.send_buffer.socket().0.try_clone()?);
         let writer = CoIo::new(SharedDescriptor(descriptor.clone())).map_err(io::Error::from)?;
         task::spawn("outlet", move || {
-            if panics::contain(|| outlet.write_pending(writer)).is_err() {
+            if panics::contain(|| outlet.write_pending(writer, &descriptor)).is_err() {
                 outlet.close();
             }
             drop(descriptor);
+            if let Some(WritableListener(on_writable)) = &outlet.on_writable {
+                on_writable();
+            }
         })
     }
 
-    fn write_pending(&self, mut writer: CoIo<SharedDescriptor>) {
+    /// Writes what is buffered; where somebody listens, also waits until the socket accepts more.
+    fn write_pending(&self, mut writer: CoIo<SharedDescriptor>, stream: &TcpStream) {
         while let Some(chunk) = self.send_buffer.next_chunk(CHUNK_BYTES) {
             if writer.write_all(&chunk).is_err() {
                 self.send_buffer.writer_failed();
             }
         }
+        while self.on_writable.is_some() && !is_writable(stream) {
+            writer.wait_io();
+        }
     }
 }
 
@@ -166,6 +210,13 @@
     }
 }
 
+/// Whether the socket accepts data, or never will again. A socket that cannot be asked counts as writable: the
+/// next write shows what is wrong with it.
+fn is_writable(stream: &TcpStream) -> bool {
+    let mut descriptors = [PollFd::new(stream, PollFlags::OUT)];
+    poll(&mut descriptors, Some(&Timespec::default())) != Ok(0)
+}
+
 /// Writes as much as the socket accepts without blocking.
 fn write_now(mut stream: &TcpStream, pending: &mut GatherList) -> io::Result<()> {
     while !pending.is_empty() {
--- a/crates/transport/src/send_buffer.rs
+++ b/crates/transport/src/send_buffer.rs
@@ -99,6 +99,39 @@
         was_empty && !state.writing
     }
 
+    /// Writes a batch of messages as far as the socket accepts them, unless something else is still to be
+    /// written. `ends` holds the offset of the end of each message. Returns how many of them have begun: of
+    /// these the socket has accepted at least one byte, and the rest of the last one is buffered. Nothing of
+    /// the others is or will be written. `start` is used as in `flush`.
+    pub(crate) fn write_batch(
+        &self,
+        mut batch: GatherList,
+        ends: &[usize],
+        start: impl FnOnce() -> io::Result<()>,
+    ) -> usize {
+        let mut state = self.state();
+        let is_ending = state.closed || state.shutdown_when_written.is_some();
+        if is_ending || state.writing || !state.pending.is_empty() {
+            return 0;
+        }
+        let total = batch.len();
+        let result = self.socket.write_now(&mut batch);
+        let accepted = total - batch.len();
+        let begun = begun_messages(ends, accepted);
+        let end_of_begun = begun.checked_sub(1).and_then(|last| ends.get(last)).copied().unwrap_or(0);
+        if !injected!(UnbegunBuffered) {
+            batch.truncate(end_of_begun - accepted);
+        }
+        state.pending = batch;
+        if result.is_err() {
+            self.close_now(&mut state);
+        } else if begun < ends.len() || !state.pending.is_empty() {
+            // Also where nothing is left to write: the writer waits until the socket accepts more.
+            self.start_writer(&mut state, start);
+        }
+        begun
+    }
+
     /// Writes the buffered data, as far as the socket accepts it. `start` starts a writer for the remainder,
     /// which calls `next_chunk`; `start` is called under the lock and must not block.
     pub(crate) fn flush(&self, start: impl FnOnce() -> io::Result<()>) {
@@ -197,3 +230,10 @@
         self.close_now(&mut state);
     }
 }
+
+/// Number of messages of which at least one byte was accepted, if each ends at one of `ends` and this many
+/// bytes of all were accepted.
+fn begun_messages(ends: &[usize], accepted: usize) -> usize {
+    let starts = std::iter::once(0).chain(ends.iter().copied());
+    starts.take(ends.len()).filter(|start| *start < accepted).count()
+}
--- a/crates/transport/tests/outlet.rs
+++ b/crates/transport/tests/outlet.rs
@@ -47,3 +47,34 @@
     assert!(outlet.was_cut());
     drop(peer);
 }
+
+/// Guards against messages that wait in a buffer for a peer that does not read, and are written later unasked.
+#[test]
+fn messages_that_have_not_begun_are_not_written_and_the_listener_hears_of_room() {
+    const MESSAGES: usize = 512;
+    const MESSAGE_BYTES: usize = 64 * 1024;
+    task::init_runtime();
+    let listener = may::net::TcpListener::bind("127.0.0.1:0").expect("bind a port");
+    let mut peer = TcpStream::connect(listener.local_addr().expect("local address")).expect("connect");
+    let (stream, _) = listener.accept().expect("accept");
+    let (room, heard) = std::sync::mpsc::channel();
+    let outlet =
+        Outlet::with_writable_listener(&stream, LARGE, move || room.send(()).expect("the test waits"));
+    let outlet = Arc::new(outlet.expect("a descriptor is left"));
+    let batch = || {
+        let mut batch = GatherList::new();
+        (0..MESSAGES).for_each(|n| batch.append_copy(&vec![n as u8; MESSAGE_BYTES]));
+        batch
+    };
+    let ends: Vec<usize> = (1..=MESSAGES).map(|n| n * MESSAGE_BYTES).collect();
+    let begun = outlet.write_batch(batch(), &ends);
+    assert!(0 < begun && begun < MESSAGES, "{begun} of {MESSAGES} have begun");
+    assert_eq!(outlet.write_batch(batch(), &ends), 0, "nothing begins behind a rest");
+    let mut received = vec![0; begun * MESSAGE_BYTES];
+    peer.read_exact(&mut received).expect("all that has begun arrives");
+    let is_right = |(n, message): (usize, &[u8])| message.iter().all(|byte| *byte == n as u8);
+    assert!(received.chunks(MESSAGE_BYTES).enumerate().all(is_right));
+    heard.recv_timeout(std::time::Duration::from_secs(20)).expect("it is told of room");
+    outlet.finish();
+    assert_eq!(peer.read(&mut [0]).expect("the end"), 0, "nothing else was written");
+}
