--- a/crates/core/benches/core.rs
+++ b/crates/core/benches/core.rs
@@ -19,6 +19,8 @@
             core.submit(now, operation, &mut effects).expect("a valid operation");
             for effect in std::mem::take(&mut effects) {
                 if let Effect::Send(send) = effect {
+                    let permitted = core.begin_write(now, send.attempt, &mut effects);
+                    std::hint::black_box(&permitted);
                     core.attempt_ended(
                         now + 50,
                         send.attempt,
--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -26,8 +26,9 @@
     pub(crate) request: RequestId,
     pub(crate) part: Part,
     pub(crate) state: PieceState,
+    /// Attempts whose write has begun.
     pub(crate) attempts_sent: u32,
-    /// Attempts that are in flight, were served, or may have run.
+    /// Attempts of these that are in flight, were served, or may have run.
     pub(crate) attempts_possibly_run: u32,
 }
 
@@ -185,7 +186,7 @@
         was_sent
     }
 
-    /// Aborts an operation if no attempt was sent; returns whether it was aborted. An aborted operation gets
+    /// Aborts an operation if no attempt's write has begun; returns whether it was aborted. An aborted operation gets
     /// no answer.
     pub fn abort(&mut self, now: Micros, id: OperationId, effects: &mut Vec<Effect>) -> bool {
         self.advance(now);
@@ -226,8 +227,9 @@
             && let Some(open) = self.open.get_mut(&id)
         {
             open.last_outcome = Some(end.outcome);
+            let has_begun = self.dispatcher.has_begun(attempt);
             let never_ran = matches!(end.outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
-            open.pieces[index].attempts_possibly_run -= u32::from(never_ran);
+            open.pieces[index].attempts_possibly_run -= u32::from(has_begun && never_ran);
         }
         let served = self.dispatcher.attempt_ended(self.now, attempt, end.outcome, end.load);
         if let Some((id, index)) = served
@@ -337,7 +339,7 @@
                     {
                         open.last_outcome = Some(outcome);
                     }
-                    effects.push(Effect::Abandon(attempt, node));
+                    effects.push(Effect::Abandon(attempt, node, outcome));
                 }
                 Command::EndUnserved(_, (id, index), verdict) => {
                     self.end_unserved(id, index, verdict, effects)
@@ -349,34 +351,32 @@
     }
 
     fn send(&mut self, attempt: AttemptId, node: NodeId, effects: &mut Vec<Effect>) {
-        let Some(&(id, index)) = self.dispatcher.payload(attempt.request) else { return };
-        let Some(open) = self.open.get_mut(&id) else { return };
-        let piece = &mut open.pieces[index];
-        piece.attempts_sent += 1;
-        piece.attempts_possibly_run += 1;
-        let (part, operation) = (piece.part, &open.operation);
-        let bytes = part.blocks * open.block_size;
-        let data = operation.action.data_of(&part, open.block_size);
-        let is_retry = attempt.index > 0 || operation.retry;
-        if is_retry {
-            self.retry_demands.use_token(part.shard);
+        let Some(outgoing) = self.outgoing_attempt(attempt, node) else { return };
+        if outgoing.is_retry {
+            self.retry_demands.use_token(outgoing.shard);
         }
-        effects.push(Effect::Send(OutgoingAttempt {
+        effects.push(Effect::Send(outgoing));
+    }
+
+    /// Describes an attempt of an open operation; `None` if the operation is answered.
+    pub(crate) fn outgoing_attempt(&self, attempt: AttemptId, node: NodeId) -> Option<OutgoingAttempt> {
+        let &(id, index) = self.dispatcher.payload(attempt.request)?;
+        let open = self.open.get(&id)?;
+        let (part, operation) = (open.pieces[index].part, &open.operation);
+        let idempotency = self.catalogue.settings.classes[open.class].idempotency;
+        Some(OutgoingAttempt {
             attempt,
             node,
             opcode: operation.action.opcode(),
             nsid: operation.nsid,
             slba: part.slba,
             blocks: part.blocks,
-            bytes,
-            data,
+            bytes: part.blocks * open.block_size,
+            data: operation.action.data_of(&part, open.block_size),
             shard: part.shard,
-            is_retry,
+            is_retry: attempt.index > 0 || operation.retry,
             token: operation.token,
-            keyed: matches!(
-                self.catalogue.settings.classes[open.class].idempotency,
-                Idempotency::Keyed { .. }
-            ),
-        }));
+            keyed: matches!(idempotency, Idempotency::Keyed { .. }),
+        })
     }
 }
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -2,17 +2,19 @@
 
 use bytes::Bytes;
 use decisions::{NodeId, Outcome, ShardId};
-use dispatch::AttemptId;
+use dispatch::{AttemptId, Micros, WritePermit};
 
 use crate::operation::{Answer, Opcode, OperationId};
 
 /// An effect for the caller to carry out.
 #[derive(Clone, Debug)]
 pub enum Effect {
-    /// Send an attempt and report its end once.
+    /// Write an attempt as soon as possible, with the permission of
+    /// [`Core::begin_write`](crate::Core::begin_write), and report its end once.
     Send(OutgoingAttempt),
-    /// The attempt timed out or was cancelled. Its end need not be reported.
-    Abandon(AttemptId, NodeId),
+    /// The attempt is abandoned with this outcome: it timed out, was cancelled or was never sent. Its end need
+    /// not be reported.
+    Abandon(AttemptId, NodeId, Outcome),
     /// Deliver the final answer to an operation.
     Answer(OperationId, Answer),
     /// Subscribe to the node list for the scheduler.
@@ -21,7 +23,7 @@
     Log(String),
 }
 
-/// An attempt to be sent to a node.
+/// An attempt that the scheduler has decided on. Only a [`PermittedAttempt`] is written to a node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OutgoingAttempt {
     /// Identifies the attempt.
@@ -51,6 +53,32 @@
     pub keyed: bool,
 }
 
+/// An attempt that may be written to its node now. What writes to a node takes one by value; it cannot be
+/// copied, and is made by [`Core::begin_write`](crate::Core::begin_write) and
+/// [`Core::begin_copy`](crate::Core::begin_copy) alone.
+#[derive(Debug, PartialEq)]
+#[must_use]
+pub struct PermittedAttempt {
+    permit: WritePermit,
+    attempt: OutgoingAttempt,
+}
+
+impl PermittedAttempt {
+    pub(crate) fn new(permit: WritePermit, attempt: OutgoingAttempt) -> Self {
+        PermittedAttempt { permit, attempt }
+    }
+
+    /// Returns the attempt.
+    pub fn attempt(&self) -> &OutgoingAttempt {
+        &self.attempt
+    }
+
+    /// Returns the time that is left until the attempt's deadline, in microseconds.
+    pub fn time_left(&self) -> Micros {
+        self.permit.time_left()
+    }
+}
+
 /// The end of an attempt, as reported by the connection to its node.
 #[derive(Clone, Debug)]
 pub struct AttemptEnd {
--- a/crates/core/tests/answers.rs
+++ b/crates/core/tests/answers.rs
@@ -31,17 +31,33 @@
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
-                Effect::Send(send) => self.in_flight.push(send),
+                Effect::Send(send) => self.begin(send),
                 Effect::Answer(id, answer) => {
                     assert!(!self.answers.iter().any(|a| a.0 == id), "{id:?} got two final answers");
                     self.answers.push((id, answer));
                 }
-                Effect::Abandon(attempt, _) => self.in_flight.retain(|s| s.attempt != attempt),
+                Effect::Abandon(attempt, ..) => self.in_flight.retain(|s| s.attempt != attempt),
                 _ => {}
             }
         }
     }
 
+    /// Begins the write of an attempt, or ends it as never sent if it is no longer wanted.
+    fn begin(&mut self, send: OutgoingAttempt) {
+        let mut effects = Vec::new();
+        match self.core.begin_write(self.now, send.attempt, &mut effects) {
+            Some(permitted) => {
+                assert_eq!(*permitted.attempt(), send);
+                self.in_flight.push(send);
+            }
+            None => {
+                let end = AttemptEnd::without_data(Outcome::NotSent);
+                self.core.attempt_ended(self.now, send.attempt, end, &mut effects);
+            }
+        }
+        self.carry_out(effects);
+    }
+
     fn submit(&mut self, id: u64, opcode: Opcode, slba: u64, blocks: u32) {
         let data = match opcode {
             Opcode::Write => (0..blocks * 4096).map(|n| (n / 4096) as u8).collect(),
--- a/crates/core/tests/retry_tokens.rs
+++ b/crates/core/tests/retry_tokens.rs
@@ -14,11 +14,17 @@
     Operation { retry, ..operation(id, Opcode::Read, slba, 1, Bytes::new()) }
 }
 
-/// Submits an operation; returns the attempts that are sent and the final answer, if there is one.
+/// Submits an operation and begins the attempts that are sent; returns them and the final answer, if there is
+/// one.
 fn submit(core: &mut Core, operation: Operation) -> (Vec<OutgoingAttempt>, Option<Answer>) {
     let mut effects = Vec::new();
     core.submit(1000, operation, &mut effects).expect("a valid operation");
-    sends_and_answer(effects)
+    let (sends, answer) = sends_and_answer(effects);
+    for send in &sends {
+        let permitted = core.begin_write(1000, send.attempt, &mut Vec::new());
+        assert_eq!(permitted.expect("the attempt is wanted").attempt(), send);
+    }
+    (sends, answer)
 }
 
 fn sends_and_answer(effects: Vec<Effect>) -> (Vec<OutgoingAttempt>, Option<Answer>) {
--- a/crates/core/tests/withdrawn.rs
+++ b/crates/core/tests/withdrawn.rs
@@ -16,7 +16,14 @@
     for id in 1..=20 {
         core.submit(1000, read(id), &mut effects).expect("a valid operation");
     }
-    let sent = effects.iter().filter(|effect| matches!(effect, Effect::Send(_))).count();
+    let mut sent = 0;
+    for effect in std::mem::take(&mut effects) {
+        if let Effect::Send(send) = effect {
+            let permitted = core.begin_write(1000, send.attempt, &mut effects);
+            assert_eq!(permitted.expect("the attempt is wanted").attempt(), &send);
+            sent += 1;
+        }
+    }
     assert!(0 < sent && sent < 20, "{sent} of 20 were sent; the others must wait for the node");
     let withdrawn: Vec<bool> =
         (1..=20).map(|id| core.withdraw(2000, OperationId(id), &mut Vec::new())).collect();
--- a/crates/dispatch/src/attempt.rs
+++ b/crates/dispatch/src/attempt.rs
@@ -27,7 +27,9 @@
 /// returned.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command<P> {
-    /// Send an attempt now and report its end once. The dispatcher stops waiting for it at `due`.
+    /// Write an attempt as soon as possible, with the permission of
+    /// [`Dispatcher::begin_write`](crate::Dispatcher::begin_write), and report its end once. The dispatcher stops
+    /// waiting for it at `due`.
     Send {
         /// The attempt to send.
         attempt: AttemptId,
--- a/crates/dispatch/src/dispatcher.rs
+++ b/crates/dispatch/src/dispatcher.rs
@@ -1,7 +1,7 @@
 //! The dispatcher: open requests, attempts in flight, due times, and nodes by number.
 
-mod connection_wait;
 mod retry_tokens;
+mod write;
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -26,8 +26,10 @@
     node: NodeId,
     sent_at: Micros,
     due: Micros,
-    /// The attempt waits for a connection; nothing of it is written yet.
+    /// The scheduler knows that the attempt waits; its volume's units are kept for it.
     awaits_connection: bool,
+    /// Its write was permitted, so that it may run.
+    has_begun: bool,
 }
 
 /// What is due at a point in time. Of two items due at the same time the variant declared first is handled
@@ -114,14 +116,15 @@
         self.in_flight.contains_key(&attempt)
     }
 
-    /// Withdraws a request: it gets no answer and no more attempts. Attempts in flight stay there until they
-    /// end.
+    /// Withdraws a request: it gets no answer and no more attempts. Attempts that have begun stay in flight until
+    /// they end.
     pub fn withdraw(&mut self, now: Micros, request: RequestId) -> Option<P> {
         self.advance(now);
         let open = self.requests.remove(&request)?;
         self.counts.withdrawn += 1;
         self.withdrawn_attempts.insert(request, open.attempts_sent);
         self.events.push_back(Event::Withdrawn(request));
+        self.drop_unbegun(request, open.attempts_sent);
         Some(open.payload)
     }
 
@@ -171,7 +174,9 @@
         self.events.push_back(answer_event(attempt, in_flight.node, outcome, settled, latency));
         let open = if served { self.requests.remove(&attempt.request) } else { None };
         self.counts.served += u64::from(open.is_some());
-        open.map(|open| open.payload)
+        let open = open?;
+        self.drop_unbegun(attempt.request, open.attempts_sent);
+        Some(open.payload)
     }
 
     /// Applies the node list: the complete list, or only the entries that changed.
@@ -250,14 +255,7 @@
         self.due.pop_first();
         match due {
             Due::SchedulerTimer(token) => self.events.push_back(Event::Timer(token)),
-            Due::AttemptDeadline(attempt) => {
-                if let Some(in_flight) = self.in_flight.remove(&attempt) {
-                    let outcome =
-                        if in_flight.awaits_connection { Outcome::NotSent } else { Outcome::TimedOut };
-                    self.commands.push_back(Command::Abandon(attempt, in_flight.node, outcome));
-                    self.record_end(attempt, &in_flight, outcome, None);
-                }
-            }
+            Due::AttemptDeadline(attempt) => self.abandon(attempt, Outcome::TimedOut),
         }
         true
     }
@@ -291,14 +289,7 @@
             }
             Action::Fail { request } => self.finish(request, Verdict::Failed),
             Action::Cancel { request, attempt } => {
-                let id = AttemptId { request, index: attempt };
-                if let Some(in_flight) = self.in_flight.remove(&id) {
-                    self.due.remove(&(in_flight.due, Due::AttemptDeadline(id)));
-                    let outcome =
-                        if in_flight.awaits_connection { Outcome::NotSent } else { Outcome::Cancelled };
-                    self.commands.push_back(Command::Abandon(id, in_flight.node, outcome));
-                    self.record_end(id, &in_flight, outcome, None);
-                }
+                self.abandon(AttemptId { request, index: attempt }, Outcome::Cancelled);
             }
             Action::SetTimer { after, token } => {
                 self.due.insert((self.now + after, Due::SchedulerTimer(token)));
@@ -324,7 +315,10 @@
         self.counts.sent += 1;
         self.counts.retries += u64::from(attempt.index > 0);
         let due = if timeout > 0 { open.deadline.min(self.now + timeout) } else { open.deadline };
-        self.in_flight.insert(attempt, InFlight { node, sent_at: self.now, due, awaits_connection: false });
+        self.in_flight.insert(
+            attempt,
+            InFlight { node, sent_at: self.now, due, awaits_connection: false, has_begun: false },
+        );
         self.due.insert((due, Due::AttemptDeadline(attempt)));
         if let Some(view) = self.nodes.get_mut(&node) {
             view.in_flight += 1;
@@ -339,6 +333,7 @@
             Verdict::Refused { .. } => self.counts.refused += 1,
             Verdict::Failed => self.counts.failed += 1,
         }
+        self.drop_unbegun(request, open.attempts_sent);
         self.commands.push_back(Command::EndUnserved(request, open.payload, verdict));
     }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,9 +14,11 @@
 mod counts;
 mod dispatcher;
 mod node;
+mod write_permit;
 
 pub use attempt::{AttemptId, Command, Verdict};
 pub use counts::RequestCounts;
 pub use decisions::{Micros, NodeId, NodeSnapshot, NodeState, Outcome, RequestId};
 pub use dispatcher::Dispatcher;
 pub use node::{ListedNode, NodeView};
+pub use write_permit::WritePermit;
--- a/crates/dispatch/tests/dispatcher.rs
+++ b/crates/dispatch/tests/dispatcher.rs
@@ -126,7 +126,9 @@
     let mut dispatcher = with_nodes(&["a"]);
     dispatcher.submit(1000, request(1, 0), 42);
     let attempts = sent_attempts(&drain_commands(&mut dispatcher));
+    let permit = dispatcher.begin_write(1000, attempts[0]).expect("the attempt is valid");
     let deadline = 401_000;
+    assert_eq!((permit.attempt(), permit.time_left()), (attempts[0], deadline - 1000));
     let mut seen_commands = Vec::new();
     while let Some(at) = dispatcher.next_due().filter(|&at| at <= deadline) {
         while dispatcher.tick(at) {
--- a/crates/gateway/src/engine.rs
+++ b/crates/gateway/src/engine.rs
@@ -9,6 +9,7 @@
 mod peers;
 mod shadow;
 mod status;
+mod writes;
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -93,8 +94,10 @@
     revision: u64,
     held_volumes: BTreeSet<u32>,
     paused: bool,
-    /// Outlets with data to flush at the end of the batch.
+    /// Outlets of clients with data to flush at the end of the batch.
     dirty_outlets: Vec<Arc<Outlet>>,
+    /// Nodes whose connections can write and for which attempts may wait, until the end of the batch.
+    nodes_to_write: BTreeSet<NodeId>,
     started: Micros,
     next_housekeeping: Micros,
     stop_deadline: Option<Micros>,
@@ -139,6 +142,7 @@
             held_volumes: BTreeSet::new(),
             paused: options.await_orders,
             dirty_outlets: Vec::new(),
+            nodes_to_write: BTreeSet::new(),
             next_housekeeping: 0,
             stop_deadline: None,
             peer_network,
@@ -180,7 +184,7 @@
                 self.with_recovery(now, |r, actions| r.tick(now, actions));
             }
             self.run_coordination(now);
-            self.dirty_outlets.drain(..).for_each(|outlet| outlet.flush());
+            self.flush();
             if self.may_exit(now) {
                 return self.finish();
             }
@@ -212,7 +216,7 @@
                 self.apply_effects(now);
             }
             // Flush the answers before running the core's timers and everything else.
-            self.dirty_outlets.drain(..).for_each(|outlet| outlet.flush());
+            self.flush();
             self.copy_answered_reads(now);
         }
     }
@@ -249,6 +253,7 @@
                 self.on_copy_ended(now, attempt, &end)
             }
             Message::AttemptEnded(attempt, end) => self.on_attempt_ended(now, attempt, end),
+            Message::NodeWritable(node) => _ = self.nodes_to_write.insert(node),
             Message::DrainedNodes(nodes) => self.apply_drains(now, nodes),
             Message::ReplaceCandidate(candidate) => self.replace_candidate(now, candidate.map(|c| *c)),
             Message::Control(request, reply) => {
@@ -263,6 +268,12 @@
         self.apply_effects(now);
     }
 
+    /// Writes what the batch has brought: attempts to nodes, answers to clients.
+    fn flush(&mut self) {
+        self.write_attempts();
+        self.dirty_outlets.drain(..).for_each(|outlet| outlet.flush());
+    }
+
     fn housekeeping(&mut self, now: Micros) {
         self.next_housekeeping = now + HOUSEKEEPING_INTERVAL;
         let overdue = self.front_end.client_limits().remove_overdue(now);
--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -1,7 +1,7 @@
 //! Carries out the core's effects: attempts sent to nodes, answers sent to clients.
 
 use bytes::Bytes;
-use decisions::NodeId;
+use decisions::{NodeId, Outcome};
 use nvme::{Completion, Status as NvmeStatus, StatusCode};
 use storage_core::{Answer, AttemptEnd, AttemptId, Effect, Micros, Opcode, OperationId, OutgoingAttempt};
 
@@ -16,7 +16,9 @@
             for effect in std::mem::take(&mut self.effects) {
                 match effect {
                     Effect::Send(send) => self.send(now, send),
-                    Effect::Abandon(attempt, node) => self.forget_attempt(now, attempt, node),
+                    Effect::Abandon(attempt, node, outcome) => {
+                        self.forget_attempt(now, attempt, node, outcome)
+                    }
                     Effect::Answer(operation_id, answer)
                         if self.settling_reads.contains_key(&operation_id) =>
                     {
@@ -31,11 +33,11 @@
     }
 
     /// Drops an attempt that the core no longer waits for.
-    fn forget_attempt(&mut self, now: Micros, attempt: AttemptId, node: NodeId) {
+    fn forget_attempt(&mut self, now: Micros, attempt: AttemptId, node: NodeId, outcome: Outcome) {
         if let Some(journal) = self.recovery.as_mut().and_then(RecoveryDriver::journal) {
-            journal.attempt_forgotten(now, attempt);
+            journal.attempt_forgotten(now, attempt, outcome);
         }
-        self.report_attempt_forgotten(now, attempt);
+        self.report_attempt_forgotten(now, attempt, outcome);
         if let Some(connection) = self.node_connections.get(&node) {
             connection.forget(attempt);
         }
@@ -64,7 +66,7 @@
         self.complete_command(operation_id, completion);
     }
 
-    /// Sends an attempt; a write goes to the journal first, if one is kept.
+    /// Takes an attempt on its way to its node; a write goes to the journal first, if one is kept.
     pub(super) fn send(&mut self, now: Micros, send: OutgoingAttempt) {
         self.report_attempt_sent(now, &send);
         if send.opcode == Opcode::Write
@@ -75,12 +77,13 @@
             let view = self.core.node_views().get(&send.node);
             let (name, shard) = view.map_or((String::new(), 0), |v| (v.name.clone(), v.shard));
             let started = self.node_starts.get(&send.node).copied().unwrap_or(0);
-            return journal.append(send, shard, &name, started);
+            journal.append(&send, shard, &name, started);
+            return self.core.await_write(now, send.attempt, &mut self.effects);
         }
-        self.send_to_node(now, send);
+        self.enqueue_attempt(now, send.attempt, send.node);
     }
 
-    /// Sends the writes whose records are now durable; writes whose records could not be made durable end as
+    /// Passes on the writes whose records are now durable; writes whose records could not be made durable end as
     /// never sent.
     pub(super) fn on_journal_synced(&mut self, now: Micros, sequences: Vec<u64>, error: Option<String>) {
         if let Some(error) = &error {
@@ -92,30 +95,16 @@
         }
         for sequence in sequences {
             let Some(journal) = self.recovery.as_mut().and_then(RecoveryDriver::journal) else { return };
-            let Some(send) = journal.take_durable(sequence) else { continue };
-            if error.is_none() {
-                self.send_to_node(now, send);
+            let Some((attempt, node)) = journal.take_durable(sequence) else { continue };
+            // One that was overtaken meanwhile is decided on anew now, and not once its connection is up.
+            if error.is_none() && self.core.is_still_valid(now, attempt) {
+                self.enqueue_attempt(now, attempt, node);
             } else {
-                self.on_attempt_ended(
-                    now,
-                    send.attempt,
-                    AttemptEnd::without_data(decisions::Outcome::NotSent),
-                );
+                self.on_attempt_ended(now, attempt, AttemptEnd::without_data(Outcome::NotSent));
             }
         }
     }
 
-    pub(super) fn send_to_node(&mut self, now: Micros, send: OutgoingAttempt) {
-        let attempt = send.attempt;
-        let end = match self.node_connections.get(&send.node) {
-            Some(connection) => connection.send(send, &mut self.dirty_outlets),
-            None => Some(AttemptEnd::without_data(decisions::Outcome::Unreachable)),
-        };
-        if let Some(end) = end {
-            self.on_attempt_ended(now, attempt, end);
-        }
-    }
-
     /// Handles the end of an attempt, reported by its node connection or known because it was never sent.
     pub(super) fn on_attempt_ended(&mut self, now: Micros, attempt: AttemptId, end: AttemptEnd) {
         if let Some(journal) = self.recovery.as_mut().and_then(RecoveryDriver::journal) {
--- a/crates/gateway/src/engine/coordination.rs
+++ b/crates/gateway/src/engine/coordination.rs
@@ -149,13 +149,13 @@
     }
 
     /// An attempt's end is no longer awaited.
-    pub(super) fn report_attempt_forgotten(&mut self, now: Micros, attempt: AttemptId) {
+    pub(super) fn report_attempt_forgotten(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
         let Some(coordination) = &mut self.coordination else { return };
         if let Some(retry_cap) = &mut coordination.retry_cap {
-            retry_cap.attempt_ended(now, attempt, Outcome::TimedOut);
+            retry_cap.attempt_ended(now, attempt, outcome);
         }
         if let Some(trial) = &mut coordination.trial {
-            trial.attempt_forgotten(now, attempt);
+            trial.attempt_forgotten(now, attempt, outcome);
         }
     }
 
--- a/crates/gateway/src/engine/node_list.rs
+++ b/crates/gateway/src/engine/node_list.rs
@@ -41,7 +41,17 @@
                 },
             });
         }
-        self.core.update_nodes(now, replace_all, remembered, &listed, &mut self.effects);
+        self.update_nodes(now, replace_all, remembered, &listed);
+    }
+
+    fn update_nodes(&mut self, now: Micros, replace_all: bool, remembered: bool, listed: &[ListedNode]) {
+        self.core.update_nodes(now, replace_all, remembered, listed, &mut self.effects);
+        let nodes: Vec<NodeId> = if replace_all {
+            self.node_connections.keys().copied().collect()
+        } else {
+            listed.iter().map(|entry| self.core.node_id(&entry.name)).collect()
+        };
+        self.drop_unwanted_attempts(now, nodes);
     }
 
     pub(super) fn with_recovery(
@@ -116,7 +126,7 @@
                 started: self.recovery.as_ref().map_or(n.started, |r| r.effective_start(n.started)),
             });
         }
-        self.core.update_nodes(now, false, false, &listed, &mut self.effects);
+        self.update_nodes(now, false, false, &listed);
     }
 
     pub(super) fn connect_node(&mut self, node: NodeId, line: &NodeLine) {
@@ -131,8 +141,8 @@
         host_id[..8].copy_from_slice(&self.options.seed.to_le_bytes());
         host_id[8] = 1;
         let inbox = self.inbox.clone();
-        match NodeConnection::start(line.address, self.options.node_connection.clone(), host, host_id, inbox)
-        {
+        let options = self.options.node_connection.clone();
+        match NodeConnection::start(node, line.address, options, host, host_id, inbox) {
             Ok(connection) => {
                 self.node_connections.insert(node, connection);
             }
--- a/crates/gateway/src/engine/shadow.rs
+++ b/crates/gateway/src/engine/shadow.rs
@@ -54,18 +54,12 @@
             if copies.is_empty() {
                 return;
             }
-            for ReadCopy { attempt, node, shard, nsid, slba, blocks } in copies {
+            for ReadCopy { attempt, node, shard, nsid, slba, blocks, due } in copies {
                 let node = self.core.node_id(&node);
                 let size = self.options.catalogue.volume(nsid).map_or(0, |v| v.block_size);
                 let is_allowed = retry_cap.as_ref().is_none_or(|r| r.allows_copy(shard));
-                let connection = self
-                    .node_connections
-                    .get(&node)
-                    .filter(|connection| is_allowed && connection.phase() == "up");
-                let Some(connection) = connection else {
-                    trial.on_copy_ended(now, attempt, &AttemptEnd::without_data(Outcome::NotSent));
-                    continue;
-                };
+                let connection =
+                    self.node_connections.get(&node).filter(|connection| is_allowed && connection.is_free());
                 let send = OutgoingAttempt {
                     attempt,
                     node,
@@ -81,11 +75,18 @@
                     token: attempt.request.0 ^ self.options.seed,
                     keyed: false,
                 };
-                if let Some(retry_cap) = retry_cap {
-                    retry_cap.copy_sent(now, shard);
-                }
-                if let Some(end) = connection.send(send, &mut self.dirty_outlets) {
-                    trial.on_copy_ended(now, attempt, &end);
+                let permitted = self.core.begin_copy(send, due - now);
+                let Some((connection, permitted)) = connection.zip(permitted) else {
+                    trial.on_copy_ended(now, attempt, &AttemptEnd::without_data(Outcome::NotSent));
+                    continue;
+                };
+                let unwritten = connection.write(vec![permitted]);
+                if unwritten.not_begun.is_empty() && unwritten.ended.is_empty() {
+                    if let Some(retry_cap) = retry_cap {
+                        retry_cap.copy_sent(now, shard);
+                    }
+                } else {
+                    trial.on_copy_ended(now, attempt, &AttemptEnd::without_data(Outcome::NotSent));
                 }
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::mpsc as thread_mpsc;
 
+use decisions::NodeId;
 use may::sync::mpsc::Sender;
 use nvme::{Admission, IoCommand};
 use storage_core::{AttemptEnd, AttemptId};
@@ -28,6 +29,8 @@
     Closed(ConnectionId),
     AssociationEnded(u16),
     AttemptEnded(AttemptId, AttemptEnd),
+    /// The connection to this node can write: it is up, or its socket accepts data again.
+    NodeWritable(NodeId),
     /// A deadline has been reached.
     Tick,
     /// The records of these writes are durable, or could not be made so.
--- a/crates/gateway/src/node_connection.rs
+++ b/crates/gateway/src/node_connection.rs
@@ -1,7 +1,9 @@
 //! A connection to a node: an admin queue and an I/O queue, opened on demand and kept open.
 
+mod command_queue;
 mod connect;
 mod replies;
+mod write;
 
 use std::collections::{HashMap, VecDeque};
 use std::io;
@@ -10,15 +12,16 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use decisions::Outcome;
+use decisions::{NodeId, Outcome};
 use may::sync::Semphore;
 use nvme::{GatherList, Initiator, Sqe, Submission, admin};
-use storage_core::{AttemptEnd, AttemptId, OutgoingAttempt};
+use storage_core::{AttemptEnd, AttemptId};
 
 use crate::message::{Inbox, Message};
 use crate::options::NodeConnectionOptions;
-use replies::submission_for;
+use command_queue::CommandQueue;
 use transport::Outlet;
+pub(crate) use write::Waiting;
 
 /// Bytes read at a time.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
@@ -44,14 +47,15 @@
     phase: Phase,
     /// When this phase began.
     since: Instant,
-    queue: Option<(Initiator, Arc<Outlet>)>,
+    queue: Option<CommandQueue>,
     admin: Option<(Initiator, Arc<Outlet>)>,
     /// When the last keep alive was sent.
     last_keep_alive: Instant,
     /// The socket whose handshake is in progress.
     connecting_socket: Option<std::net::TcpStream>,
-    /// Sends that wait for the connection; if it fails, they end as never sent.
-    waiting_sends: VecDeque<OutgoingAttempt>,
+    /// Attempts that wait to be written, oldest first; nothing but their ids is here. If the connection fails,
+    /// they end as never sent.
+    waiting: VecDeque<AttemptId>,
     /// Attempts in flight by submission number, with the time of submission.
     in_flight: HashMap<u64, (AttemptId, Instant)>,
     next_submission: u64,
@@ -59,6 +63,7 @@
 
 /// A connection to one address of a node, which reconnects until it is closed.
 pub(crate) struct NodeConnection {
+    node: NodeId,
     pub(crate) address: SocketAddr,
     options: NodeConnectionOptions,
     host: String,
@@ -71,6 +76,7 @@
 impl NodeConnection {
     /// Starts the connection; it connects immediately.
     pub(crate) fn start(
+        node: NodeId,
         address: SocketAddr,
         options: NodeConnectionOptions,
         host: String,
@@ -84,11 +90,12 @@
             admin: None,
             last_keep_alive: Instant::now(),
             connecting_socket: None,
-            waiting_sends: VecDeque::new(),
+            waiting: VecDeque::new(),
             in_flight: HashMap::new(),
             next_submission: 0,
         };
         let connection = Arc::new(NodeConnection {
+            node,
             address,
             options,
             host,
@@ -125,71 +132,6 @@
         self.connect_requested.post();
     }
 
-    /// Sends an attempt, or queues it until the connection is up. Its end is reported once, unless it is
-    /// forgotten. `Some` is an end known immediately: the attempt was never sent. An outlet that needs a
-    /// flush is added to `dirty_outlets`.
-    pub(crate) fn send(
-        &self,
-        send: OutgoingAttempt,
-        dirty_outlets: &mut Vec<Arc<Outlet>>,
-    ) -> Option<AttemptEnd> {
-        let mut state = self.state();
-        match state.phase {
-            Phase::Closed => Some(AttemptEnd::without_data(Outcome::Unreachable)),
-            Phase::Connecting => {
-                state.waiting_sends.push_back(send);
-                None
-            }
-            Phase::Down => {
-                state.enter(Phase::Connecting);
-                state.waiting_sends.push_back(send);
-                drop(state);
-                self.connect_requested.post();
-                None
-            }
-            Phase::Up => self.submit(&mut state, send, dirty_outlets),
-        }
-    }
-
-    /// Submits an attempt to the I/O queue.
-    ///
-    /// Attempts that are no longer awaited still occupy slots in the node's queue. If the queue has no room,
-    /// the attempt is reported as never run; if moreover some attempt has been in flight for longer than the
-    /// command timeout, the connection is closed and re-established. This handles nodes that lose commands;
-    /// the cost is that everything else in flight is lost too.
-    fn submit(
-        &self,
-        state: &mut State,
-        send: OutgoingAttempt,
-        dirty_outlets: &mut Vec<Arc<Outlet>>,
-    ) -> Option<AttemptEnd> {
-        let Some((initiator, outlet)) = &mut state.queue else {
-            return Some(AttemptEnd::without_data(Outcome::Unreachable));
-        };
-        let mut submitted = None;
-        let flush_needed = outlet
-            .append(|out| submitted = initiator.submit(submission_for(&send, state.next_submission), out));
-        if flush_needed {
-            dirty_outlets.push(outlet.clone());
-        }
-        if submitted.is_none() {
-            let is_stuck = state.in_flight.values().any(|f| f.1.elapsed() > self.options.command_timeout);
-            if is_stuck {
-                tracing::warn!(address = %self.address, "commands are stuck at a node; reconnecting");
-                outlet.close();
-            }
-            return Some(AttemptEnd::without_data(Outcome::Unreachable));
-        }
-        state.in_flight.insert(state.next_submission, (send.attempt, Instant::now()));
-        state.next_submission += 1;
-        None
-    }
-
-    /// Drops an attempt that is no longer awaited, if it has not been sent yet.
-    pub(crate) fn forget(&self, attempt: AttemptId) {
-        self.state().waiting_sends.retain(|s| s.attempt != attempt);
-    }
-
     fn run(self: Arc<Self>) {
         loop {
             // A panic here is a lost connection: attempts in flight may have run.
@@ -231,7 +173,7 @@
         let mut expired = VecDeque::new();
         match state.phase {
             Phase::Connecting if state.since.elapsed() > self.options.connect_timeout => {
-                expired = std::mem::take(&mut state.waiting_sends);
+                expired = std::mem::take(&mut state.waiting);
                 if let Some(socket) = &state.connecting_socket {
                     let _ = socket.shutdown(Shutdown::Both); // Wakes its reader, which then gives up.
                 }
@@ -245,9 +187,7 @@
             _ => {}
         }
         drop(state);
-        expired.into_iter().for_each(|s| {
-            self.inbox.send(Message::AttemptEnded(s.attempt, AttemptEnd::without_data(Outcome::Unreachable)))
-        });
+        self.report_unreachable(expired);
     }
 
     /// Sends a keep alive, or closes the queues if the last one was not answered within the timeout.
@@ -278,18 +218,24 @@
             if !is_closed {
                 state.enter(Phase::Down);
             }
-            (std::mem::take(&mut state.in_flight), std::mem::take(&mut state.waiting_sends), is_closed)
+            state.queue = None;
+            (std::mem::take(&mut state.in_flight), std::mem::take(&mut state.waiting), is_closed)
         };
         let mut lost: Vec<AttemptId> = in_flight.into_values().map(|f| f.0).collect();
         lost.sort();
         lost.into_iter().for_each(|a| {
             self.inbox.send(Message::AttemptEnded(a, AttemptEnd::without_data(Outcome::Reset)))
         });
-        waiting.into_iter().for_each(|s| {
-            self.inbox.send(Message::AttemptEnded(s.attempt, AttemptEnd::without_data(Outcome::Unreachable)))
-        });
+        self.report_unreachable(waiting);
         is_closed
     }
+
+    /// Reports the end of attempts that waited for a connection in vain.
+    fn report_unreachable(&self, waiting: VecDeque<AttemptId>) {
+        waiting.into_iter().for_each(|attempt| {
+            self.inbox.send(Message::AttemptEnded(attempt, AttemptEnd::without_data(Outcome::Unreachable)))
+        });
+    }
 }
 
 impl State {
@@ -299,8 +245,8 @@
 }
 
 fn close_queues(state: &mut State) {
-    if let Some((_, outlet)) = state.queue.take() {
-        outlet.close();
+    if let Some(queue) = &state.queue {
+        queue.close();
     }
     if let Some((_, admin)) = state.admin.take() {
         admin.close();
--- a/crates/gateway/src/node_connection/connect.rs
+++ b/crates/gateway/src/node_connection/connect.rs
@@ -9,6 +9,7 @@
 use nvme::{HostEvent, HostFault, Initiator, InitiatorOptions};
 use transport::Outlet;
 
+use super::command_queue::CommandQueue;
 use super::{ADMIN_QUEUE_ENTRIES, MAX_PDU_DATA, MAX_UNSENT_BYTES, NodeConnection, Phase};
 use crate::message::Message;
 
@@ -26,9 +27,10 @@
             return Err(ConnectError::NotIdentified);
         };
         let (stream, initiator, _) = self.handshake(1, cntlid, limits.in_capsule)?;
-        let outlet = Arc::new(Outlet::new(&stream, MAX_UNSENT_BYTES)?);
+        let (inbox, node) = (self.inbox.clone(), self.node);
+        let queue = CommandQueue::new(initiator, &stream, move || inbox.send(Message::NodeWritable(node)))?;
+        let close_queue = queue.closer();
         let admin_outlet = Arc::new(Outlet::new(&admin_stream, MAX_UNSENT_BYTES)?);
-        let (mut ended, mut dirty_outlets) = (Vec::new(), Vec::new());
         {
             let mut state = self.state();
             if state.phase == Phase::Closed {
@@ -36,20 +38,16 @@
             }
             state.enter(Phase::Up);
             state.last_keep_alive = Instant::now();
-            state.queue = Some((initiator, outlet.clone()));
+            state.queue = Some(queue);
             state.admin = Some((admin, admin_outlet));
-            while let Some(send) = state.waiting_sends.pop_front() {
-                let attempt = send.attempt;
-                ended.extend(self.submit(&mut state, send, &mut dirty_outlets).map(|end| (attempt, end)));
-            }
         }
-        dirty_outlets.iter().for_each(Outlet::flush);
-        ended.into_iter().for_each(|(a, end)| self.inbox.send(Message::AttemptEnded(a, end)));
+        // Attempts that waited for the connection are asked about by the engine before they are written.
+        self.inbox.send(Message::NodeWritable(self.node));
         let connection = self.clone();
         task::spawn("link-admin", move || {
             let _ = panics::contain(|| connection.read_admin(&mut admin_stream));
             // Losing the admin queue ends the association, and with it the I/O queue.
-            outlet.close();
+            close_queue();
         })?;
         Ok(stream)
     }
--- a/crates/gateway/src/node_connection/replies.rs
+++ b/crates/gateway/src/node_connection/replies.rs
@@ -4,8 +4,8 @@
 
 use decisions::Outcome;
 use may::net::TcpStream;
-use nvme::{GatherList, HostEvent, Reply, Sqe, StatusCode, Submission};
-use storage_core::{AttemptEnd, Opcode, OutgoingAttempt};
+use nvme::{GatherList, HostEvent, Reply, StatusCode};
+use storage_core::AttemptEnd;
 use task::WorkBudget;
 
 use super::{NodeConnection, READ_BUFFER_BYTES, State};
@@ -52,10 +52,8 @@
             let mut ended = Vec::new();
             {
                 let mut state = self.state();
-                let State { queue: Some((initiator, outlet)), in_flight, .. } = &mut *state else { return };
-                let mut out = GatherList::new();
-                initiator.receive(&buffer[..n], &mut out, &mut events);
-                outlet.push(out);
+                let State { queue: Some(queue), in_flight, .. } = &mut *state else { return };
+                queue.receive(&buffer[..n], &mut events);
                 for event in events.drain(..) {
                     match event {
                         HostEvent::Reply(reply) => {
@@ -80,20 +78,6 @@
     }
 }
 
-/// The NVMe submission of an attempt, with `user` as the number under which its reply is found.
-pub(super) fn submission_for(send: &OutgoingAttempt, user: u64) -> Submission {
-    let (opcode, expect) = match send.opcode {
-        Opcode::Read => (nvme::io::READ, send.bytes),
-        Opcode::Write => (nvme::io::WRITE, 0),
-        Opcode::Flush => (nvme::io::FLUSH, 0),
-    };
-    let mut sqe = Sqe::blocks(opcode, send.nsid, send.slba, send.blocks);
-    sqe.set_token(send.token);
-    sqe.set_cdw(14, u32::from(send.keyed));
-    sqe.set_cdw(15, send.attempt.index);
-    Submission { sqe, data: send.data.clone(), expect, user }
-}
-
 /// The end of an attempt as reported by a node's reply. Only the status *full* proves that a command never
 /// ran.
 fn end_for_reply(reply: Reply) -> AttemptEnd {
--- a/crates/gateway/src/shadow_trial.rs
+++ b/crates/gateway/src/shadow_trial.rs
@@ -45,6 +45,8 @@
     pub(crate) nsid: u32,
     pub(crate) slba: u64,
     pub(crate) blocks: u32,
+    /// When it is no longer awaited.
+    pub(crate) due: Micros,
 }
 
 /// The trial of one candidate: its sampled reads, the copies in flight and the results so far.
@@ -169,11 +171,11 @@
         }
     }
 
-    /// An attempt's end is no longer awaited; a write may still run.
-    pub(crate) fn attempt_forgotten(&mut self, now: Micros, attempt: AttemptId) {
+    /// An attempt's end is no longer awaited; a write that was sent may still run.
+    pub(crate) fn attempt_forgotten(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
         self.sampled_reads.remove(&attempt);
         if let Some(token) = self.writes.remove(&attempt) {
-            self.handle(now, Input::WriteEnded { token, known: false });
+            self.handle(now, Input::WriteEnded { token, known: outcome == Outcome::NotSent });
         }
     }
 
@@ -271,8 +273,9 @@
                     let attempt =
                         AttemptId { request: RequestId(FIRST_COPY_REQUEST | self.next_number), index: 0 };
                     self.copies.insert(attempt, (id, node.clone()));
-                    self.copy_deadlines.insert((now + patience, attempt));
-                    self.to_send.push(ReadCopy { attempt, node, shard, nsid, slba, blocks });
+                    let due = now + patience;
+                    self.copy_deadlines.insert((due, attempt));
+                    self.to_send.push(ReadCopy { attempt, node, shard, nsid, slba, blocks, due });
                 }
                 Output::Send { to, body } => self.peer_network.note_to(&to, KIND, body),
                 // Sending cannot fail: the receiving thread runs as long as this sender exists.
--- a/crates/gateway/src/write_journal.rs
+++ b/crates/gateway/src/write_journal.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::thread;
 
-use decisions::Outcome;
+use decisions::{NodeId, Outcome};
 use filelog::{Log, LogError, Opened};
 use recovery::{Digest, Hand, InHand, Note, Place};
 use storage_core::{AttemptId, Micros, OutgoingAttempt};
@@ -21,8 +21,8 @@
     record_numbers: HashMap<AttemptId, u64>,
     /// Attempts whose outcome is unknown, by the time after which they cannot run any more.
     unknown_outcomes: BTreeSet<(Micros, u64)>,
-    /// Sends that wait for their record to become durable, by sequence number.
-    waiting_sends: BTreeMap<u64, OutgoingAttempt>,
+    /// Attempts that wait for their record to become durable, with their nodes, by sequence number.
+    waiting: BTreeMap<u64, (AttemptId, NodeId)>,
     next_sequence: u64,
     max_execution_time: Micros,
     jobs: QueueSender<Job>,
@@ -80,7 +80,7 @@
             in_progress,
             record_numbers: HashMap::new(),
             unknown_outcomes: BTreeSet::new(),
-            waiting_sends: BTreeMap::new(),
+            waiting: BTreeMap::new(),
             next_sequence: 0,
             max_execution_time,
             jobs,
@@ -94,8 +94,8 @@
         &self.in_progress
     }
 
-    /// Journals a write to a node with this start time; it is sent once its record is durable.
-    pub(crate) fn append(&mut self, send: OutgoingAttempt, shard: u32, node: &str, started: i64) {
+    /// Journals a write to a node with this start time; it may be written once its record is durable.
+    pub(crate) fn append(&mut self, send: &OutgoingAttempt, shard: u32, node: &str, started: i64) {
         let number = self.in_progress.number();
         self.record_numbers.insert(send.attempt, number);
         let place = Place { nsid: send.nsid, slba: send.slba, blocks: send.blocks, shard };
@@ -109,15 +109,16 @@
         };
         let note = self.in_progress.sent(write);
         self.next_sequence += 1;
-        self.waiting_sends.insert(self.next_sequence, send);
+        self.waiting.insert(self.next_sequence, (send.attempt, send.node));
         let mut notes = std::mem::take(&mut self.finished);
         notes.push(note);
         self.submit(Job::Append(self.next_sequence, encode(notes)));
     }
 
-    /// The send whose record is durable, or could not be made so; `None` if it is no longer awaited.
-    pub(crate) fn take_durable(&mut self, sequence: u64) -> Option<OutgoingAttempt> {
-        self.waiting_sends.remove(&sequence)
+    /// The attempt whose record is durable, or could not be made so, and its node; `None` if it is no longer
+    /// awaited.
+    pub(crate) fn take_durable(&mut self, sequence: u64) -> Option<(AttemptId, NodeId)> {
+        self.waiting.remove(&sequence)
     }
 
     /// An attempt has ended, as its node connection reports, or was never sent.
@@ -132,17 +133,10 @@
         }
     }
 
-    /// An attempt is no longer awaited. If its record is not durable yet, it is never sent.
-    pub(crate) fn attempt_forgotten(&mut self, now: Micros, attempt: AttemptId) {
-        let sequence =
-            self.waiting_sends.iter().find(|(_, s)| s.attempt == attempt).map(|(sequence, _)| *sequence);
-        match sequence {
-            Some(sequence) => {
-                self.waiting_sends.remove(&sequence);
-                self.attempt_ended(now, attempt, Outcome::NotSent);
-            }
-            None => self.attempt_ended(now, attempt, Outcome::TimedOut),
-        }
+    /// An attempt is no longer awaited; if its record is not durable yet, it is never sent.
+    pub(crate) fn attempt_forgotten(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
+        self.waiting.retain(|_, (waiting, _)| *waiting != attempt);
+        self.attempt_ended(now, attempt, outcome);
     }
 
     /// A key of the previous life is settled.
@@ -159,7 +153,7 @@
             self.unknown_outcomes.pop_first();
             self.finished.extend(self.in_progress.over(number));
         }
-        if self.in_progress.is_long() && self.waiting_sends.is_empty() {
+        if self.in_progress.is_long() && self.waiting.is_empty() {
             self.finished.clear();
             let notes = self.in_progress.anew();
             self.submit(Job::Rewrite(encode(notes)));
--- a/crates/gateway/tests/path/bed.rs
+++ b/crates/gateway/tests/path/bed.rs
@@ -1,7 +1,9 @@
 //! The test bed: a gateway with two emulated nodes, and hosts to connect to it.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::path::Path;
 use std::sync::mpsc::{self, Receiver};
 use std::time::{Duration, Instant};
 
@@ -13,6 +15,8 @@
 use records::Recorder;
 use settings::Site;
 
+use crate::late_writes::node_records;
+
 pub const SITE: &str = include_str!("../site.toml");
 pub const TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -31,13 +35,26 @@
     }
 
     pub fn with(text: &str) -> TestBed {
+        TestBed::with_folders(text, None, None)
+    }
+
+    /// A test bed whose nodes keep records in one folder, and whose gateway has the peer network of the site
+    /// with its state in another.
+    pub fn with_folders(text: &str, records: Option<&Path>, state: Option<&Path>) -> TestBed {
         let site = Site::parse(text).expect("the site file is valid");
+        let recorder = |n| {
+            records.map_or_else(Recorder::none, |folder| {
+                Recorder::append(&node_records(folder, n)).expect("the records can be written")
+            })
+        };
         let nodes: Vec<Node> = (0..site.node.len())
-            .map(|n| Node::start(site.node_options(n, false), Recorder::none()).expect("start a node"))
+            .map(|n| Node::start(site.node_options(n, false), recorder(n)).expect("start a node"))
             .collect();
         let lines = nodes.iter().enumerate().map(|(n, node)| site.node_line(n, node.address(), 0)).collect();
-        let gateway = Gateway::start(site.gateway_options(0, 7, lines, None).expect("the options are valid"))
-            .expect("the gateway starts");
+        let mut options = site.gateway_options(0, 7, lines, None).expect("the options are valid");
+        options.peer_network =
+            state.and_then(|state| site.company_options(0, state.to_owned(), &BTreeMap::new()));
+        let gateway = Gateway::start(options).expect("the gateway starts");
         let (sender, answers) = mpsc::channel();
         let bed = TestBed { site, nodes, gateway, answers, sender };
         bed.wait_until("all node connections are up", |s| s.nodes.iter().all(|n| n.link == "up"));
--- a/crates/gateway/tests/path/main.rs
+++ b/crates/gateway/tests/path/main.rs
@@ -5,5 +5,6 @@
 mod clients;
 mod control;
 mod data;
+mod late_writes;
 mod limits;
 mod nodes;
--- a/crates/platform/src/engine/outputs.rs
+++ b/crates/platform/src/engine/outputs.rs
@@ -4,14 +4,15 @@
 use gather::{GatherList, PduSink};
 
 use super::*;
+use crate::node_request::NodeRequest;
 use crate::socket::Output;
 
 impl Engine {
     /// Queues bytes for writing on a connection.
-    fn queue_output(&mut self, socket: SocketId, bytes: &Bytes) {
+    fn queue_output<'a>(&mut self, socket: SocketId, parts: impl IntoIterator<Item = &'a Bytes>) {
         let Some(connection) = self.connections.get(&socket) else { return };
         let mut list = GatherList::new();
-        list.append_shared(bytes);
+        parts.into_iter().for_each(|part| list.append_shared(part));
         connection.outlet.push(list);
         if connection.outlet.is_starved() {
             self.starved.insert(socket);
@@ -19,6 +20,18 @@
         self.unsent.note(socket, &connection.outlet);
     }
 
+    /// Writes the request of an attempt on its connection to a node.
+    fn write_attempt(&mut self, now: Micros, request: &NodeRequest) {
+        let socket = request.socket();
+        let has_no_input =
+            || self.connections.get(&socket).is_some_and(|connection| connection.has_no_input());
+        if request.is_only_if_idle() && !has_no_input() {
+            self.close(socket);
+            return self.machine.idle_write_rejected(now, socket);
+        }
+        self.queue_output(socket, request.parts());
+    }
+
     /// Retries output where there was no descriptor for a writer.
     pub(super) fn flush_starved(&mut self) {
         let connections = &self.connections;
@@ -49,14 +62,8 @@
                 let connection = Connection::connect(socket, self.next_serial, address);
                 self.register_connection(now, socket, connection, true);
             }
-            Output::Write(socket, bytes) => self.queue_output(socket, &bytes),
-            Output::WriteIfIdle(socket, bytes) => {
-                if self.connections.get(&socket).is_some_and(|connection| connection.has_no_input()) {
-                    return self.queue_output(socket, &bytes);
-                }
-                self.close(socket);
-                self.machine.idle_write_rejected(now, socket);
-            }
+            Output::Write(socket, bytes) => self.queue_output(socket.into(), [&bytes]),
+            Output::WriteAttempt(request) => self.write_attempt(now, &request),
             Output::ShutdownWrite(socket) => {
                 if let Some(connection) = self.connections.get(&socket) {
                     connection.outlet.finish_writing();
--- a/crates/platform/src/machine.rs
+++ b/crates/platform/src/machine.rs
@@ -26,16 +26,17 @@
 use crate::endpoint::{EndpointList, Zones};
 use crate::input_budget::InputBudget;
 use crate::node_connections::{ConnectionChoice, ConnectionUpdate, NodeConnections};
+use crate::node_request::NodeRequest;
 use crate::outcome::reported_load;
 use crate::resource_limits::ResourceLimits;
-use crate::socket::{ConnectionEnd, Output, SocketId};
+use crate::socket::{ConnectionEnd, NonNodeSocket, Output, SocketId};
 use crate::unanswered::{AttemptRecords, Cause, Unanswered, UnansweredLog};
 
 /// Limits on messages from clients and nodes; the protocol's bodies hold up to 64 KiB.
 pub(crate) const MESSAGE_LIMITS: Limits = Limits { head: 16 << 10, body: 64 << 10, informational: 8 };
 /// Bodies of at least this length are written from their own buffer; copying a shorter one behind the head is
 /// cheaper than a second write.
-const MIN_SHARED_BODY: usize = 16 << 10;
+pub(crate) const MIN_SHARED_BODY: usize = 16 << 10;
 /// Maximum number of bytes read at a time.
 pub(crate) const READ_BYTES: usize = 16 << 10;
 /// Bytes of pipelined requests that are buffered while a client's request is open.
@@ -283,7 +284,7 @@
             }
             SocketId::Discovery(id) => {
                 if let Some(request) = self.discovery.request(now, id) {
-                    self.outputs.push(Output::Write(socket, request));
+                    self.outputs.push(Output::Write(NonNodeSocket::Discovery(id), request));
                 }
             }
         }
@@ -298,6 +299,7 @@
     pub fn idle_write_rejected(&mut self, now: Micros, socket: SocketId) {
         let SocketId::Node(id) = socket else { return };
         if let Some((attempt, node)) = self.connections.take_unusable(id) {
+            self.dispatcher.await_connection(attempt);
             self.send_attempt(now, attempt, node);
             self.run_dispatcher_commands(now);
         }
--- a/crates/platform/src/machine/attempts.rs
+++ b/crates/platform/src/machine/attempts.rs
@@ -53,17 +53,10 @@
     fn start_attempt(&mut self, now: Micros, connection: u64, first: AttemptId, fresh: bool) {
         let (mut next, mut invalid) = (Some(first), Vec::new());
         while let Some(attempt) = next.take() {
-            match self.encode_attempt(now, attempt) {
-                Some((first_part, body)) => {
-                    let socket = SocketId::Node(connection);
-                    // A connection that its node closed right after establishing it would be reopened again
-                    // and again if it were treated as a stale idle one. Its end is reported instead.
-                    self.outputs.push(match fresh {
-                        true => Output::Write(socket, first_part),
-                        false => Output::WriteIfIdle(socket, first_part),
-                    });
-                    self.outputs.extend(body.map(|body| Output::Write(socket, body)));
-                }
+            // A connection that its node closed right after establishing it would be reopened again and again
+            // if it were treated as a stale idle one. Its end is reported instead.
+            match self.begin_attempt(now, attempt, connection, !fresh) {
+                Some(request) => self.outputs.push(Output::WriteAttempt(request)),
                 None => {
                     invalid.push(attempt);
                     next = self.connections.start_declined(now, connection);
@@ -75,17 +68,18 @@
         }
     }
 
-    /// Returns the bytes of an attempt that starts now, a large body apart, which is shared instead of copied;
-    /// none if the attempt is no longer valid.
-    fn encode_attempt(&mut self, now: Micros, attempt: AttemptId) -> Option<(Bytes, Option<Bytes>)> {
-        let (node, due) = self.dispatcher.begin_write(now, attempt)?;
+    /// Returns the request of an attempt that begins now; none if the attempt is no longer valid.
+    fn begin_attempt(
+        &mut self,
+        now: Micros,
+        attempt: AttemptId,
+        connection: u64,
+        only_if_idle: bool,
+    ) -> Option<NodeRequest> {
+        let permit = self.dispatcher.begin_write(now, attempt)?;
         let pending = self.dispatcher.payload(attempt.request)?;
-        let host = self.nodes.get(&node).map_or_else(String::new, |a| a.address.to_string());
-        let (admitted, wait) = (&pending.admitted, due - now);
-        if admitted.body.len() < MIN_SHARED_BODY {
-            return Some((admitted.forward(&host, wait), None));
-        }
-        Some((admitted.forward_head(&host, wait), Some(admitted.body.clone())))
+        let host = self.nodes.get(&permit.node()).map_or_else(String::new, |a| a.address.to_string());
+        Some(NodeRequest::new(permit, &pending.admitted, &host, connection, only_if_idle))
     }
 
     /// Withdraws attempts that wait for a connection and are no longer valid.
@@ -176,20 +170,16 @@
     pub(super) fn withdraw(&mut self, now: Micros, request: RequestId) -> Option<Pending> {
         let pending = self.dispatcher.withdraw(now, request)?;
         self.open_request_ids.remove(&pending.admitted.id);
-        // Attempts that have not started never do, whatever the settings allow. A partly written one has not
-        // started either and ends with its connection. One that was sent completely is cancelled at its node
-        // where the settings permit it.
+        // Attempts that have not begun were dropped by the dispatcher. A partly written one has not started at
+        // its node and ends with its connection. One that was sent completely is cancelled at its node where
+        // the settings permit it.
         let out: Vec<AttemptId> =
             self.dispatcher.attempts_in_flight().map(|(a, _)| a).filter(|a| a.request == request).collect();
-        let is_out = out.iter().any(|attempt| !self.dispatcher.awaits_connection(*attempt));
-        if is_out || pending.attempts.may_have_run() {
+        if !out.is_empty() || pending.attempts.may_have_run() {
             self.departed_ids.remember(now, &pending.admitted.id);
         }
         for attempt in out {
-            if self.dispatcher.awaits_connection(attempt) {
-                self.connections.forget_attempt(attempt);
-                self.dispatcher.attempt_ended(now, attempt, Outcome::NotSent, None);
-            } else if self.cancel_attempts {
+            if self.cancel_attempts {
                 if let Some(connection) = self.connections.forget_attempt(attempt) {
                     self.outputs.push(Output::Close(SocketId::Node(connection)));
                 }
--- a/crates/platform/src/machine/clients.rs
+++ b/crates/platform/src/machine/clients.rs
@@ -70,7 +70,7 @@
                 Ok(None) => break,
                 Ok(Some(RequestEvent::ExpectsContinue)) => {
                     let interim_response = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
-                    self.outputs.push(Output::Write(SocketId::Client(id), interim_response));
+                    self.outputs.push(Output::Write(NonNodeSocket::Client(id), interim_response));
                 }
                 Ok(Some(RequestEvent::Complete(request))) => {
                     // The deadline counts from the request's own last byte. Counted from now, a request that
@@ -321,7 +321,7 @@
         // Requests already received behind this one would be lost if the connection closed now, so it is kept
         // until they are answered.
         let keep = keep && !(may_close && client.decoder.is_idle());
-        let socket = SocketId::Client(id);
+        let socket = NonNodeSocket::Client(id);
         if body.len() < MIN_SHARED_BODY {
             self.outputs.push(Output::Write(socket, http1::encode_response(status, fields, &body, keep)));
         } else {
@@ -337,7 +337,7 @@
         } else {
             Self::start_lingering(now, client);
             self.client_timers.set(client, id, now + LINGER_CHECK_INTERVAL);
-            self.outputs.push(Output::ShutdownWrite(socket));
+            self.outputs.push(Output::ShutdownWrite(socket.into()));
             // What comes now is discarded, so it needs no room.
             self.settle_room(id);
             self.resume_reading(id);
--- a/crates/platform/src/socket.rs
+++ b/crates/platform/src/socket.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 
+use crate::node_request::NodeRequest;
+
 /// Id of a connection. Client connections are numbered by the caller that accepts them, the others by the
 /// machine; numbers aren't reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -16,6 +18,24 @@
     Discovery(u64),
 }
 
+/// Id of a connection to anyone but a storage node: the machine writes on it without a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NonNodeSocket {
+    /// A client's connection.
+    Client(u64),
+    /// A connection to discovery.
+    Discovery(u64),
+}
+
+impl From<NonNodeSocket> for SocketId {
+    fn from(socket: NonNodeSocket) -> SocketId {
+        match socket {
+            NonNodeSocket::Client(id) => SocketId::Client(id),
+            NonNodeSocket::Discovery(id) => SocketId::Discovery(id),
+        }
+    }
+}
+
 /// How a connection ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionEnd {
@@ -29,15 +49,14 @@
 }
 
 /// An operation to be performed, in the order of output.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Debug, PartialEq, Eq)]
 pub enum Output {
     /// Open a connection to an address.
     Connect(SocketId, SocketAddr),
     /// Write bytes, immediately as far as the socket accepts them.
-    Write(SocketId, Bytes),
-    /// Write on an idle connection, if no data and no end has arrived on it meanwhile; otherwise close it,
-    /// write nothing and report that by [`crate::Machine::idle_write_rejected`].
-    WriteIfIdle(SocketId, Bytes),
+    Write(NonNodeSocket, Bytes),
+    /// Write the request of an attempt, immediately as far as the socket accepts it.
+    WriteAttempt(NodeRequest),
     /// Shut down the writing side once all output is written.
     ShutdownWrite(SocketId),
     /// Shut down the writing side unless input is unread. The result is reported by
--- a/crates/platform/tests/common/mod.rs
+++ b/crates/platform/tests/common/mod.rs
@@ -220,16 +220,19 @@
                     self.connecting.push((socket, address));
                 }
                 Output::Write(socket, bytes) => {
+                    let socket = socket.into();
                     assert!(!self.closed.contains(&socket), "written after it was closed: {socket:?}");
                     self.written.entry(socket).or_default().extend_from_slice(&bytes);
                 }
-                Output::WriteIfIdle(socket, bytes) => {
+                Output::WriteAttempt(request) => {
+                    let socket = request.socket();
                     assert!(!self.closed.contains(&socket), "used again after it was closed: {socket:?}");
-                    if self.closed_by_node.remove(&socket) {
+                    if request.is_only_if_idle() && self.closed_by_node.remove(&socket) {
                         self.closed.insert(socket);
                         self.reports.push(Report::IdleWriteRejected(socket));
                     } else {
-                        self.written.entry(socket).or_default().extend_from_slice(&bytes);
+                        let written = self.written.entry(socket).or_default();
+                        request.parts().for_each(|part| written.extend_from_slice(part));
                     }
                 }
                 Output::ShutdownWrite(socket) => {
--- a/crates/world/src/world/gateway.rs
+++ b/crates/world/src/world/gateway.rs
@@ -249,10 +249,11 @@
                 self.waits(g, socket);
             }
             Output::Connect(socket, _) => self.call(g, socket),
-            Output::Write(socket, bytes) => self.write(g, socket, bytes),
-            Output::WriteIfIdle(socket, bytes) => {
-                if self.gateways[g].sockets.contains_key(&socket) {
-                    self.write(g, socket, bytes);
+            Output::Write(socket, bytes) => self.write(g, socket.into(), bytes),
+            Output::WriteAttempt(request) => {
+                let socket = request.socket();
+                if !request.is_only_if_idle() || self.gateways[g].sockets.contains_key(&socket) {
+                    request.parts().for_each(|part| self.write(g, socket, part.clone()));
                 } else if let Some(machine) = &mut self.gateways[g].machine {
                     machine.idle_write_rejected(now, socket);
                 }
