What waits for a writer has one, and a retry that is not sent returns its token

A retry of which nothing was sent had spent its token of [repeats]. Change: push is one step; Input::TokenReturned takes the token back as if never taken, less what expired; until then it counts as spent. Copies of the shadow never wait, so the list of those to forget is gone.

--- a/crates/gateway/src/engine/shadow.rs
+++ b/crates/gateway/src/engine/shadow.rs
@@ -44,12 +44,6 @@
             let Some(Coordination { trial: Some(trial), retry_cap, .. }) = &mut self.coordination else {
                 return;
             };
-            for (attempt, node) in std::mem::take(&mut trial.to_forget) {
-                let id = self.core.node_id(&node);
-                if let Some(connection) = self.node_connections.get(&id) {
-                    connection.forget(attempt);
-                }
-            }
             let copies = std::mem::take(&mut trial.to_send);
             if copies.is_empty() {
                 return;
--- a/crates/gateway/src/retry_cap.rs
+++ b/crates/gateway/src/retry_cap.rs
@@ -11,7 +11,7 @@
 use peer::{PeerName, Told};
 use repeats::{
     Allowance, Allowances, Cap, CapOptions, Counts, Input, KIND, Output, ShardSnapshot, ShardState,
-    host_request_key, request_key,
+    TokenReceipt, host_request_key, request_key,
 };
 use storage_core::{AttemptId, Micros, OutgoingAttempt, RetryDemand, TokenShortage};
 
@@ -28,12 +28,19 @@
     pub(crate) is_retry: bool,
 }
 
+/// An attempt in flight.
+struct CountedAttempt {
+    shard: u32,
+    /// The receipt of its retry token, if it took one.
+    receipt: Option<TokenReceipt>,
+}
+
 /// The fleet's cap on retries, with what has been reported to it and to the decision module.
 pub(crate) struct RetryCap {
     cap: Cap,
     peer_network: PeerNetwork,
-    /// Shards of the attempts in flight.
-    attempts: HashMap<AttemptId, u32>,
+    /// Attempts in flight.
+    attempts: HashMap<AttemptId, CountedAttempt>,
     /// Allowances for the module, with those it has not been given yet.
     allowances: Allowances,
     /// Limits of requests waiting for a retry token, by shard, as last given to the module.
@@ -106,11 +113,13 @@
 
     /// An attempt is about to be sent.
     pub(crate) fn attempt_sent(&mut self, now: Micros, send: &OutgoingAttempt) {
-        self.attempts.insert(send.attempt, send.shard.0);
+        let shard = send.shard.0;
         if send.is_retry {
-            self.allowances.spend(send.shard.0);
+            self.allowances.spend(shard);
         }
-        self.handle(now, Input::AttemptSent { shard: send.shard.0, is_retry: send.is_retry });
+        self.handle(now, Input::AttemptSent { shard, is_retry: send.is_retry });
+        let receipt = self.cap.take_receipt();
+        self.attempts.insert(send.attempt, CountedAttempt { shard, receipt });
     }
 
     /// Whether a shadow copy may be sent to a shard: only beside normal traffic, and with a retry token of
@@ -125,10 +134,13 @@
         self.handle(now, Input::AttemptSent { shard, is_retry: true });
     }
 
-    /// An attempt has ended or is no longer awaited. An attempt that was never sent has spent its token all
-    /// the same: the count errs towards one token too many spent, never one too few.
+    /// An attempt has ended or is no longer awaited. One that was never sent returns its token; until then it
+    /// counts as spent, so that the count errs towards one token too many spent, never one too few.
     pub(crate) fn attempt_ended(&mut self, now: Micros, attempt: AttemptId, outcome: Outcome) {
-        let Some(shard) = self.attempts.remove(&attempt) else { return };
+        let Some(CountedAttempt { shard, receipt }) = self.attempts.remove(&attempt) else { return };
+        if outcome == Outcome::NotSent {
+            return receipt.into_iter().for_each(|receipt| self.handle(now, Input::TokenReturned(receipt)));
+        }
         let (served, refused) = (outcome == Outcome::Served, outcome == Outcome::Full);
         if refused {
             self.refused_since_report.insert(shard, true);
--- a/crates/gateway/src/shadow_trial.rs
+++ b/crates/gateway/src/shadow_trial.rs
@@ -60,7 +60,7 @@
     writes: HashMap<AttemptId, u64>,
     next_number: u64,
     /// Copies in flight, and their deadlines.
-    copies: HashMap<AttemptId, (TryId, String)>,
+    copies: HashMap<AttemptId, TryId>,
     copy_deadlines: BTreeSet<(Micros, AttemptId)>,
     /// Reads whose clients have been answered, with the time of the answer and its data.
     answered_reads: Vec<(SampledRead, Micros, Bytes)>,
@@ -72,8 +72,6 @@
     outputs: Vec<Output>,
     /// Copies for the engine to send.
     pub(crate) to_send: Vec<ReadCopy>,
-    /// Copies that are no longer awaited, with their nodes.
-    pub(crate) to_forget: Vec<(AttemptId, String)>,
 }
 
 impl ShadowTrial {
@@ -108,7 +106,6 @@
             summary: None,
             outputs: Vec::new(),
             to_send: Vec::new(),
-            to_forget: Vec::new(),
         })
     }
 
@@ -219,7 +216,7 @@
 
     fn finish_copy(&mut self, now: Micros, attempt: AttemptId, outcome: Tried) {
         // The end of this copy has been reported already.
-        let Some((id, _)) = self.copies.remove(&attempt) else { return };
+        let Some(id) = self.copies.remove(&attempt) else { return };
         self.copy_deadlines.retain(|d| d.1 != attempt);
         self.handle(now, Input::Tried { id, ended: now, outcome });
     }
@@ -255,8 +252,7 @@
             && due <= now
         {
             self.copy_deadlines.pop_first();
-            if let Some((id, node)) = self.copies.remove(&attempt) {
-                self.to_forget.push((attempt, node));
+            if let Some(id) = self.copies.remove(&attempt) {
                 self.handle(now, Input::Tried { id, ended: now, outcome: Tried::TimedOut });
             }
         }
@@ -272,7 +268,7 @@
                     self.next_number += 1;
                     let attempt =
                         AttemptId { request: RequestId(FIRST_COPY_REQUEST | self.next_number), index: 0 };
-                    self.copies.insert(attempt, (id, node.clone()));
+                    self.copies.insert(attempt, id);
                     let due = now + patience;
                     self.copy_deadlines.insert((due, attempt));
                     self.to_send.push(ReadCopy { attempt, node, shard, nsid, slba, blocks, due });
--- a/crates/interleavings/tests/spill.rs
+++ b/crates/interleavings/tests/spill.rs
@@ -227,6 +227,20 @@
     assert!(expected.contains(&seen), "{begun} of the batch have begun, and the peer got {seen:?}");
 }
 
+/// An answer that the socket takes at once, while another thread asks whether it has to wait for a writer.
+fn pushed_beside_a_question() {
+    let outlet = Outlet::new(100, None);
+    let own = outlet.clone();
+    let answers = thread::spawn(move || {
+        let mut answer = GatherList::new();
+        answer.append_copy(b"xy");
+        own.send_buffer.push(answer, || start(&own));
+    });
+    assert!(!outlet.send_buffer.is_pending(), "it waits for a writer that there is not");
+    answers.join().expect("it answered");
+    assert_eq!(settle(&outlet), b"xy");
+}
+
 /// The socket breaks within a batch.
 fn batch_on_a_broken_socket() {
     let outlet = Outlet::new(100, Some(0));
@@ -314,6 +328,13 @@
     println!("broken: {}", check(None, batch_on_a_broken_socket));
 }
 
+/// Guards against attempts that wait for ever for room in a socket that has room.
+#[test]
+fn what_is_pushed_is_never_seen_without_a_writer() {
+    println!("{}", check(None, pushed_beside_a_question));
+    assert_detected(Fault::PushInTwoSteps, "a writer that there is not", None, pushed_beside_a_question);
+}
+
 #[test]
 fn a_message_that_is_written_although_it_has_not_begun_is_caught() {
     assert_detected(Fault::UnbegunBuffered, "of the batch have begun", None, batch_beside_an_answer);
--- a/crates/repeats/src/account.rs
+++ b/crates/repeats/src/account.rs
@@ -28,6 +28,18 @@
 /// counted from the moment of the grant.
 pub type LeasePart = (u64, Micros);
 
+/// Tokens that an attempt took out of an account, to be returned if the attempt is not sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SpentTokens {
+    /// Earned and borrowed tokens in thousandths, with the times at which they expire.
+    held: Vec<LeasePart>,
+    /// Base tokens in thousandths, in use until `base_until`.
+    base: u64,
+    base_until: Micros,
+    /// How often the account had been scaled.
+    scalings: u32,
+}
+
 /// Totals of an account, in thousandths of a token.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub struct AccountTotals {
@@ -52,6 +64,8 @@
     /// Earned and borrowed tokens, by the time at which they expire. Bounded by the number of slices in
     /// the lifetime of an earned token and the leases within one.
     held: BatchQueue,
+    /// How often `held` has been scaled down.
+    scalings: u32,
     totals: AccountTotals,
 }
 
@@ -82,6 +96,18 @@
         }
     }
 
+    /// Removes at most `amount` from the batch that falls due at `until`, if there is one.
+    fn remove_from(&mut self, until: Micros, amount: u64) {
+        let at = self.queue.partition_point(|p| p.until < until);
+        let Some(batch) = self.queue.get_mut(at).filter(|p| p.until == until) else { return };
+        let removed = amount.min(batch.amount);
+        batch.amount -= removed;
+        self.sum -= removed;
+        if batch.amount == 0 {
+            self.queue.remove(at);
+        }
+    }
+
     /// Changes each batch; removes those that become empty.
     fn update_all(&mut self, mut update: impl FnMut(&mut TokenBatch)) {
         self.queue.iter_mut().for_each(&mut update);
@@ -107,6 +133,7 @@
             base,
             in_use: BatchQueue::default(),
             held: BatchQueue::default(),
+            scalings: 0,
             totals: AccountTotals::default(),
         }
     }
@@ -151,6 +178,7 @@
     /// Scales earned and borrowed tokens down to this part: they were earned at a share that no longer
     /// applies.
     pub fn scale_held(&mut self, part: f64) {
+        self.scalings += 1;
         self.held.update_all(|p| p.amount = (p.amount as f64 * part.clamp(0.0, 1.0)).floor() as u64);
     }
 
@@ -180,11 +208,30 @@
     /// An attempt that was sent without a token (the process was stopped between an expiry and its tick)
     /// must count as well. The cost is that the account yields nothing until the deficit has been
     /// recovered.
-    pub fn spend(&mut self, now: Micros, amount: u64) {
+    pub fn spend(&mut self, now: Micros, amount: u64) -> SpentTokens {
         self.settle(now);
-        let rest = amount - self.take_held(amount, 0).iter().map(|p| p.0).sum::<u64>();
-        self.in_use.add(self.durations.round_up_to_step(now + self.durations.window), rest);
+        let held = self.take_held(amount, 0);
+        let base = amount - held.iter().map(|p| p.0).sum::<u64>();
+        let base_until = self.durations.round_up_to_step(now + self.durations.window);
+        self.in_use.add(base_until, base);
         self.totals.spent += amount;
+        SpentTokens { held, base, base_until, scalings: self.scalings }
+    }
+
+    /// Takes back the tokens of an attempt that was not sent, as if it had never taken them: what would have
+    /// expired or returned meanwhile has done so. Earned and borrowed tokens stay spent if the others were
+    /// scaled down meanwhile. `spent` must be from this account.
+    pub fn take_back(&mut self, now: Micros, spent: SpentTokens) {
+        self.settle(now);
+        self.totals.spent -= spent.base + spent.held.iter().map(|p| p.0).sum::<u64>();
+        self.in_use.remove_from(spent.base_until, spent.base);
+        if spent.scalings == self.scalings {
+            spent
+                .held
+                .into_iter()
+                .filter(|p| p.1 > now)
+                .for_each(|(amount, until)| self.held.add(until, amount));
+        }
     }
 
     /// Takes at most `max_amount` earned and borrowed tokens that expire at or after `min_expiry`.
--- a/crates/repeats/src/cap.rs
+++ b/crates/repeats/src/cap.rs
@@ -9,7 +9,7 @@
 
 use crate::Micros;
 use crate::account::Account;
-use crate::interface::{Input, Output};
+use crate::interface::{Input, Output, TokenReceipt};
 use crate::leases::LeaseBook;
 use crate::options::{CapOptions, Durations, InjectedFault, ONE_TOKEN, Overrides, TokenSource};
 use crate::shard::ShardState;
@@ -47,6 +47,8 @@
     pub(crate) next_slice: Micros,
     pub(crate) next_step: Micros,
     pub(crate) counts: Counts,
+    /// The receipt of the latest attempt, if that took a token.
+    last_receipt: Option<TokenReceipt>,
 }
 
 impl Cap {
@@ -91,6 +93,7 @@
             next_slice: durations.round_down_to_slice(now) + durations.slice,
             next_step: durations.next_step(now),
             counts: Counts::default(),
+            last_receipt: None,
             options,
         };
         cap.fleet = cap.new_account(cap.options.fleet_free, now);
@@ -125,6 +128,11 @@
         }
     }
 
+    /// Returns the receipt of the token that the latest [`Input::AttemptSent`] took, once.
+    pub fn take_receipt(&mut self) -> Option<TokenReceipt> {
+        self.last_receipt.take()
+    }
+
     /// Processes an event and appends the resulting outputs.
     pub fn handle(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         let step_ended = self.advance(now, out);
@@ -155,7 +163,10 @@
     /// Applies an event to the accounts, states and keys.
     fn apply(&mut self, now: Micros, input: Input, out: &mut Vec<Output>) {
         match input {
-            Input::AttemptSent { shard, is_retry } => self.record_sent(now, shard, is_retry),
+            Input::AttemptSent { shard, is_retry } => {
+                self.last_receipt = self.record_sent(now, shard, is_retry);
+            }
+            Input::TokenReturned(receipt) => self.take_back_token(now, receipt),
             Input::AttemptEnded { shard, served, refused: _ } => self.record_ended(now, shard, served),
             Input::RequestUnserved { key } => self.sketch.add(now, key),
             Input::RetryRejected { shard, worth, remaining } => {
--- a/crates/repeats/src/events.rs
+++ b/crates/repeats/src/events.rs
@@ -4,7 +4,7 @@
 
 use crate::Micros;
 use crate::cap::Cap;
-use crate::interface::Output;
+use crate::interface::{Output, TokenReceipt};
 use crate::leases::LeaseBook;
 use crate::options::{ONE_TOKEN, SLICES_PER_WINDOW, TokenSource};
 
@@ -13,20 +13,29 @@
 const REJECTIONS_PER_DELAY: u64 = 64;
 
 impl Cap {
-    pub(crate) fn record_sent(&mut self, now: Micros, shard: u32, is_retry: bool) {
-        let Some(shard_cap) = self.shard_caps.get_mut(&shard) else { return };
-        if !is_retry {
-            return;
-        }
+    /// Records an attempt; returns the receipt of the token that it takes, if it needs one.
+    pub(crate) fn record_sent(&mut self, now: Micros, shard: u32, is_retry: bool) -> Option<TokenReceipt> {
+        let shard_cap = self.shard_caps.get_mut(&shard).filter(|_| is_retry)?;
         shard_cap.health.current_slice().retries += 1;
-        shard_cap.account.spend(now, ONE_TOKEN);
-        self.fleet.spend(now, ONE_TOKEN);
+        let shard_tokens = shard_cap.account.spend(now, ONE_TOKEN);
+        let fleet_tokens = self.fleet.spend(now, ONE_TOKEN);
         // The scheduler has counted this attempt as well.
         shard_cap.allowed = shard_cap.allowed.map(|a| a.saturating_sub(1));
         if shard_cap.fleet_quota > 0 {
             shard_cap.fleet_quota -= 1;
             self.assigned = self.assigned.saturating_sub(1);
         }
+        Some(TokenReceipt { life: self.life, shard, shard_tokens, fleet_tokens })
+    }
+
+    /// Takes back the token of an attempt that was not sent. It is assigned to a shard again like any other. One
+    /// from an earlier life stays spent, as this life began with all tokens in use.
+    pub(crate) fn take_back_token(&mut self, now: Micros, receipt: TokenReceipt) {
+        let TokenReceipt { life, shard, shard_tokens, fleet_tokens } = receipt;
+        if let Some(shard_cap) = self.shard_caps.get_mut(&shard).filter(|_| life == self.life) {
+            shard_cap.account.take_back(now, shard_tokens);
+            self.fleet.take_back(now, fleet_tokens);
+        }
     }
 
     pub(crate) fn record_ended(&mut self, now: Micros, shard: u32, served: bool) {
--- a/crates/repeats/src/interface.rs
+++ b/crates/repeats/src/interface.rs
@@ -3,6 +3,7 @@
 use peer::{Life, PeerName};
 
 use crate::Micros;
+use crate::account::SpentTokens;
 use crate::shard::ShardState;
 
 /// An event that the cap is notified of.
@@ -16,6 +17,8 @@
         /// attempt of a request recognized as a repeat, or a shadow copy.
         is_retry: bool,
     },
+    /// An attempt that took a token was not sent after all.
+    TokenReturned(TokenReceipt),
     /// An attempt ended.
     AttemptEnded {
         /// The shard it was sent to.
@@ -77,7 +80,8 @@
     /// The shard whose tokens the event concerns; none if it may concern all.
     pub(crate) fn shard(&self) -> Option<u32> {
         match *self {
-            Input::AttemptSent { shard, .. }
+            Input::TokenReturned(TokenReceipt { shard, .. })
+            | Input::AttemptSent { shard, .. }
             | Input::AttemptEnded { shard, .. }
             | Input::RetryRejected { shard, .. }
             | Input::RetriesWaiting { shard, .. } => Some(shard),
@@ -86,6 +90,15 @@
     }
 }
 
+/// The receipt of a token that an attempt took, by which the token is returned if the attempt is not sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TokenReceipt {
+    pub(crate) life: Life,
+    pub(crate) shard: u32,
+    pub(crate) shard_tokens: SpentTokens,
+    pub(crate) fleet_tokens: SpentTokens,
+}
+
 /// The number of retries that the scheduler may send to a shard, until the next allowance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Allowance {
--- a/crates/repeats/src/lib.rs
+++ b/crates/repeats/src/lib.rs
@@ -42,7 +42,7 @@
 
 pub use allowances::Allowances;
 pub use cap::Cap;
-pub use interface::{Allowance, Input, Output};
+pub use interface::{Allowance, Input, Output, TokenReceipt};
 pub use key::{host_request_key, request_key};
 pub use message::KIND;
 pub use options::{
--- a/crates/repeats/tests/accounts.rs
+++ b/crates/repeats/tests/accounts.rs
@@ -3,7 +3,7 @@
 
 use peer::{Incarnation, Life, Nonce, PeerName};
 use proptest::prelude::*;
-use repeats::account::Account;
+use repeats::account::{Account, SpentTokens};
 use repeats::leases::{GrantRejected, LeaseBook};
 use repeats::message::{LeaseGrant, LeaseRequest};
 use repeats::{CapOptions, InjectedFault, Micros, ONE_TOKEN};
@@ -27,6 +27,8 @@
     life: u64,
     account: Account,
     leases: LeaseBook,
+    /// Attempts that have taken a token and are not sent yet.
+    unsent: Vec<SpentTokens>,
 }
 
 /// Messages in flight and the tokens used, all by the reference clock.
@@ -48,6 +50,7 @@
             life: 1,
             account: Account::new(options().durations(), BASE * ONE_TOKEN, 0),
             leases: LeaseBook::new(options().durations(), life(1), 3, fault),
+            unsent: Vec::new(),
         });
         let gateways = gateways.collect();
         let mut fleet = Fleet {
@@ -77,6 +80,25 @@
         }
     }
 
+    /// An attempt takes a token and waits to be sent.
+    fn spend_unsent(&mut self, gateway: usize) {
+        let now = self.clock(gateway);
+        let Gateway { account, unsent, .. } = &mut self.gateways[gateway];
+        account.settle(now);
+        if account.available() >= ONE_TOKEN {
+            unsent.push(account.spend(now, ONE_TOKEN));
+        }
+    }
+
+    /// An attempt that waits is not sent after all.
+    fn take_back(&mut self, gateway: usize, at: usize) {
+        let now = self.clock(gateway);
+        let Gateway { account, unsent, .. } = &mut self.gateways[gateway];
+        if !unsent.is_empty() {
+            account.take_back(now, unsent.remove(at % unsent.len()));
+        }
+    }
+
     fn serve(&mut self, gateway: usize) {
         let now = self.clock(gateway);
         // A tenth of a token each.
@@ -135,6 +157,7 @@
             _ => Account::new(options().durations(), BASE * ONE_TOKEN, now),
         };
         gateway.leases = LeaseBook::new(options().durations(), life(gateway.life), 3, fault);
+        gateway.unsent.clear();
     }
 
     /// The most uses in a window beyond what base tokens and earned tokens allow; zero if none.
@@ -162,6 +185,8 @@
             7 => self.deliver_grant(a + 7 * b, true),
             8 => (0..4).for_each(|_| self.serve(a)),
             9 => self.restart(a),
+            11 => self.spend_unsent(a),
+            12 => self.take_back(a, b),
             _ => (0..4).for_each(|_| self.spend(a)),
         }
     }
@@ -171,7 +196,7 @@
 
 fn steps(most: usize) -> impl Strategy<Value = Steps> {
     let time = prop_oneof![Just(0), Just(0), 0..WINDOW / 16, 0..WINDOW / 2];
-    prop::collection::vec((0..11u8, 0..3usize, 0..3usize, time), 0..most)
+    prop::collection::vec((0..13u8, 0..3usize, 0..3usize, time), 0..most)
 }
 
 proptest! {
@@ -305,3 +330,37 @@
         Err(GrantRejected::Late)
     );
 }
+
+/// Guards against attempts that take a token although nothing of them is sent.
+#[test]
+fn a_token_that_is_taken_back_was_never_taken() {
+    let durations = options().durations();
+    let mut account = Account::new(durations, BASE * ONE_TOKEN, 0);
+    let now = 4 * WINDOW;
+    account.earn(now, ONE_TOKEN / 2);
+    account.settle(now);
+    let before = (account.available(), account.next_expiry(), account.totals());
+    let first = account.spend(now, ONE_TOKEN);
+    let second = account.spend(now, ONE_TOKEN);
+    account.take_back(now, first);
+    account.take_back(now, second);
+    assert_eq!((account.available(), account.next_expiry(), account.totals()), before);
+}
+
+/// Guards against a token that is had twice: it returned or expired while its attempt waited.
+#[test]
+fn a_token_that_is_taken_back_late_is_not_had_twice() {
+    let durations = options().durations();
+    let mut account = Account::new(durations, BASE * ONE_TOKEN, 0);
+    let now = 4 * WINDOW;
+    account.earn(now, ONE_TOKEN / 2);
+    let spent = account.spend(now, ONE_TOKEN);
+    let later = now + 2 * WINDOW;
+    account.take_back(later, spent);
+    assert_eq!(account.available(), BASE * ONE_TOKEN, "the base tokens, and no earned one");
+    account.earn(later, ONE_TOKEN);
+    let spent = account.spend(later, ONE_TOKEN);
+    account.scale_held(0.5);
+    account.take_back(later, spent);
+    assert_eq!(account.available(), BASE * ONE_TOKEN, "what was earned at another share stays spent");
+}
--- a/crates/repeats/tests/allowances.rs
+++ b/crates/repeats/tests/allowances.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use repeats::{Allowance, Allowances, Cap, CapOptions, Input, Micros, Output};
+use repeats::{Allowance, Allowances, Cap, CapOptions, Input, Micros, Output, TokenReceipt};
 
 const SHARD: u32 = 7;
 const SECOND: Micros = 1_000_000;
@@ -26,6 +26,8 @@
     issued: Vec<Allowance>,
     notification: Notification,
     scheduler: u32,
+    /// Tokens of attempts that wait to be sent.
+    unsent: Vec<TokenReceipt>,
     now: Micros,
 }
 
@@ -35,7 +37,7 @@
         let life = Life { incarnation: Incarnation(1), nonce: Nonce(1) };
         let cap = Cap::new(options, life, 0, 1);
         let (allowances, issued) = (Allowances::default(), Vec::new());
-        Gateway { cap, allowances, issued, notification, scheduler: 0, now: 0 }
+        Gateway { cap, allowances, issued, notification, scheduler: 0, unsent: Vec::new(), now: 0 }
     }
 
     fn handle_input(&mut self, input: Input) {
@@ -74,6 +76,26 @@
         self.notify();
     }
 
+    /// Like `send`, but the attempts wait and nothing of them is sent yet.
+    fn send_later(&mut self, most: u32) {
+        let sent = self.scheduler.min(most);
+        self.scheduler -= sent;
+        for _ in 0..sent {
+            self.allowances.spend(SHARD);
+            self.handle_input(Input::AttemptSent { shard: SHARD, is_retry: true });
+            self.unsent.extend(self.cap.take_receipt());
+        }
+        self.notify();
+    }
+
+    /// None of the attempts that wait is sent after all.
+    fn return_tokens(&mut self) {
+        for receipt in std::mem::take(&mut self.unsent) {
+            self.handle_input(Input::TokenReturned(receipt));
+        }
+        self.notify();
+    }
+
     fn serve_requests(&mut self, times: u32) {
         for _ in 0..times {
             self.handle_input(Input::AttemptEnded { shard: SHARD, served: true, refused: false });
@@ -138,6 +160,42 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    /// Guards against a token that is had twice, once by its attempt and once returned.
+    #[test]
+    fn tokens_returned_by_attempts_that_were_not_sent_give_no_more_than_the_accounts(
+        steps in prop::collection::vec((0..60u32, 0..40u32, any::<bool>(), 1..40_000 as Micros), 1..40),
+    ) {
+        let mut gateway = Gateway::new(Notification::LessSentAttempts);
+        gateway.advance(2 * SECOND);
+        for (served, sent, returned, time) in steps {
+            gateway.serve_requests(served);
+            gateway.send_later(sent);
+            gateway.advance(time);
+            if returned {
+                gateway.return_tokens();
+            }
+            prop_assert_eq!(gateway.excess(), 0);
+        }
+    }
+}
+
+/// Guards against retries that spend their tokens although nothing of them is sent.
+#[test]
+fn attempts_that_were_not_sent_leave_the_scheduler_their_tokens() {
+    let mut gateway = Gateway::new(Notification::LessSentAttempts);
+    gateway.advance(2 * SECOND);
+    let before = gateway.scheduler;
+    assert!(before > 0);
+    gateway.send_later(before);
+    assert_eq!(gateway.scheduler, 0);
+    gateway.return_tokens();
+    gateway.advance(SECOND / 10);
+    assert_eq!(gateway.scheduler, before);
+}
+
 /// Serves requests, stalls and decides; returns by how much the scheduler's allowance exceeded the
 /// accounts at most.
 fn run_with_stalls(refresh: bool, steps: &[(u32, Micros)]) -> u32 {
--- a/crates/sync/src/checker.rs
+++ b/crates/sync/src/checker.rs
@@ -29,6 +29,8 @@
     TwoWriters,
     /// A connection is finished with unwritten data.
     FinishDropsData,
+    /// Data is pushed in two steps, and is seen without a writer in between.
+    PushInTwoSteps,
     /// Messages of a batch that have not begun are buffered all the same.
     UnbegunBuffered,
     /// A writer's failure is not recorded as a cut.
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -106,8 +106,7 @@
     /// Writes bytes, immediately or later, in the order of the calls.
     pub fn push(self: &Arc<Self>, bytes: GatherList) {
         if !bytes.is_empty() {
-            self.append(|pending| pending.append(bytes));
-            self.flush();
+            self.send_buffer.push(bytes, || self.start_writer());
         }
     }
 
--- a/crates/transport/src/send_buffer.rs
+++ b/crates/transport/src/send_buffer.rs
@@ -84,9 +84,24 @@
         state.pending.len() + if state.writing { chunk } else { 0 }
     }
 
+    /// Buffers bytes and writes them as far as the socket accepts them. Nobody sees them pending without a
+    /// writer: one who waits for a writer to end would wait for ever. `start` is used as in `flush`.
+    pub(crate) fn push(&self, bytes: GatherList, start: impl FnOnce() -> io::Result<()>) {
+        let mut state = self.state();
+        self.append_to(&mut state, |pending| pending.append(bytes));
+        if injected!(PushInTwoSteps) {
+            drop(state);
+            state = self.state();
+        }
+        self.flush_state(&mut state, start);
+    }
+
     /// Buffers bytes until the next flush. Returns whether a flush is needed.
     pub(crate) fn append(&self, write: impl FnOnce(&mut GatherList)) -> bool {
-        let mut state = self.state();
+        self.append_to(&mut self.state(), write)
+    }
+
+    fn append_to(&self, state: &mut State, write: impl FnOnce(&mut GatherList)) -> bool {
         if (state.closed || state.shutdown_when_written.is_some()) && !injected!(AppendAfterClose) {
             return false;
         }
@@ -94,7 +109,7 @@
         write(&mut state.pending);
         if state.pending.len() > self.limit {
             tracing::warn!(limit = self.limit, "a peer does not read its answers; closing its connection");
-            self.close_now(&mut state);
+            self.close_now(state);
         }
         was_empty && !state.writing
     }
@@ -135,18 +150,21 @@
     /// Writes the buffered data, as far as the socket accepts it. `start` starts a writer for the remainder,
     /// which calls `next_chunk`; `start` is called under the lock and must not block.
     pub(crate) fn flush(&self, start: impl FnOnce() -> io::Result<()>) {
-        let mut state = self.state();
+        self.flush_state(&mut self.state(), start);
+    }
+
+    fn flush_state(&self, state: &mut State, start: impl FnOnce() -> io::Result<()>) {
         if state.closed || (state.writing && !injected!(TwoWriters)) {
             return;
         }
         match self.socket.write_now(&mut state.pending) {
             Ok(()) if state.pending.is_empty() => {
                 if let Some(how) = state.shutdown_when_written.filter(|_| self.owner_flushes_again) {
-                    self.shut_down(&mut state, how);
+                    self.shut_down(state, how);
                 }
             }
-            Ok(()) => self.start_writer(&mut state, start),
-            Err(_) => self.close_now(&mut state),
+            Ok(()) => self.start_writer(state, start),
+            Err(_) => self.close_now(state),
         }
     }
 
