--- a/crates/gateway/src/node_connection.rs
+++ b/crates/gateway/src/node_connection.rs
@@ -252,3 +252,6 @@
         admin.close();
     }
 }
+
+#[cfg(test)]
+mod tests;
