--- a/crates/core/src/core.rs
+++ b/crates/core/src/core.rs
@@ -26,6 +26,8 @@
     pub(crate) request: RequestId,
     pub(crate) part: Part,
     pub(crate) state: PieceState,
+    /// Attempts decided on, less those that were not sent, as the scheduler counts them.
+    pub(crate) tries: u32,
     /// Attempts whose write has begun.
     pub(crate) attempts_sent: u32,
     /// Attempts of these that are in flight, were served, or may have run.
@@ -122,6 +124,7 @@
                 request,
                 part,
                 state: PieceState::Open,
+                tries: 0,
                 attempts_sent: 0,
                 attempts_possibly_run: 0,
             });
@@ -229,7 +232,9 @@
             open.last_outcome = Some(end.outcome);
             let has_begun = self.dispatcher.has_begun(attempt);
             let never_ran = matches!(end.outcome, Outcome::Full | Outcome::Unreachable | Outcome::NotSent);
-            open.pieces[index].attempts_possibly_run -= u32::from(has_begun && never_ran);
+            let piece = &mut open.pieces[index];
+            piece.attempts_possibly_run -= u32::from(has_begun && never_ran);
+            piece.tries -= u32::from(end.outcome == Outcome::NotSent);
         }
         let served = self.dispatcher.attempt_ended(self.now, attempt, end.outcome, end.load);
         if let Some((id, index)) = served
@@ -334,10 +339,11 @@
             match command {
                 Command::Send { attempt, node, .. } => self.send(attempt, node, effects),
                 Command::Abandon(attempt, node, outcome) => {
-                    if let Some(&(id, _)) = self.dispatcher.payload(attempt.request)
+                    if let Some(&(id, index)) = self.dispatcher.payload(attempt.request)
                         && let Some(open) = self.open.get_mut(&id)
                     {
                         open.last_outcome = Some(outcome);
+                        open.pieces[index].tries -= u32::from(outcome == Outcome::NotSent);
                     }
                     effects.push(Effect::Abandon(attempt, node, outcome));
                 }
@@ -351,6 +357,9 @@
     }
 
     fn send(&mut self, attempt: AttemptId, node: NodeId, effects: &mut Vec<Effect>) {
+        if let Some(piece) = self.piece_mut(attempt) {
+            piece.tries += 1;
+        }
         let Some(outgoing) = self.outgoing_attempt(attempt, node) else { return };
         if outgoing.is_retry {
             self.retry_demands.use_token(outgoing.shard);
@@ -362,7 +371,8 @@
     pub(crate) fn outgoing_attempt(&self, attempt: AttemptId, node: NodeId) -> Option<OutgoingAttempt> {
         let &(id, index) = self.dispatcher.payload(attempt.request)?;
         let open = self.open.get(&id)?;
-        let (part, operation) = (open.pieces[index].part, &open.operation);
+        let (piece, operation) = (&open.pieces[index], &open.operation);
+        let part = piece.part;
         let idempotency = self.catalogue.settings.classes[open.class].idempotency;
         Some(OutgoingAttempt {
             attempt,
@@ -374,7 +384,7 @@
             bytes: part.blocks * open.block_size,
             data: operation.action.data_of(&part, open.block_size),
             shard: part.shard,
-            is_retry: attempt.index > 0 || operation.retry,
+            is_retry: piece.tries > 1 || operation.retry,
             token: operation.token,
             keyed: matches!(idempotency, Idempotency::Keyed { .. }),
         })
--- a/crates/core/src/effect.rs
+++ b/crates/core/src/effect.rs
@@ -61,11 +61,18 @@
 pub struct PermittedAttempt {
     permit: WritePermit,
     attempt: OutgoingAttempt,
+    sent_before: u32,
 }
 
 impl PermittedAttempt {
-    pub(crate) fn new(permit: WritePermit, attempt: OutgoingAttempt) -> Self {
-        PermittedAttempt { permit, attempt }
+    pub(crate) fn new(permit: WritePermit, attempt: OutgoingAttempt, sent_before: u32) -> Self {
+        PermittedAttempt { permit, attempt, sent_before }
+    }
+
+    /// Returns how many attempts of the same part were sent before. Those that were decided on and never sent
+    /// do not count, as no node has heard of them.
+    pub fn sent_before(&self) -> u32 {
+        self.sent_before
     }
 
     /// Returns the attempt.
--- a/crates/core/src/write.rs
+++ b/crates/core/src/write.rs
@@ -42,12 +42,12 @@
         self.advance(now);
         let permit = self.dispatcher.begin_write(self.now, attempt)?;
         let outgoing = self.outgoing_attempt(attempt, permit.node())?;
-        if let Some(piece) = self.piece_mut(attempt) {
-            piece.attempts_sent += 1;
-            piece.attempts_possibly_run += 1;
-        }
+        let piece = self.piece_mut(attempt)?;
+        let sent_before = piece.attempts_sent;
+        piece.attempts_sent += 1;
+        piece.attempts_possibly_run += 1;
         self.carry_out_commands(effects);
-        Some(PermittedAttempt::new(permit, outgoing))
+        Some(PermittedAttempt::new(permit, outgoing, sent_before))
     }
 
     /// Begins the write of a copy of a read that belongs to no operation. Returns `None` if its node takes no
@@ -55,11 +55,11 @@
     pub fn begin_copy(&self, copy: OutgoingAttempt, time_left: Micros) -> Option<PermittedAttempt> {
         let node: NodeId = copy.node;
         let permit = self.dispatcher.begin_copy(copy.attempt, node, time_left)?;
-        Some(PermittedAttempt::new(permit, copy))
+        Some(PermittedAttempt::new(permit, copy, 0))
     }
 
     /// The part of an open operation that an attempt belongs to.
-    fn piece_mut(&mut self, attempt: AttemptId) -> Option<&mut Piece> {
+    pub(crate) fn piece_mut(&mut self, attempt: AttemptId) -> Option<&mut Piece> {
         let &(id, index) = self.dispatcher.payload(attempt.request)?;
         self.open.get_mut(&id)?.pieces.get_mut(index)
     }
--- a/crates/gateway/src/node_connection/command_queue.rs
+++ b/crates/gateway/src/node_connection/command_queue.rs
@@ -116,6 +116,6 @@
     let mut sqe = Sqe::blocks(opcode, send.nsid, send.slba, send.blocks);
     sqe.set_token(send.token);
     sqe.set_cdw(14, u32::from(send.keyed));
-    sqe.set_cdw(15, send.attempt.index);
+    sqe.set_cdw(15, permitted.sent_before());
     Submission { sqe, data: Bytes::clone(&send.data), expect, user }
 }
