One writer waits for room in a socket, however many batches come meanwhile

Change: a batch that is not accepted whole awaits room, and none is written until the writer has found it; the listener hears of it once.

--- a/crates/gateway/src/node_connection/command_queue.rs
+++ b/crates/gateway/src/node_connection/command_queue.rs
@@ -49,7 +49,7 @@
 
     /// Whether a command may be written now, and does not wait behind others.
     pub(super) fn is_writable(&self) -> bool {
-        !self.outlet.is_pending()
+        self.outlet.has_room()
     }
 
     /// An empty batch.
--- a/crates/interleavings/tests/send_buffer.rs
+++ b/crates/interleavings/tests/send_buffer.rs
@@ -228,6 +228,27 @@
     assert!(expected.contains(&seen), "{begun} of the batch have begun, and the peer got {seen:?}");
 }
 
+/// Batches come while the socket takes nothing; then it has room.
+fn batches_without_room() {
+    let outlet = Outlet::new(3, None);
+    let batch = |bytes: &[u8]| {
+        let mut batch = GatherList::new();
+        batch.append_copy(bytes);
+        outlet.send_buffer.write_batch(batch, &[3, 6], || start(&outlet))
+    };
+    assert_eq!(batch(b"abcdef"), 1, "the socket takes one message and no more");
+    while outlet.send_buffer.is_pending() {
+        thread::yield_now();
+    }
+    assert_eq!((batch(b"defghi"), batch(b"defghi")), (0, 0));
+    assert_eq!(lock(&outlet.writers).len(), 1, "each batch without room has started a writer");
+    assert!(outlet.send_buffer.is_awaiting_room() && !outlet.send_buffer.has_room());
+    outlet.send_buffer.socket().wire().room = 6;
+    assert!(outlet.send_buffer.room_found() && !outlet.send_buffer.room_found());
+    assert_eq!(batch(b"defghi"), 2);
+    assert_eq!(settle(&outlet), b"abcdefghi");
+}
+
 /// An answer that the socket takes at once, while another thread asks whether it has to wait for a writer.
 fn pushed_beside_a_question() {
     let outlet = Outlet::new(100, None);
@@ -237,7 +258,7 @@
         answer.append_copy(b"xy");
         own.send_buffer.push(answer, || start(&own));
     });
-    assert!(!outlet.send_buffer.is_pending(), "it waits for a writer that there is not");
+    assert!(outlet.send_buffer.has_room(), "it waits for a writer that there is not");
     answers.join().expect("it answered");
     assert_eq!(settle(&outlet), b"xy");
 }
@@ -336,6 +357,13 @@
     assert_detected(Fault::PushInTwoSteps, "a writer that there is not", None, pushed_beside_a_question);
 }
 
+/// Guards against a writer, with its descriptor, for each batch that comes while a peer does not read.
+#[test]
+fn only_one_writer_waits_for_room() {
+    println!("{}", check(Some(3), batches_without_room));
+    assert_detected(Fault::RoomNotAwaited, "has started a writer", Some(3), batches_without_room);
+}
+
 #[test]
 fn a_message_that_is_written_although_it_has_not_begun_is_caught() {
     assert_detected(Fault::UnbegunBuffered, "of the batch have begun", None, batch_beside_an_answer);
--- a/crates/sync/src/checker.rs
+++ b/crates/sync/src/checker.rs
@@ -29,6 +29,8 @@
     TwoWriters,
     /// A connection is finished with unwritten data.
     FinishDropsData,
+    /// A batch that was not accepted whole does not keep the next from starting another writer.
+    RoomNotAwaited,
     /// Data is pushed in two steps, and is seen without a writer in between.
     PushInTwoSteps,
     /// Messages of a batch that have not begun are buffered all the same.
--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -53,9 +53,9 @@
         Ok(Outlet::from_shared(Arc::new(stream.inner().try_clone()?), limit))
     }
 
-    /// Like [`Outlet::new`], for a user of [`Outlet::write_batch`]: `on_writable` is called each time that the
-    /// socket had not accepted everything, has now got the remainder and accepts more, or is closed. It must
-    /// not block.
+    /// Like [`Outlet::new`], for a user of [`Outlet::write_batch`]: `on_writable` is called once after each batch
+    /// that the socket has not accepted whole, when it has got the remainder and accepts more, or is closed. It
+    /// must not block.
     ///
     /// # Errors
     ///
@@ -97,6 +97,11 @@
         self.send_buffer.is_pending()
     }
 
+    /// Whether a batch may be written now.
+    pub fn has_room(&self) -> bool {
+        self.send_buffer.has_room()
+    }
+
     /// Number of bytes that the system may not have accepted yet; of the chunk that the writer holds, its largest
     /// size counts.
     pub fn pending_bytes(&self) -> usize {
@@ -116,8 +121,7 @@
         self.send_buffer.append(write)
     }
 
-    /// Writes a batch of messages as far as the socket accepts them, unless something else is still to be
-    /// written. `ends` holds the offset of the end of each message in the batch. Returns how many of them, from
+    /// Writes a batch of messages as far as the socket accepts them, if it [has room](Outlet::has_room). `ends` holds the offset of the end of each message in the batch. Returns how many of them, from
     /// the first on, have begun: the system has accepted at least one byte of each. Nothing of the others is or
     /// will be written.
     pub fn write_batch(self: &Arc<Self>, batch: GatherList, ends: &[usize]) -> usize {
@@ -154,20 +158,22 @@
                 outlet.close();
             }
             drop(descriptor);
-            if let Some(WritableListener(on_writable)) = &outlet.on_writable {
+            if let Some(WritableListener(on_writable)) = &outlet.on_writable
+                && outlet.send_buffer.room_found()
+            {
                 on_writable();
             }
         })
     }
 
-    /// Writes what is buffered; where somebody listens, also waits until the socket accepts more.
+    /// Writes what is buffered, and waits until the socket accepts more if a batch was not accepted whole.
     fn write_pending(&self, mut writer: CoIo<SharedDescriptor>, stream: &TcpStream) {
         while let Some(chunk) = self.send_buffer.next_chunk(CHUNK_BYTES) {
             if writer.write_all(&chunk).is_err() {
                 self.send_buffer.writer_failed();
             }
         }
-        while self.on_writable.is_some() && !is_writable(stream) {
+        while self.send_buffer.is_awaiting_room() && !is_writable(stream) {
             writer.wait_io();
         }
     }
--- a/crates/transport/src/send_buffer.rs
+++ b/crates/transport/src/send_buffer.rs
@@ -36,6 +36,8 @@
     pending: GatherList,
     /// Whether a writer is writing the buffered data.
     writing: bool,
+    /// Whether a batch was not accepted whole, and a writer waits until the socket accepts more.
+    awaiting_room: bool,
     closed: bool,
     /// Whether data was unwritten when the connection closed.
     cut: bool,
@@ -43,6 +45,12 @@
     shutdown_when_written: Option<Shutdown>,
 }
 
+impl State {
+    fn has_room(&self) -> bool {
+        !self.writing && !self.awaiting_room && self.pending.is_empty()
+    }
+}
+
 impl<S: WriteSide> SendBuffer<S> {
     pub(crate) fn new(socket: S, limit: usize) -> Self {
         SendBuffer { socket, limit, owner_flushes_again: false, state: Mutex::new(State::default()) }
@@ -78,6 +86,21 @@
         state.writing || !state.pending.is_empty()
     }
 
+    /// Whether a batch may be written now: nothing is still to be written, and no writer waits for room.
+    pub(crate) fn has_room(&self) -> bool {
+        self.state().has_room()
+    }
+
+    /// Whether a writer has to wait until the socket accepts more.
+    pub(crate) fn is_awaiting_room(&self) -> bool {
+        self.state().awaiting_room
+    }
+
+    /// Records that the socket accepts more. Returns whether that was awaited.
+    pub(crate) fn room_found(&self) -> bool {
+        std::mem::take(&mut self.state().awaiting_room)
+    }
+
     /// Number of buffered bytes; a chunk that the writer holds counts as `chunk` bytes.
     pub(crate) fn pending_bytes(&self, chunk: usize) -> usize {
         let state = self.state();
@@ -126,7 +149,7 @@
     ) -> usize {
         let mut state = self.state();
         let is_ending = state.closed || state.shutdown_when_written.is_some();
-        if is_ending || state.writing || !state.pending.is_empty() {
+        if is_ending || !state.has_room() {
             return 0;
         }
         let total = batch.len();
@@ -141,7 +164,9 @@
         if result.is_err() {
             self.close_now(&mut state);
         } else if begun < ends.len() || !state.pending.is_empty() {
-            // Also where nothing is left to write: the writer waits until the socket accepts more.
+            // Also where nothing is left to write: the writer waits until the socket accepts more. Only one does:
+            // each holds a descriptor, and batches may come for as long as the peer does not read.
+            state.awaiting_room = !injected!(RoomNotAwaited);
             self.start_writer(&mut state, start);
         }
         begun
