Every writer that ends tells its listener of room

Change: each writer tells when it ends. Measured: transport, interleavings and the tests of the node connection pass; the case itself has no test.

--- a/crates/transport/src/outlet.rs
+++ b/crates/transport/src/outlet.rs
@@ -53,9 +53,9 @@
         Ok(Outlet::from_shared(Arc::new(stream.inner().try_clone()?), limit))
     }
 
-    /// Like [`Outlet::new`], for a user of [`Outlet::write_batch`]: `on_writable` is called once after each batch
-    /// that the socket has not accepted whole, when it has got the remainder and accepts more, or is closed. It
-    /// must not block.
+    /// Like [`Outlet::new`], for a user of [`Outlet::write_batch`]: `on_writable` is called each time that a writer
+    /// has ended: the socket had not accepted everything, has got the remainder and accepts more, or is closed.
+    /// It must not block.
     ///
     /// # Errors
     ///
@@ -158,9 +158,9 @@
                 outlet.close();
             }
             drop(descriptor);
-            if let Some(WritableListener(on_writable)) = &outlet.on_writable
-                && outlet.send_buffer.room_found()
-            {
+            outlet.send_buffer.room_found();
+            // Each writer that ends tells, as another may have kept the listener from writing when it was told.
+            if let Some(WritableListener(on_writable)) = &outlet.on_writable {
                 on_writable();
             }
         })
--- a/crates/transport/src/send_buffer.rs
+++ b/crates/transport/src/send_buffer.rs
@@ -96,9 +96,9 @@
         self.state().awaiting_room
     }
 
-    /// Records that the socket accepts more. Returns whether that was awaited.
-    pub(crate) fn room_found(&self) -> bool {
-        std::mem::take(&mut self.state().awaiting_room)
+    /// Records that the socket accepts more.
+    pub(crate) fn room_found(&self) {
+        self.state().awaiting_room = false;
     }
 
     /// Number of buffered bytes; a chunk that the writer holds counts as `chunk` bytes.
